Design page, glossary and build skeleton

Cause: the project starts empty; every later part needs the requirements, the module boundaries and the failure handling in one place before code is written. Ruled out: starting from code and documenting later, because the threads, rings and charts are hard to add afterwards. Change: docs/design.md with requirements, packages, threads and rings, leases, shares, shifts and claims, each with the alternatives considered; glossary; the CMake workspace, formatter and linter settings; core, ring and chart packages.

--- /dev/null
+++ b/cmake/figholdConfig.cmake
@@ -0,0 +1,6 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(pugixml)
+find_dependency(PkgConfig)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/figholdTargets.cmake)
--- /dev/null
+++ b/packages/chart/src/bound_chart.cpp
@@ -0,0 +1,93 @@
+#include "fighold/chart/bound_chart.hpp"
+
+#include <algorithm>
+#include <string_view>
+
+namespace fighold::chart::detail {
+namespace {
+
+int
+IndexOf(const std::vector<std::string>& aNames, std::string_view aName)
+{
+  const auto it = std::find(aNames.begin(), aNames.end(), aName);
+  return it == aNames.end() ? -1 : static_cast<int>(it - aNames.begin());
+}
+
+/// Resolves names to indexes and records a finding for each unknown one.
+struct Resolver
+{
+  const Chart& mChart;
+  const Names& mNames;
+  Findings mFindings;
+
+  int Resolve(const std::vector<std::string>& aNames, const std::string& aKind, const std::string& aName, int aLine)
+  {
+    const int index = IndexOf(aNames, aName);
+    if (index < 0) {
+      mFindings.push_back({ Place{ mChart.mSource, aLine, 0 }, "unknown " + aKind + " \"" + aName + "\"" });
+    }
+    return index;
+  }
+
+  std::vector<int> Actions(const std::vector<std::string>& aActions, int aLine)
+  {
+    std::vector<int> out;
+    for (const std::string& it : aActions) {
+      out.push_back(Resolve(mNames.mActions, "action", it, aLine));
+    }
+    return out;
+  }
+};
+
+void
+CompileState(const State& aState, Resolver& aResolver, Table& aTable)
+{
+  const int state = aResolver.Resolve(aResolver.mNames.mStates, "state", aState.mName, aState.mLine);
+  if (state < 0) {
+    return;
+  }
+  const auto index = static_cast<std::size_t>(state);
+  aTable.mEntry[index] = aResolver.Actions(aState.mEntryActions, aState.mLine);
+  for (const Transition& it : aState.mTransitions) {
+    Row row;
+    const int event = aResolver.Resolve(aResolver.mNames.mEvents, "event", it.mEvent, it.mLine);
+    if (!it.mGuard.empty()) {
+      row.mGuard = aResolver.Resolve(aResolver.mNames.mGuards, "guard", it.mGuard, it.mLine);
+    }
+    if (!it.mTarget.empty()) {
+      row.mTarget = IndexOf(aResolver.mNames.mStates, it.mTarget);
+    }
+    row.mActions = aResolver.Actions(it.mActions, it.mLine);
+    if (event >= 0) {
+      aTable.mRows[index][static_cast<std::size_t>(event)].push_back(row);
+    }
+  }
+}
+
+} // namespace
+
+Checked<Table>
+Compile(const Chart& aChart, const Names& aNames)
+{
+  Table table;
+  table.mRows.assign(aNames.mStates.size(), std::vector<std::vector<Row>>(aNames.mEvents.size()));
+  table.mEntry.resize(aNames.mStates.size());
+  Resolver resolver{ aChart, aNames, {} };
+  for (const State& it : aChart.mStates) {
+    CompileState(it, resolver, table);
+  }
+  for (const std::string& it : aNames.mStates) {
+    const bool known = std::any_of(
+      aChart.mStates.begin(), aChart.mStates.end(), [&it](const State& aState) { return aState.mName == it; });
+    if (!known) {
+      resolver.mFindings.push_back({ Place{ aChart.mSource, 0, 0 }, "state \"" + it + "\" is missing" });
+    }
+  }
+  if (!resolver.mFindings.empty()) {
+    return { std::nullopt, resolver.mFindings };
+  }
+  table.mInitial = static_cast<std::size_t>(IndexOf(aNames.mStates, aChart.mInitial));
+  return { table, {} };
+}
+
+} // namespace fighold::chart::detail
--- /dev/null
+++ b/packages/ring/src/bounded_ring.cpp
@@ -0,0 +1,1 @@
+#include "fighold/ring/bounded_ring.hpp"
