--- a/packages/chart/include/fighold/chart/bound_chart.hpp
+++ b/packages/chart/include/fighold/chart/bound_chart.hpp
@@ -11,7 +11,8 @@
 /// Charts bound to guards and actions, and the interpreter.
 namespace fighold::chart {
 
-/// The functions and names that a chart may use. The order of names is the order of the enumerations in the code.
+/// The functions and names that a chart may use. The order of names is the order of the
+/// enumerations in the code.
 ///
 /// `Scope` is what guards read and actions change: the working copy of one decision step.
 template<typename Scope>
@@ -82,7 +83,8 @@
 /// Binds a chart to its functions.
 /// @param aChart checked chart
 /// @param aRegistry names and functions; every state of it must be in the chart
-/// @return the bound chart, or every name that the registry does not know and every state that the chart lacks
+/// @return the bound chart, or every name that the registry does not know and every state that the
+/// chart lacks
 template<typename Scope>
 Checked<BoundChart<Scope>>
 Bind(const Chart& aChart, const Registry<Scope>& aRegistry)
@@ -125,8 +127,8 @@
   return *bound.mValue;
 }
 
-/// Applies one event: the first transition whose guard holds is taken; its actions run, then the entry actions of the
-/// target.
+/// Applies one event: the first transition whose guard holds is taken; its actions run, then the
+/// entry actions of the target.
 /// @param aChart bound chart
 /// @param aState state before the event
 /// @param aEvent event
@@ -136,7 +138,8 @@
 Fired<StateEnum>
 Fire(const BoundChart<Scope>& aChart, StateEnum aState, EventEnum aEvent, Scope& aScope)
 {
-  const auto& rows = aChart.mTable.mRows[static_cast<std::size_t>(aState)][static_cast<std::size_t>(aEvent)];
+  const auto& rows =
+    aChart.mTable.mRows[static_cast<std::size_t>(aState)][static_cast<std::size_t>(aEvent)];
   for (const detail::Row& row : rows) {
     if (row.mGuard >= 0 && !aChart.mGuards[static_cast<std::size_t>(row.mGuard)](aScope)) {
       continue;
--- a/packages/chart/include/fighold/chart/chart.hpp
+++ b/packages/chart/include/fighold/chart/chart.hpp
@@ -10,16 +10,16 @@
 
 /// State charts as tables, loaded from SCXML files.
 ///
-/// The supported part of SCXML: <scxml initial>, <state id>, <final id>, <transition event cond target>, <onentry>,
-/// and the action element <fighold:do name>. A transition without a target runs its actions and stays, without
-/// <onentry>.
+/// The supported part of SCXML: <scxml initial>, <state id>, <final id>, <transition event cond
+/// target>, <onentry>, and the action element <fighold:do name>. A transition without a target runs
+/// its actions and stays, without <onentry>.
 namespace fighold::chart {
 
 /// One transition; transitions of a state are tried in the order of the file.
 struct Transition
 {
   std::string mEvent;
-  std::string mGuard; ///< empty: always taken
+  std::string mGuard;  ///< empty: always taken
   std::string mTarget; ///< empty: stay
   std::vector<std::string> mActions;
   int mLine = 0;
@@ -52,7 +52,8 @@
 /// Parses and checks a chart.
 /// @param aText SCXML document
 /// @param aSource name used as the place of findings
-/// @return the chart, or every finding: malformed XML, unknown elements, missing or doubled states, unknown targets,
+/// @return the chart, or every finding: malformed XML, unknown elements, missing or doubled states,
+/// unknown targets,
 ///         unreachable states, transitions that can never be taken
 Checked<Chart>
 ParseChart(std::string_view aText, const std::string& aSource);
--- a/packages/chart/src/bound_chart.cpp
+++ b/packages/chart/src/bound_chart.cpp
@@ -20,11 +20,15 @@
   const Names& mNames;
   Findings mFindings;
 
-  int Resolve(const std::vector<std::string>& aNames, const std::string& aKind, const std::string& aName, int aLine)
+  int Resolve(const std::vector<std::string>& aNames,
+              const std::string& aKind,
+              const std::string& aName,
+              int aLine)
   {
     const int index = IndexOf(aNames, aName);
     if (index < 0) {
-      mFindings.push_back({ Place{ mChart.mSource, aLine, 0 }, "unknown " + aKind + " \"" + aName + "\"" });
+      mFindings.push_back(
+        { Place{ mChart.mSource, aLine, 0 }, "unknown " + aKind + " \"" + aName + "\"" });
     }
     return index;
   }
@@ -42,7 +46,8 @@
 void
 CompileState(const State& aState, Resolver& aResolver, Table& aTable)
 {
-  const int state = aResolver.Resolve(aResolver.mNames.mStates, "state", aState.mName, aState.mLine);
+  const int state =
+    aResolver.Resolve(aResolver.mNames.mStates, "state", aState.mName, aState.mLine);
   if (state < 0) {
     return;
   }
@@ -77,10 +82,12 @@
     CompileState(it, resolver, table);
   }
   for (const std::string& it : aNames.mStates) {
-    const bool known = std::any_of(
-      aChart.mStates.begin(), aChart.mStates.end(), [&it](const State& aState) { return aState.mName == it; });
+    const bool known = std::any_of(aChart.mStates.begin(),
+                                   aChart.mStates.end(),
+                                   [&it](const State& aState) { return aState.mName == it; });
     if (!known) {
-      resolver.mFindings.push_back({ Place{ aChart.mSource, 0, 0 }, "state \"" + it + "\" is missing" });
+      resolver.mFindings.push_back(
+        { Place{ aChart.mSource, 0, 0 }, "state \"" + it + "\" is missing" });
     }
   }
   if (!resolver.mFindings.empty()) {
--- a/packages/chart/src/chart.cpp
+++ b/packages/chart/src/chart.cpp
@@ -21,8 +21,10 @@
 int
 LineOf(const Source& aSource, std::ptrdiff_t aOffset)
 {
-  const auto end = std::min<std::size_t>(aOffset < 0 ? 0 : static_cast<std::size_t>(aOffset), aSource.mText.size());
-  return 1 + static_cast<int>(std::count(aSource.mText.begin(), aSource.mText.begin() + static_cast<long>(end), '\n'));
+  const auto end = std::min<std::size_t>(aOffset < 0 ? 0 : static_cast<std::size_t>(aOffset),
+                                         aSource.mText.size());
+  return 1 + static_cast<int>(std::count(
+               aSource.mText.begin(), aSource.mText.begin() + static_cast<long>(end), '\n'));
 }
 
 Finding
@@ -42,7 +44,9 @@
     }
     const std::string name = it.attribute("name").value();
     if (element != "fighold:do" || name.empty()) {
-      aFindings.push_back(At(aSource, LineOf(aSource, it.offset_debug()), "expected <fighold:do name=\"...\"/>, found <" + element + ">"));
+      aFindings.push_back(At(aSource,
+                             LineOf(aSource, it.offset_debug()),
+                             "expected <fighold:do name=\"...\"/>, found <" + element + ">"));
       continue;
     }
     actions.push_back(name);
@@ -83,7 +87,8 @@
       const auto actions = ParseActions(it, aSource, aFindings);
       state.mEntryActions.insert(state.mEntryActions.end(), actions.begin(), actions.end());
     } else if (it.type() != pugi::node_comment) {
-      aFindings.push_back(At(aSource, LineOf(aSource, it.offset_debug()), "unsupported element <" + element + ">"));
+      aFindings.push_back(
+        At(aSource, LineOf(aSource, it.offset_debug()), "unsupported element <" + element + ">"));
     }
   }
   return state;
@@ -92,13 +97,17 @@
 const State*
 Find(const Chart& aChart, const std::string& aName)
 {
-  const auto it = std::find_if(
-    aChart.mStates.begin(), aChart.mStates.end(), [&aName](const State& aState) { return aState.mName == aName; });
+  const auto it = std::find_if(aChart.mStates.begin(),
+                               aChart.mStates.end(),
+                               [&aName](const State& aState) { return aState.mName == aName; });
   return it == aChart.mStates.end() ? nullptr : &*it;
 }
 
 void
-CheckTransitions(const Chart& aChart, const State& aState, const Source& aSource, Findings& aFindings)
+CheckTransitions(const Chart& aChart,
+                 const State& aState,
+                 const Source& aSource,
+                 Findings& aFindings)
 {
   std::set<std::string> unguarded;
   for (const Transition& it : aState.mTransitions) {
@@ -106,14 +115,18 @@
       aFindings.push_back(At(aSource, it.mLine, "target \"" + it.mTarget + "\" does not exist"));
     }
     if (unguarded.count(it.mEvent) > 0) {
-      aFindings.push_back(At(aSource, it.mLine, "transition on \"" + it.mEvent + "\" is never taken: an earlier one has no cond"));
+      aFindings.push_back(
+        At(aSource,
+           it.mLine,
+           "transition on \"" + it.mEvent + "\" is never taken: an earlier one has no cond"));
     }
     if (it.mGuard.empty()) {
       unguarded.insert(it.mEvent);
     }
   }
   if (aState.mFinal && !aState.mTransitions.empty()) {
-    aFindings.push_back(At(aSource, aState.mLine, "final state \"" + aState.mName + "\" has transitions"));
+    aFindings.push_back(
+      At(aSource, aState.mLine, "final state \"" + aState.mName + "\" has transitions"));
   }
 }
 
@@ -166,7 +179,9 @@
   pugi::xml_document document;
   const auto result = document.load_buffer(aText.data(), aText.size());
   if (!result) {
-    findings.push_back(At(source, LineOf(source, result.offset), std::string("malformed XML: ") + result.description()));
+    findings.push_back(At(source,
+                          LineOf(source, result.offset),
+                          std::string("malformed XML: ") + result.description()));
     return { std::nullopt, findings };
   }
   const pugi::xml_node root = document.child("scxml");
@@ -182,7 +197,9 @@
     if (element == "state" || element == "final") {
       chart.mStates.push_back(ParseState(it, source, findings));
     } else if (it.type() != pugi::node_comment) {
-      findings.push_back(At(source, LineOf(source, it.offset_debug()), "unsupported element <" + std::string(element) + ">"));
+      findings.push_back(At(source,
+                            LineOf(source, it.offset_debug()),
+                            "unsupported element <" + std::string(element) + ">"));
     }
   }
   CheckStates(chart, source, findings);
--- a/packages/chart/src/chart_test.cpp
+++ b/packages/chart/src/chart_test.cpp
@@ -39,13 +39,19 @@
 </scxml>)";
   Registry<DoorScope> mRegistry{ { "closed", "open" },
                                  { "push", "pull" },
-                                 { { "locked", [](const DoorScope& aScope) { return aScope.mLocked; } } },
+                                 { { "locked",
+                                     [](const DoorScope& aScope) { return aScope.mLocked; } } },
                                  { { "count", [](DoorScope& aScope) { ++aScope.mOpened; } } } };
 
-  BoundChart<DoorScope> Bound() const { return *Bind(*ParseChart(mText, "door").mValue, mRegistry).mValue; }
+  BoundChart<DoorScope> Bound() const
+  {
+    return *Bind(*ParseChart(mText, "door").mValue, mRegistry).mValue;
+  }
 };
 
-TEST_CASE_METHOD(ChartFixture, "Fire, guard does not hold, takes the next transition and runs entry actions", "[chart]")
+TEST_CASE_METHOD(ChartFixture,
+                 "Fire, guard does not hold, takes the next transition and runs entry actions",
+                 "[chart]")
 {
   DoorScope scope;
   const auto fired = Fire(Bound(), Door::Closed, DoorEvent::Push, scope);
@@ -60,7 +66,9 @@
   CHECK(scope.mOpened == 0);
 }
 
-TEST_CASE_METHOD(ChartFixture, "Fire, event without a transition, reports that nothing was taken", "[chart]")
+TEST_CASE_METHOD(ChartFixture,
+                 "Fire, event without a transition, reports that nothing was taken",
+                 "[chart]")
 {
   DoorScope scope;
   CHECK(Fire(Bound(), Door::Closed, DoorEvent::Pull, scope) == Fired<Door>{ Door::Closed, false });
@@ -82,7 +90,9 @@
 }
 
 // Guards against a chart whose function was renamed in the code only.
-TEST_CASE_METHOD(ChartFixture, "Bind, unknown guard, event and action, refuses with all three", "[chart]")
+TEST_CASE_METHOD(ChartFixture,
+                 "Bind, unknown guard, event and action, refuses with all three",
+                 "[chart]")
 {
   mRegistry.mGuards.clear();
   mRegistry.mActions.clear();
@@ -93,7 +103,9 @@
 }
 
 // Guards against crashes on damaged chart files.
-TEST_CASE_METHOD(ChartFixture, "ParseChart, text cut at any place, gives a chart or findings", "[chart]")
+TEST_CASE_METHOD(ChartFixture,
+                 "ParseChart, text cut at any place, gives a chart or findings",
+                 "[chart]")
 {
   for (std::size_t n = 0; n < mText.size(); ++n) {
     const auto checked = ParseChart(std::string_view(mText).substr(0, n), "cut");
--- a/packages/core/include/fighold/core/finding.hpp
+++ b/packages/core/include/fighold/core/finding.hpp
@@ -9,7 +9,8 @@
 /// Findings: errors that are collected with their place and reported together.
 namespace fighold {
 
-/// Where a finding was made: a file, a flag or a sheet, with line (or row) and column where known; 0 is "not known".
+/// Where a finding was made: a file, a flag or a sheet, with line (or row) and column where known;
+/// 0 is "not known".
 struct Place
 {
   std::string mSource;
--- a/packages/core/src/decision_record.cpp
+++ b/packages/core/src/decision_record.cpp
@@ -13,7 +13,8 @@
   }
   aOut += aKey;
   aOut += '=';
-  const bool plain = !aValue.empty() && aValue.find_first_of(" \"=\\\n\r\t") == std::string_view::npos;
+  const bool plain =
+    !aValue.empty() && aValue.find_first_of(" \"=\\\n\r\t") == std::string_view::npos;
   if (plain) {
     aOut += aValue;
     return;
--- /dev/null
+++ b/packages/membership/include/fighold/membership/change.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "fighold/membership/configuration.hpp"
+
+#include <string>
+#include <variant>
+
+/// Changes of the configuration: the replicated state machine.
+namespace fighold::membership {
+
+/// Replaces the plan if `mBaseDigest` is the digest of the plan in use and the number is greater.
+struct SubmitPlan
+{
+  std::string mBaseDigest; ///< empty: no plan was in use
+  SharedValue<plan::Plan> mPlan;
+
+  friend bool operator==(const SubmitPlan&, const SubmitPlan&) = default;
+};
+
+/// Registers an entry, or a new incarnation of it.
+struct RegisterEntry
+{
+  EntryId mId;
+  Entry mEntry;
+
+  friend bool operator==(const RegisterEntry&, const RegisterEntry&) = default;
+};
+
+/// Removes an entry that stopped, or whose lease ran out long ago.
+struct RemoveEntry
+{
+  EntryId mId;
+  Incarnation mIncarnation = 0;
+
+  friend bool operator==(const RemoveEntry&, const RemoveEntry&) = default;
+};
+
+/// Adds a backend server, or a new incarnation of it.
+struct AnnounceBackendServer
+{
+  BackendServerId mId;
+  BackendServer mServer;
+
+  friend bool operator==(const AnnounceBackendServer&, const AnnounceBackendServer&) = default;
+};
+
+/// Marks a backend server as leaving.
+struct DepartBackendServer
+{
+  BackendServerId mId;
+  Incarnation mIncarnation = 0;
+
+  friend bool operator==(const DepartBackendServer&, const DepartBackendServer&) = default;
+};
+
+/// Forgets a backend server that left or whose lease ran out.
+struct RemoveBackendServer
+{
+  BackendServerId mId;
+  Incarnation mIncarnation = 0;
+
+  friend bool operator==(const RemoveBackendServer&, const RemoveBackendServer&) = default;
+};
+
+/// What a drain is about.
+enum class DrainKind : std::uint8_t
+{
+  BackendServer,
+  Entry,
+  Region,
+};
+
+/// Starts or ends an operator's drain.
+struct SetDrain
+{
+  DrainKind mKind = DrainKind::BackendServer;
+  std::string mName;
+  bool mOn = true;
+
+  friend bool operator==(const SetDrain&, const SetDrain&) = default;
+};
+
+/// Takes one shift step of a service; refused unless `mStep` follows the last one.
+struct TakeShiftStep
+{
+  ServiceId mService;
+  Shift mShift;
+
+  friend bool operator==(const TakeShiftStep&, const TakeShiftStep&) = default;
+};
+
+using ChangeBody = std::variant<SubmitPlan,
+                                RegisterEntry,
+                                RemoveEntry,
+                                AnnounceBackendServer,
+                                DepartBackendServer,
+                                RemoveBackendServer,
+                                SetDrain,
+                                TakeShiftStep>;
+
+/// A change with its identifier. Changes with an empty identifier are not remembered for resends;
+/// they are idempotent.
+struct Change
+{
+  ChangeId mId;
+  ChangeBody mBody;
+
+  friend bool operator==(const Change&, const Change&) = default;
+};
+
+/// Result of applying a change.
+struct Applied
+{
+  SharedValue<Configuration> mConfiguration;
+  ChangeAnswer mAnswer;
+};
+
+/// Applies a committed change. Deterministic: every control process computes the same result.
+/// @param aConfiguration configuration before the change
+/// @param aChange committed change
+/// @param aVersion position of the change in the replicated log
+/// @return configuration after the change, with mVersion == aVersion, and the answer; a resend
+/// (known mChangeId) gets
+///         its first answer and changes nothing else
+Applied
+Apply(const Configuration& aConfiguration, const Change& aChange, Version aVersion);
+
+} // namespace fighold::membership
--- /dev/null
+++ b/packages/membership/include/fighold/membership/configuration.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "fighold/core/endpoint.hpp"
+#include "fighold/core/id.hpp"
+#include "fighold/core/shared_value.hpp"
+#include "fighold/plan/plan.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+/// The replicated configuration: plan, entries, backend servers, drains and shift steps.
+namespace fighold::membership {
+
+/// A registered entry process.
+struct Entry
+{
+  Incarnation mIncarnation = 0;
+  Endpoint mAddress; ///< where callers reach it
+  RegionId mRegion;
+  DataCentreId mDataCentre;
+  Version mRegisteredAt = 0; ///< the entry serves only with this version or a later one
+
+  friend auto operator<=>(const Entry&, const Entry&) = default;
+};
+
+/// An announced backend server.
+struct BackendServer
+{
+  Incarnation mIncarnation = 0;
+  ServiceId mService;
+  RegionId mRegion;
+  DataCentreId mDataCentre;
+  Endpoint mAddress;
+  std::uint32_t mSlots = 0;       ///< requests that it runs at once
+  std::uint32_t mConnections = 0; ///< greatest number of connections it holds
+  bool mLeaving = false;          ///< announced its departure: no new work
+
+  friend auto operator<=>(const BackendServer&, const BackendServer&) = default;
+};
+
+/// The split of a service that is in use, on its way to the plan's split.
+struct Shift
+{
+  std::uint64_t mStep = 0; ///< number of steps taken since the service appeared
+  plan::SplitMatrix mInUse;
+
+  friend auto operator<=>(const Shift&, const Shift&) = default;
+};
+
+/// What was decided about an operator's change.
+enum class Verdict : std::uint8_t
+{
+  Accepted,
+  Conflict, ///< another change came first
+  Refused,  ///< the change is at fault
+};
+
+/// First answer to a change; a resend receives it again.
+struct ChangeAnswer
+{
+  Verdict mVerdict = Verdict::Refused;
+  Version mVersion = 0;          ///< version at which the change was decided
+  std::uint64_t mPlanNumber = 0; ///< plan in use after the decision
+  std::string mPlanDigest;
+  std::string mMessage;
+
+  friend auto operator<=>(const ChangeAnswer&, const ChangeAnswer&) = default;
+};
+
+/// Things that an operator can drain.
+struct Drains
+{
+  std::set<BackendServerId> mBackendServers;
+  std::set<EntryId> mEntries;
+  std::set<RegionId> mRegions;
+
+  friend auto operator<=>(const Drains&, const Drains&) = default;
+};
+
+/// The whole configuration at one version. Immutable; a change makes a new one.
+struct Configuration
+{
+  Version mVersion = 0;
+  SharedValue<plan::Plan> mPlan; ///< number 0: no plan was accepted yet
+  std::string mPlanDigest;
+  std::map<EntryId, Entry> mEntries;
+  std::map<BackendServerId, BackendServer> mBackendServers;
+  std::map<ServiceId, Shift> mShifts;
+  Drains mDrains;
+  std::map<ChangeId, ChangeAnswer> mAnswers; ///< the newest kMaxAnswers
+
+  friend bool operator==(const Configuration&, const Configuration&) = default;
+};
+
+/// First answers kept for resends.
+constexpr std::size_t kMaxAnswers = 4096;
+
+} // namespace fighold::membership
--- /dev/null
+++ b/packages/membership/src/change.cpp
@@ -0,0 +1,211 @@
+#include "fighold/membership/change.hpp"
+
+#include <algorithm>
+
+namespace fighold::membership {
+namespace {
+
+ChangeAnswer
+Accepted()
+{
+  ChangeAnswer answer;
+  answer.mVerdict = Verdict::Accepted;
+  return answer;
+}
+
+ChangeAnswer
+Refused(const std::string& aMessage)
+{
+  ChangeAnswer answer;
+  answer.mMessage = aMessage;
+  return answer;
+}
+
+ChangeAnswer
+Conflict(const std::string& aMessage)
+{
+  ChangeAnswer answer;
+  answer.mVerdict = Verdict::Conflict;
+  answer.mMessage = aMessage;
+  return answer;
+}
+
+/// A service keeps the split in use; a service that is new starts at the plan's split, since no
+/// cache is warm yet.
+void
+StartNewShifts(Configuration& aNext)
+{
+  for (const auto& [service, matrix] : aNext.mPlan->mSplits) {
+    aNext.mShifts.try_emplace(service, Shift{ 0, matrix });
+  }
+  for (auto it = aNext.mShifts.begin(); it != aNext.mShifts.end();) {
+    it = aNext.mPlan->mServices.count(it->first) == 0 ? aNext.mShifts.erase(it) : std::next(it);
+  }
+  for (auto& [service, shift] : aNext.mShifts) {
+    for (const auto& [origin, row] : aNext.mPlan->mSplits.at(service)) {
+      shift.mInUse.try_emplace(origin, row);
+    }
+  }
+}
+
+ChangeAnswer
+ApplyBody(const SubmitPlan& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  if (aChange.mBaseDigest != aNext.mPlanDigest) {
+    return Conflict("the plan in use is not the one that this plan replaces");
+  }
+  if (aChange.mPlan->mNumber <= aNext.mPlan->mNumber) {
+    return Conflict("the plan number must be greater than " + std::to_string(aNext.mPlan->mNumber));
+  }
+  aNext.mPlan = aChange.mPlan;
+  aNext.mPlanDigest = plan::Digest(*aChange.mPlan);
+  StartNewShifts(aNext);
+  return Accepted();
+}
+
+ChangeAnswer
+ApplyBody(const RegisterEntry& aChange, Configuration& aNext, Version aVersion)
+{
+  Entry entry = aChange.mEntry;
+  const auto it = aNext.mEntries.find(aChange.mId);
+  const bool same = it != aNext.mEntries.end() && it->second.mIncarnation == entry.mIncarnation;
+  entry.mRegisteredAt = same ? it->second.mRegisteredAt : aVersion;
+  aNext.mEntries[aChange.mId] = entry;
+  return Accepted();
+}
+
+ChangeAnswer
+ApplyBody(const RemoveEntry& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  const auto it = aNext.mEntries.find(aChange.mId);
+  if (it == aNext.mEntries.end() || it->second.mIncarnation != aChange.mIncarnation) {
+    return Refused("no such entry incarnation");
+  }
+  aNext.mEntries.erase(it);
+  return Accepted();
+}
+
+ChangeAnswer
+ApplyBody(const AnnounceBackendServer& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  const BackendServer& server = aChange.mServer;
+  if (aNext.mPlan->mServices.count(server.mService) == 0 ||
+      aNext.mPlan->mRegions.count(server.mRegion) == 0) {
+    return Refused("the plan names no such service or region");
+  }
+  const auto it = aNext.mBackendServers.find(aChange.mId);
+  const bool same =
+    it != aNext.mBackendServers.end() && it->second.mIncarnation == server.mIncarnation;
+  if (same && it->second.mLeaving) {
+    return Refused("this incarnation announced its departure");
+  }
+  aNext.mBackendServers[aChange.mId] = server;
+  return Accepted();
+}
+
+ChangeAnswer
+ApplyBody(const DepartBackendServer& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  const auto it = aNext.mBackendServers.find(aChange.mId);
+  if (it == aNext.mBackendServers.end() || it->second.mIncarnation != aChange.mIncarnation) {
+    return Refused("no such backend server incarnation");
+  }
+  it->second.mLeaving = true;
+  return Accepted();
+}
+
+ChangeAnswer
+ApplyBody(const RemoveBackendServer& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  const auto it = aNext.mBackendServers.find(aChange.mId);
+  if (it == aNext.mBackendServers.end() || it->second.mIncarnation != aChange.mIncarnation) {
+    return Refused("no such backend server incarnation");
+  }
+  aNext.mBackendServers.erase(it);
+  return Accepted();
+}
+
+template<typename T>
+void
+SetMember(std::set<T>& aSet, const std::string& aName, bool aOn)
+{
+  if (aOn) {
+    aSet.insert(T{ aName });
+  } else {
+    aSet.erase(T{ aName });
+  }
+}
+
+ChangeAnswer
+ApplyBody(const SetDrain& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  switch (aChange.mKind) {
+    case DrainKind::BackendServer:
+      SetMember(aNext.mDrains.mBackendServers, aChange.mName, aChange.mOn);
+      break;
+    case DrainKind::Entry:
+      SetMember(aNext.mDrains.mEntries, aChange.mName, aChange.mOn);
+      break;
+    case DrainKind::Region:
+      if (aNext.mPlan->mRegions.count(RegionId{ aChange.mName }) == 0) {
+        return Refused("the plan names no region \"" + aChange.mName + "\"");
+      }
+      SetMember(aNext.mDrains.mRegions, aChange.mName, aChange.mOn);
+      break;
+  }
+  return Accepted();
+}
+
+ChangeAnswer
+ApplyBody(const TakeShiftStep& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  const auto it = aNext.mShifts.find(aChange.mService);
+  if (it == aNext.mShifts.end()) {
+    return Refused("no such service");
+  }
+  if (aChange.mShift.mStep != it->second.mStep + 1) {
+    return Conflict("step " + std::to_string(it->second.mStep) + " was the last one");
+  }
+  it->second = aChange.mShift;
+  return Accepted();
+}
+
+void
+Remember(Configuration& aNext, const ChangeId& aId, const ChangeAnswer& aAnswer)
+{
+  if (aId.mValue.empty()) {
+    return;
+  }
+  aNext.mAnswers[aId] = aAnswer;
+  if (aNext.mAnswers.size() <= kMaxAnswers) {
+    return;
+  }
+  const auto oldest = std::min_element(
+    aNext.mAnswers.begin(), aNext.mAnswers.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.mVersion < aRight.second.mVersion;
+    });
+  aNext.mAnswers.erase(oldest);
+}
+
+} // namespace
+
+Applied
+Apply(const Configuration& aConfiguration, const Change& aChange, Version aVersion)
+{
+  Configuration next = aConfiguration;
+  next.mVersion = aVersion;
+  const auto known = next.mAnswers.find(aChange.mId);
+  if (known != next.mAnswers.end()) {
+    const ChangeAnswer answer = known->second;
+    return { SharedValue<Configuration>(std::move(next)), answer };
+  }
+  ChangeAnswer answer =
+    std::visit([&](const auto& aBody) { return ApplyBody(aBody, next, aVersion); }, aChange.mBody);
+  answer.mVersion = aVersion;
+  answer.mPlanNumber = next.mPlan->mNumber;
+  answer.mPlanDigest = next.mPlanDigest;
+  Remember(next, aChange.mId, answer);
+  return { SharedValue<Configuration>(std::move(next)), answer };
+}
+
+} // namespace fighold::membership
--- /dev/null
+++ b/packages/membership/src/configuration.cpp
@@ -0,0 +1,1 @@
+#include "fighold/membership/configuration.hpp"
--- /dev/null
+++ b/packages/membership/src/lease.cpp
@@ -0,0 +1,27 @@
+#include "fighold/membership/lease.hpp"
+
+namespace fighold::membership {
+
+Instant
+LeaseEnd(Instant aAskedAt, Duration aLength)
+{
+  return aAskedAt + aLength - aLength / kClockRateParts;
+}
+
+std::optional<Duration>
+GrantableLength(Instant aQuorumAt, Instant aNow)
+{
+  const Instant end = aQuorumAt + kConfigurationLease;
+  if (aNow >= end) {
+    return std::nullopt;
+  }
+  return end - aNow;
+}
+
+bool
+Holds(const Lease& aLease, Instant aNow)
+{
+  return aNow < aLease.mUntil;
+}
+
+} // namespace fighold::membership
--- /dev/null
+++ b/packages/membership/src/lease_test.cpp
@@ -0,0 +1,37 @@
+#include "fighold/membership/lease.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace fighold::membership {
+namespace {
+
+struct LeaseFixture
+{
+  Instant mStart{ std::chrono::hours(1) };
+};
+
+// Guards against a holder that outlives the granter's right because the grant travelled for a long
+// time.
+TEST_CASE_METHOD(LeaseFixture,
+                 "LeaseEnd, any delay of the grant, ends before the granter's right",
+                 "[membership]")
+{
+  rc::prop("with clocks whose rates differ by up to one percent", [this]() {
+    const auto ask = Millis(*rc::gen::inRange(0, 1000));
+    const auto delay = Millis(*rc::gen::inRange(0, 5000));
+    const auto length = GrantableLength(mStart, mStart + ask + delay);
+    RC_PRE(length.has_value());
+    const Instant end = LeaseEnd(mStart + ask, *length);
+    RC_ASSERT(end <= mStart + kConfigurationLease);
+    RC_ASSERT(!Holds(Lease{ 1, end }, mStart + kConfigurationLease));
+  });
+}
+
+TEST_CASE_METHOD(LeaseFixture, "GrantableLength, right has run out, grants nothing", "[membership]")
+{
+  CHECK_FALSE(GrantableLength(mStart, mStart + kConfigurationLease).has_value());
+}
+
+} // namespace
+} // namespace fighold::membership
--- a/packages/ring/include/fighold/ring/bounded_ring.hpp
+++ b/packages/ring/include/fighold/ring/bounded_ring.hpp
@@ -15,8 +15,9 @@
 
 /// A bounded first-in first-out ring for any number of writers and one reader.
 ///
-/// A writer never waits: a full ring is reported to it, and the writer gives the defined answer. The reader sleeps on a
-/// condition variable, or in an event loop that the wake-up function interrupts.
+/// A writer never waits: a full ring is reported to it, and the writer gives the defined answer.
+/// The reader sleeps on a condition variable, or in an event loop that the wake-up function
+/// interrupts.
 template<typename T>
 class BoundedRing
 {
@@ -27,7 +28,8 @@
   {
   }
 
-  /// Sets the function that is called when the ring turns from empty to not empty. Call it before writers start.
+  /// Sets the function that is called when the ring turns from empty to not empty. Call it before
+  /// writers start.
   /// @param aWakeup called on the writer's thread; must not block
   void SetWakeup(std::function<void()> aWakeup)
   {
@@ -69,7 +71,8 @@
 
   /// Waits for a value.
   /// @param aUntil time at which the wait ends
-  /// @return the oldest value, or nothing at the end of the wait or when the ring is closed and empty
+  /// @return the oldest value, or nothing at the end of the wait or when the ring is closed and
+  /// empty
   std::optional<T> PopUntil(Instant aUntil)
   {
     std::unique_lock lock(mMutex);
--- a/packages/ring/src/bounded_ring_test.cpp
+++ b/packages/ring/src/bounded_ring_test.cpp
@@ -15,7 +15,9 @@
 };
 
 // Guards against a writer that waits or overwrites when the reader is slow.
-TEST_CASE_METHOD(BoundedRingFixture, "BoundedRing, full, refuses the write and keeps the order", "[ring]")
+TEST_CASE_METHOD(BoundedRingFixture,
+                 "BoundedRing, full, refuses the write and keeps the order",
+                 "[ring]")
 {
   for (int n = 0; n < 4; ++n) {
     CHECK(mRing.TryPush(int{ n }));
@@ -28,7 +30,9 @@
 }
 
 // Guards against new work taking the places kept for results of running work.
-TEST_CASE_METHOD(BoundedRingFixture, "BoundedRing, write with a reserve, leaves the reserved places free", "[ring]")
+TEST_CASE_METHOD(BoundedRingFixture,
+                 "BoundedRing, write with a reserve, leaves the reserved places free",
+                 "[ring]")
 {
   CHECK(mRing.TryPush(0, 2));
   CHECK(mRing.TryPush(1, 2));
@@ -37,7 +41,9 @@
 }
 
 // Guards against losing values that were handed over just before a stop.
-TEST_CASE_METHOD(BoundedRingFixture, "BoundedRing, closed with a value, hands it out and refuses writes", "[ring]")
+TEST_CASE_METHOD(BoundedRingFixture,
+                 "BoundedRing, closed with a value, hands it out and refuses writes",
+                 "[ring]")
 {
   CHECK(mRing.TryPush(7));
   mRing.Close();
@@ -48,7 +54,9 @@
 }
 
 // Guards against an event loop that sleeps while a value waits.
-TEST_CASE_METHOD(BoundedRingFixture, "BoundedRing, first value after empty, calls the wake-up once", "[ring]")
+TEST_CASE_METHOD(BoundedRingFixture,
+                 "BoundedRing, first value after empty, calls the wake-up once",
+                 "[ring]")
 {
   int calls = 0;
   mRing.SetWakeup([&calls] { ++calls; });
@@ -62,7 +70,9 @@
 }
 
 // Guards against values lost or doubled between threads.
-TEST_CASE_METHOD(BoundedRingFixture, "BoundedRing, two writers and a reader, each value arrives once in order", "[ring]")
+TEST_CASE_METHOD(BoundedRingFixture,
+                 "BoundedRing, two writers and a reader, each value arrives once in order",
+                 "[ring]")
 {
   constexpr int kPerWriter = 2000;
   auto write = [this](int aBase) {
--- /dev/null
+++ b/packages/routing/include/fighold/routing/route.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "fighold/core/decision_record.hpp"
+#include "fighold/core/time.hpp"
+#include "fighold/routing/table.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+
+/// The routing decision: origin region to serving region to backend server.
+namespace fighold::routing {
+
+/// What an entry knows of one backend server.
+struct ServerState
+{
+  Instant mAliveUntil{};          ///< end of the backend server's lease
+  std::uint32_t mOutstanding = 0; ///< requests of this entry that run there
+  Duration mLatency{};            ///< decayed mean time from dispatch to answer
+
+  friend auto operator<=>(const ServerState&, const ServerState&) = default;
+};
+
+using ServerStates = std::map<BackendServerId, ServerState>;
+
+/// A request as the decision sees it.
+struct RouteRequest
+{
+  RequestId mId = 0;
+  ServiceId mService;
+  RegionId mOrigin;                        ///< region that the caller belongs to
+  std::set<BackendServerId> mAlreadyTried; ///< not chosen again
+
+  friend auto operator<=>(const RouteRequest&, const RouteRequest&) = default;
+};
+
+/// Uniform random numbers drawn by the caller, so that the decision is a pure function.
+struct Draws
+{
+  std::uint64_t mRegion = 0;
+  std::uint64_t mFirst = 0;
+  std::uint64_t mSecond = 0;
+};
+
+/// Where a request goes. Without a candidate it is not run.
+struct RouteDecision
+{
+  std::optional<Candidate> mCandidate;
+  RegionId mRegion;
+  DecisionRecord mRecord;
+
+  friend auto operator<=>(const RouteDecision&, const RouteDecision&) = default;
+};
+
+/// @param aRow parts of the origin's traffic by serving region; must not be empty
+/// @param aDraw uniform random number
+/// @return region, chosen with its part as the probability
+RegionId
+ChooseRegion(const plan::SplitRow& aRow, std::uint64_t aDraw);
+
+/// Decides where a request runs.
+/// @param aConfiguration configuration in use
+/// @param aTable candidates of that configuration
+/// @param aStates state of the backend servers at aNow
+/// @param aRequest request to route
+/// @param aDraws random numbers
+/// @param aNow time of the decision
+/// @return the chosen candidate with the record for the log
+RouteDecision
+Route(const membership::Configuration& aConfiguration,
+      const Table& aTable,
+      const ServerStates& aStates,
+      const RouteRequest& aRequest,
+      const Draws& aDraws,
+      Instant aNow);
+
+} // namespace fighold::routing
