--- a/packages/chart/src/bound_chart.cpp
+++ b/packages/chart/src/bound_chart.cpp
@@ -36,6 +36,7 @@
   std::vector<int> Actions(const std::vector<std::string>& aActions, int aLine)
   {
     std::vector<int> out;
+    out.reserve(aActions.size());
     for (const std::string& it : aActions) {
       out.push_back(Resolve(mNames.mActions, "action", it, aLine));
     }
--- /dev/null
+++ b/packages/membership/include/fighold/membership/protocol.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "fighold/membership/change.hpp"
+#include "fighold/membership/lease.hpp"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <vector>
+
+/// Messages about leases and membership, as values.
+namespace fighold::membership {
+
+/// What an entry heard from a backend server.
+struct BackendReport
+{
+  BackendServerId mId;
+  Incarnation mIncarnation = 0;
+  Millis mAge{ 0 };            ///< time since the backend server renewed
+  std::uint32_t mInFlight = 0; ///< load that it reported
+
+  friend auto operator<=>(const BackendReport&, const BackendReport&) = default;
+};
+
+/// Entry to control: asks for a configuration lease and passes on reports.
+struct Renew
+{
+  std::uint64_t mAsk = 0; ///< echoed by the grant; the lease counts from when this ask was sent
+  EntryId mId;
+  Entry mEntry;
+  Version mHeld = 0;     ///< version in use
+  bool mLeaving = false; ///< planned stop: take the entry out of the look-ups
+  std::vector<BackendReport> mReports;
+
+  friend auto operator<=>(const Renew&, const Renew&) = default;
+};
+
+/// A backend server's lease as the granter knows it.
+struct BackendLease
+{
+  BackendServerId mId;
+  Incarnation mIncarnation = 0;
+  Millis mLeft{ 0 };
+  std::uint32_t mInFlight = 0;
+
+  friend auto operator<=>(const BackendLease&, const BackendLease&) = default;
+};
+
+/// Control to entry: a configuration lease.
+struct Grant
+{
+  std::uint64_t mAsk = 0;
+  Millis mLength{ 0 };
+  Version mVersion = 0; ///< the holder must use this version or a later one
+  std::optional<SharedValue<Configuration>>
+    mConfiguration; ///< set when the holder's version is older
+  std::vector<BackendLease> mBackendLeases;
+
+  friend bool operator==(const Grant&, const Grant&) = default;
+};
+
+/// Entry to control: make a change on behalf of a backend server; answered once it is applied.
+struct ChangeAsk
+{
+  std::uint64_t mAsk = 0;
+  Change mChange;
+
+  friend bool operator==(const ChangeAsk&, const ChangeAsk&) = default;
+};
+
+/// Control to entry.
+struct ChangeDone
+{
+  std::uint64_t mAsk = 0;
+  ChangeAnswer mAnswer;
+
+  friend auto operator<=>(const ChangeDone&, const ChangeDone&) = default;
+};
+
+/// What a control process knows of an entry.
+struct EntryStatus
+{
+  Incarnation mIncarnation = 0;
+  Version mHeld = 0;
+  Millis mAge{ 0 }; ///< time since the entry renewed
+
+  friend auto operator<=>(const EntryStatus&, const EntryStatus&) = default;
+};
+
+/// Follower to leader: asks for the right to grant leases and passes on what its entries reported.
+struct ControlRenew
+{
+  std::uint64_t mAsk = 0;
+  std::map<EntryId, EntryStatus> mEntries;
+  std::vector<BackendReport> mReports;
+
+  friend auto operator<=>(const ControlRenew&, const ControlRenew&) = default;
+};
+
+/// Leader to follower.
+struct ControlGrant
+{
+  std::uint64_t mAsk = 0;
+  Millis mLength{ 0 };
+  Version mVersion = 0; ///< the follower may grant leases only with this version or a later one
+  std::vector<BackendLease> mBackendLeases;
+
+  friend auto operator<=>(const ControlGrant&, const ControlGrant&) = default;
+};
+
+} // namespace fighold::membership
--- /dev/null
+++ b/packages/membership/src/protocol.cpp
@@ -0,0 +1,1 @@
+#include "fighold/membership/protocol.hpp"
--- /dev/null
+++ b/packages/net/include/fighold/net/http_client.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "fighold/core/time.hpp"
+#include "fighold/net/fiber_loop.hpp"
+#include "fighold/net/http.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+/// HTTP/1.1 client connections that carry one request at a time.
+namespace fighold::net {
+
+/// How far an exchange came.
+enum class ExchangeStage : std::uint8_t
+{
+  NotSent,  ///< no byte of the request may have left
+  NoAnswer, ///< bytes may have left, no whole answer arrived
+  Answered, ///< the whole answer arrived in time
+};
+
+/// Result of an exchange.
+struct ExchangeResult
+{
+  ExchangeStage mStage = ExchangeStage::NotSent;
+  HttpResponse mResponse; ///< whole answer when Answered
+  std::string mError;     ///< cause when not Answered
+
+  friend auto operator<=>(const ExchangeResult&, const ExchangeResult&) = default;
+};
+
+/// Limits of an answer.
+struct ClientOptions
+{
+  std::size_t mMaxHeaderBytes = 64U << 10U;
+  std::size_t mMaxBodyBytes = 64U << 20U;
+};
+
+/// A connection to one endpoint. All functions run on the loop's thread, in a fiber.
+class HttpConnection
+{
+public:
+  HttpConnection(FiberLoop& aLoop, Endpoint aEndpoint, ClientOptions aOptions = {});
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
+
+  /// Sends a request and reads its answer, connecting first when needed.
+  /// @param aRequest request
+  /// @param aUntil deadline; an answer that is not whole by then counts as NoAnswer
+  /// @return result; the connection is closed unless a whole answer arrived and both sides keep it
+  ExchangeResult Exchange(const HttpRequest& aRequest, Instant aUntil);
+
+  /// @return true when connected, with no doubt about the state of the stream and no unasked bytes
+  /// waiting
+  bool Reusable();
+
+  /// Closes the connection; a running exchange ends as NoAnswer or NotSent.
+  void Close();
+
+private:
+  struct State;
+  std::unique_ptr<State> mState;
+};
+
+} // namespace fighold::net
--- /dev/null
+++ b/packages/net/include/fighold/net/http_server.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "fighold/core/time.hpp"
+#include "fighold/net/fiber_loop.hpp"
+#include "fighold/net/http.hpp"
+
+#include <functional>
+#include <memory>
+
+/// HTTP/1.1 server with a fiber for each connection.
+namespace fighold::net {
+
+/// Limits of a server.
+struct ServerOptions
+{
+  Endpoint mBind; ///< port 0: any free port
+  std::size_t mMaxConnections = 1024;
+  std::size_t mMaxHeaderBytes = 16U << 10U;
+  std::size_t mMaxBodyBytes = 1U << 20U;
+  Millis mIdleTimeout{ 60'000 };  ///< longest time between two requests of a connection
+  Millis mReadTimeout{ 10'000 };  ///< longest time from the first byte of a request to its last
+  Millis mWriteTimeout{ 30'000 }; ///< longest time to write a response
+};
+
+/// Handles a request; runs in the connection's fiber and may suspend it.
+using Handler = std::function<HttpResponse(const HttpRequest&)>;
+
+/// A listening server. All functions but the constructor's options run on the loop's thread.
+class HttpServer
+{
+public:
+  /// Binds and listens.
+  /// @throws std::runtime_error when the address cannot be bound
+  HttpServer(FiberLoop& aLoop, ServerOptions aOptions, Handler aHandler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// @return address with the port in use
+  Endpoint Address() const;
+
+  /// Accepts connections until Stop; suspends the current fiber.
+  void Serve();
+
+  /// Stops accepting, closes idle connections, and suspends the current fiber until every running
+  /// request has been answered or a time limit is reached.
+  /// @param aUntil time limit
+  /// @return true when all requests were answered
+  bool Stop(Instant aUntil);
+
+  /// Stops accepting and closes every connection.
+  void Close();
+
+private:
+  struct State;
+  std::shared_ptr<State> mState;
+};
+
+} // namespace fighold::net
--- /dev/null
+++ b/packages/net/src/beast_convert.cpp
@@ -0,0 +1,62 @@
+#include "beast_convert.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace fighold::net::detail {
+namespace {
+
+namespace http = boost::beast::http;
+
+bool
+IsHopByHop(http::field aField)
+{
+  constexpr std::array kFields{ http::field::connection,
+                                http::field::keep_alive,
+                                http::field::proxy_connection,
+                                http::field::transfer_encoding,
+                                http::field::te,
+                                http::field::trailer,
+                                http::field::upgrade,
+                                http::field::content_length,
+                                http::field::host,
+                                http::field::proxy_authorization,
+                                http::field::expect };
+  return std::find(kFields.begin(), kFields.end(), aField) != kFields.end();
+}
+
+} // namespace
+
+Headers
+CopyHeaders(const http::fields& aFields)
+{
+  Headers headers;
+  for (const auto& it : aFields) {
+    if (!IsHopByHop(it.name())) {
+      headers.push_back({ ToString(it.name_string()), ToString(it.value()) });
+    }
+  }
+  return headers;
+}
+
+void
+SetHeaders(const Headers& aHeaders, http::fields& aFields)
+{
+  for (const Header& it : aHeaders) {
+    aFields.insert(ToView(it.mName), ToView(it.mValue));
+  }
+}
+
+std::string
+ToString(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+boost::beast::string_view
+ToView(const std::string& aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+} // namespace fighold::net::detail
--- /dev/null
+++ b/packages/net/src/beast_convert.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "fighold/net/http.hpp"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <string>
+
+/// Conversion between Beast messages and values.
+namespace fighold::net::detail {
+
+/// Copies end-to-end header fields; fields of one connection stay behind.
+Headers
+CopyHeaders(const boost::beast::http::fields& aFields);
+
+/// @param aHeaders end-to-end fields to add
+/// @param aFields receives them
+void
+SetHeaders(const Headers& aHeaders, boost::beast::http::fields& aFields);
+
+std::string
+ToString(boost::beast::string_view aText);
+
+boost::beast::string_view
+ToView(const std::string& aText);
+
+} // namespace fighold::net::detail
--- /dev/null
+++ b/packages/net/src/http_client.cpp
@@ -0,0 +1,145 @@
+#include "fighold/net/http_client.hpp"
+
+#include "await.hpp"
+#include "beast_convert.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace fighold::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using detail::Await;
+using Tcp = asio::ip::tcp;
+
+/// An answer without a length ends with the connection, so a cut answer would look whole.
+bool
+HasEnd(const http::response<http::string_body>& aAnswer, bool aHead)
+{
+  const unsigned status = aAnswer.result_int();
+  const bool bodiless = aHead || status == 204 || status == 304;
+  return bodiless || aAnswer.has_content_length() || aAnswer.chunked();
+}
+
+http::request<http::string_body>
+ToMessage(const HttpRequest& aRequest, const Endpoint& aEndpoint)
+{
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(detail::ToView(aRequest.mMethod));
+  message.target(detail::ToView(aRequest.mTarget));
+  detail::SetHeaders(aRequest.mHeaders, message.base());
+  message.set(http::field::host, ToText(aEndpoint));
+  message.body() = aRequest.mBody;
+  message.prepare_payload();
+  return message;
+}
+
+} // namespace
+
+struct HttpConnection::State
+{
+  State(FiberLoop& aLoop, Endpoint aEndpoint, ClientOptions aOptions)
+    : mStream(aLoop.Context())
+    , mEndpoint(std::move(aEndpoint))
+    , mOptions(aOptions)
+  {
+  }
+
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  Endpoint mEndpoint;
+  ClientOptions mOptions;
+  bool mConnected = false;
+};
+
+HttpConnection::HttpConnection(FiberLoop& aLoop, Endpoint aEndpoint, ClientOptions aOptions)
+  : mState(std::make_unique<State>(aLoop, std::move(aEndpoint), aOptions))
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+ExchangeResult
+HttpConnection::Exchange(const HttpRequest& aRequest, Instant aUntil)
+{
+  State& state = *mState;
+  state.mStream.expires_at(aUntil);
+  if (!state.mConnected) {
+    const Tcp::endpoint endpoint(asio::ip::make_address_v4(state.mEndpoint.mHost),
+                                 state.mEndpoint.mPort);
+    const auto connected =
+      Await([&](auto aHandler) { state.mStream.async_connect(endpoint, std::move(aHandler)); });
+    if (connected.mError) {
+      Close();
+      return { ExchangeStage::NotSent, {}, "connect: " + connected.mError.message() };
+    }
+    beast::error_code ec;
+    state.mStream.socket().set_option(Tcp::no_delay(true), ec);
+    state.mConnected = true;
+  }
+  auto message = ToMessage(aRequest, state.mEndpoint);
+  const auto written =
+    Await([&](auto aHandler) { http::async_write(state.mStream, message, std::move(aHandler)); });
+  if (written.mError) {
+    Close();
+    return { ExchangeStage::NoAnswer, {}, "write: " + written.mError.message() };
+  }
+  http::response_parser<http::string_body> parser;
+  parser.header_limit(static_cast<std::uint32_t>(state.mOptions.mMaxHeaderBytes));
+  parser.body_limit(state.mOptions.mMaxBodyBytes);
+  parser.skip(aRequest.mMethod == "HEAD");
+  const auto read = Await([&](auto aHandler) {
+    http::async_read(state.mStream, state.mBuffer, parser, std::move(aHandler));
+  });
+  if (read.mError || !HasEnd(parser.get(), aRequest.mMethod == "HEAD")) {
+    Close();
+    const std::string cause = read.mError ? read.mError.message() : "answer without a length";
+    return { ExchangeStage::NoAnswer, {}, "read: " + cause };
+  }
+  auto& answer = parser.get();
+  ExchangeResult result{ ExchangeStage::Answered, {}, {} };
+  result.mResponse.mStatus = answer.result_int();
+  result.mResponse.mHeaders = detail::CopyHeaders(answer.base());
+  result.mResponse.mBody = std::move(answer.body());
+  if (!answer.keep_alive() || state.mBuffer.size() > 0) {
+    Close();
+  }
+  return result;
+}
+
+bool
+HttpConnection::Reusable()
+{
+  if (!mState->mConnected) {
+    return false;
+  }
+  // Bytes that nobody asked for, or the end of the stream, make the next answer doubtful.
+  char byte = 0;
+  beast::error_code ec;
+  mState->mStream.socket().non_blocking(true, ec);
+  mState->mStream.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, ec);
+  if (ec != asio::error::would_block) {
+    Close();
+    return false;
+  }
+  return true;
+}
+
+void
+HttpConnection::Close()
+{
+  mState->mConnected = false;
+  mState->mBuffer.clear();
+  mState->mStream.close();
+}
+
+} // namespace fighold::net
--- a/packages/ring/src/bounded_ring_test.cpp
+++ b/packages/ring/src/bounded_ring_test.cpp
@@ -89,7 +89,7 @@
   std::vector<int> low;
   std::vector<int> high;
   const Instant limit = std::chrono::steady_clock::now() + std::chrono::seconds(60);
-  while (low.size() + high.size() < 2 * kPerWriter && std::chrono::steady_clock::now() < limit) {
+  while (low.size() + high.size() < 2UL * kPerWriter && std::chrono::steady_clock::now() < limit) {
     if (const auto value = mRing.PopUntil(limit)) {
       (*value < kPerWriter ? low : high).push_back(*value);
     }
--- /dev/null
+++ b/packages/wire/include/fighold/wire/body.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "fighold/agreement/message.hpp"
+#include "fighold/membership/protocol.hpp"
+
+#include <string>
+#include <variant>
+
+/// Messages between daemons, as values.
+namespace fighold::wire {
+
+using Body = std::variant<membership::Renew,
+                          membership::Grant,
+                          membership::ChangeAsk,
+                          membership::ChangeDone,
+                          membership::ControlRenew,
+                          membership::ControlGrant,
+                          agreement::Message>;
+
+/// A message with its sender.
+struct Envelope
+{
+  std::string mFrom;
+  Incarnation mIncarnation = 0;
+  Body mBody;
+
+  friend bool operator==(const Envelope&, const Envelope&) = default;
+};
+
+} // namespace fighold::wire
--- /dev/null
+++ b/packages/wire/src/codec.cpp
@@ -0,0 +1,341 @@
+#include "fighold/wire/codec.hpp"
+
+#include "convert.hpp"
+
+namespace fighold::wire {
+namespace {
+
+using namespace membership;
+using detail::Answers;
+
+template<typename T>
+std::uint32_t
+ToMillis(T aTime)
+{
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, aTime.count()));
+}
+
+void
+Put(const BackendReport& aReport, pb::BackendReport& aOut)
+{
+  aOut.set_id(aReport.mId.mValue);
+  aOut.set_incarnation(aReport.mIncarnation);
+  aOut.set_age_ms(ToMillis(aReport.mAge));
+  aOut.set_in_flight(aReport.mInFlight);
+}
+
+BackendReport
+Get(const pb::BackendReport& aReport)
+{
+  return { { aReport.id() }, aReport.incarnation(), Millis(aReport.age_ms()), aReport.in_flight() };
+}
+
+void
+Put(const BackendLease& aLease, pb::BackendLease& aOut)
+{
+  aOut.set_id(aLease.mId.mValue);
+  aOut.set_incarnation(aLease.mIncarnation);
+  aOut.set_left_ms(ToMillis(aLease.mLeft));
+  aOut.set_in_flight(aLease.mInFlight);
+}
+
+BackendLease
+Get(const pb::BackendLease& aLease)
+{
+  return { { aLease.id() }, aLease.incarnation(), Millis(aLease.left_ms()), aLease.in_flight() };
+}
+
+void
+PutBody(const Renew& aRenew, pb::Envelope& aOut)
+{
+  auto* out = aOut.mutable_renew();
+  out->set_ask(aRenew.mAsk);
+  out->set_id(aRenew.mId.mValue);
+  *out->mutable_entry() = detail::ToPb(aRenew.mEntry);
+  out->set_held(aRenew.mHeld);
+  out->set_leaving(aRenew.mLeaving);
+  for (const auto& it : aRenew.mReports) {
+    Put(it, *out->add_reports());
+  }
+}
+
+Body
+GetBody(const pb::Renew& aRenew)
+{
+  Renew renew{ aRenew.ask(),  { aRenew.id() },  detail::FromPb(aRenew.entry()),
+               aRenew.held(), aRenew.leaving(), {} };
+  for (const auto& it : aRenew.reports()) {
+    renew.mReports.push_back(Get(it));
+  }
+  return renew;
+}
+
+void
+PutBody(const Grant& aGrant, pb::Envelope& aOut)
+{
+  auto* out = aOut.mutable_grant();
+  out->set_ask(aGrant.mAsk);
+  out->set_length_ms(ToMillis(aGrant.mLength));
+  out->set_version(aGrant.mVersion);
+  if (aGrant.mConfiguration) {
+    *out->mutable_configuration() = detail::ToPb(**aGrant.mConfiguration, Answers::LeaveOut);
+  }
+  for (const auto& it : aGrant.mBackendLeases) {
+    Put(it, *out->add_backend_leases());
+  }
+}
+
+std::optional<Body>
+GetBody(const pb::Grant& aGrant)
+{
+  Grant grant{ aGrant.ask(), Millis(aGrant.length_ms()), aGrant.version(), std::nullopt, {} };
+  if (aGrant.has_configuration()) {
+    auto configuration = detail::FromPb(aGrant.configuration());
+    if (!configuration) {
+      return std::nullopt;
+    }
+    grant.mConfiguration = SharedValue(std::move(*configuration));
+  }
+  for (const auto& it : aGrant.backend_leases()) {
+    grant.mBackendLeases.push_back(Get(it));
+  }
+  return grant;
+}
+
+void
+PutBody(const ChangeAsk& aAsk, pb::Envelope& aOut)
+{
+  aOut.mutable_change_ask()->set_ask(aAsk.mAsk);
+  *aOut.mutable_change_ask()->mutable_change() = detail::ToPb(aAsk.mChange);
+}
+
+std::optional<Body>
+GetBody(const pb::ChangeAsk& aAsk)
+{
+  auto change = detail::FromPb(aAsk.change());
+  if (!change) {
+    return std::nullopt;
+  }
+  return ChangeAsk{ aAsk.ask(), std::move(*change) };
+}
+
+void
+PutBody(const ChangeDone& aDone, pb::Envelope& aOut)
+{
+  aOut.mutable_change_done()->set_ask(aDone.mAsk);
+  *aOut.mutable_change_done()->mutable_answer() = detail::ToPb(aDone.mAnswer);
+}
+
+std::optional<Body>
+GetBody(const pb::ChangeDone& aDone)
+{
+  const auto answer = detail::FromPb(aDone.answer());
+  if (!answer) {
+    return std::nullopt;
+  }
+  return ChangeDone{ aDone.ask(), *answer };
+}
+
+void
+PutBody(const ControlRenew& aRenew, pb::Envelope& aOut)
+{
+  auto* out = aOut.mutable_control_renew();
+  out->set_ask(aRenew.mAsk);
+  for (const auto& [id, status] : aRenew.mEntries) {
+    auto& it = (*out->mutable_entries())[id.mValue];
+    it.set_incarnation(status.mIncarnation);
+    it.set_held(status.mHeld);
+    it.set_age_ms(ToMillis(status.mAge));
+  }
+  for (const auto& it : aRenew.mReports) {
+    Put(it, *out->add_reports());
+  }
+}
+
+Body
+GetBody(const pb::ControlRenew& aRenew)
+{
+  ControlRenew renew;
+  renew.mAsk = aRenew.ask();
+  for (const auto& [id, status] : aRenew.entries()) {
+    renew.mEntries[{ id }] = { status.incarnation(), status.held(), Millis(status.age_ms()) };
+  }
+  for (const auto& it : aRenew.reports()) {
+    renew.mReports.push_back(Get(it));
+  }
+  return renew;
+}
+
+void
+PutBody(const ControlGrant& aGrant, pb::Envelope& aOut)
+{
+  auto* out = aOut.mutable_control_grant();
+  out->set_ask(aGrant.mAsk);
+  out->set_length_ms(ToMillis(aGrant.mLength));
+  out->set_version(aGrant.mVersion);
+  for (const auto& it : aGrant.mBackendLeases) {
+    Put(it, *out->add_backend_leases());
+  }
+}
+
+Body
+GetBody(const pb::ControlGrant& aGrant)
+{
+  ControlGrant grant{ aGrant.ask(), Millis(aGrant.length_ms()), aGrant.version(), {} };
+  for (const auto& it : aGrant.backend_leases()) {
+    grant.mBackendLeases.push_back(Get(it));
+  }
+  return grant;
+}
+
+void
+PutMessage(const agreement::Append& aAppend, pb::Envelope& aOut)
+{
+  auto* out = aOut.mutable_append();
+  out->set_term(aAppend.mTerm);
+  out->set_previous(aAppend.mPrevious);
+  out->set_previous_term(aAppend.mPreviousTerm);
+  out->set_commit(aAppend.mCommit);
+  out->set_round(aAppend.mRound);
+  for (const auto& it : aAppend.mEntries) {
+    auto* entry = out->add_entries();
+    entry->set_index(it.mIndex);
+    entry->set_term(it.mTerm);
+    entry->set_payload(it.mPayload);
+  }
+}
+
+Body
+GetBody(const pb::Append& aAppend)
+{
+  agreement::Append append{ aAppend.term(),   aAppend.previous(), aAppend.previous_term(),
+                            aAppend.commit(), aAppend.round(),    {} };
+  for (const auto& it : aAppend.entries()) {
+    append.mEntries.push_back({ it.index(), it.term(), it.payload() });
+  }
+  return agreement::Message(append);
+}
+
+void
+PutMessage(const agreement::AppendReply& aReply, pb::Envelope& aOut)
+{
+  auto* out = aOut.mutable_append_reply();
+  out->set_term(aReply.mTerm);
+  out->set_accepted(aReply.mAccepted);
+  out->set_synced(aReply.mSynced);
+  out->set_round(aReply.mRound);
+}
+
+Body
+GetBody(const pb::AppendReply& aReply)
+{
+  return agreement::Message(
+    agreement::AppendReply{ aReply.term(), aReply.accepted(), aReply.synced(), aReply.round() });
+}
+
+void
+PutMessage(const agreement::Forward& aForward, pb::Envelope& aOut)
+{
+  aOut.mutable_forward()->set_payload(aForward.mPayload);
+}
+
+Body
+GetBody(const pb::Forward& aForward)
+{
+  return agreement::Message(agreement::Forward{ aForward.payload() });
+}
+
+void
+PutBody(const agreement::Message& aMessage, pb::Envelope& aOut)
+{
+  std::visit([&aOut](const auto& aBody) { PutMessage(aBody, aOut); }, aMessage);
+}
+
+std::optional<Body>
+GetBody(const pb::Envelope& aEnvelope)
+{
+  switch (aEnvelope.body_case()) {
+    case pb::Envelope::kRenew:
+      return GetBody(aEnvelope.renew());
+    case pb::Envelope::kGrant:
+      return GetBody(aEnvelope.grant());
+    case pb::Envelope::kChangeAsk:
+      return GetBody(aEnvelope.change_ask());
+    case pb::Envelope::kChangeDone:
+      return GetBody(aEnvelope.change_done());
+    case pb::Envelope::kControlRenew:
+      return GetBody(aEnvelope.control_renew());
+    case pb::Envelope::kControlGrant:
+      return GetBody(aEnvelope.control_grant());
+    case pb::Envelope::kAppend:
+      return GetBody(aEnvelope.append());
+    case pb::Envelope::kAppendReply:
+      return GetBody(aEnvelope.append_reply());
+    case pb::Envelope::kForward:
+      return GetBody(aEnvelope.forward());
+    case pb::Envelope::BODY_NOT_SET:
+      break;
+  }
+  return std::nullopt;
+}
+
+template<typename T>
+bool
+Parse(T& aMessage, std::string_view aBytes)
+{
+  return aMessage.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
+}
+
+} // namespace
+
+std::string
+EncodeEnvelope(const Envelope& aEnvelope)
+{
+  pb::Envelope out;
+  out.set_from(aEnvelope.mFrom);
+  out.set_incarnation(aEnvelope.mIncarnation);
+  std::visit([&out](const auto& aBody) { PutBody(aBody, out); }, aEnvelope.mBody);
+  return out.SerializeAsString();
+}
+
+std::optional<Envelope>
+DecodeEnvelope(std::string_view aBytes)
+{
+  pb::Envelope message;
+  if (!Parse(message, aBytes)) {
+    return std::nullopt;
+  }
+  auto body = GetBody(message);
+  if (!body) {
+    return std::nullopt;
+  }
+  return Envelope{ message.from(), message.incarnation(), std::move(*body) };
+}
+
+std::string
+EncodeChange(const Change& aChange)
+{
+  return detail::ToPb(aChange).SerializeAsString();
+}
+
+std::optional<Change>
+DecodeChange(std::string_view aBytes)
+{
+  pb::Change message;
+  return Parse(message, aBytes) ? detail::FromPb(message) : std::nullopt;
+}
+
+std::string
+EncodeConfiguration(const Configuration& aConfiguration)
+{
+  return detail::ToPb(aConfiguration, Answers::Include).SerializeAsString();
+}
+
+std::optional<Configuration>
+DecodeConfiguration(std::string_view aBytes)
+{
+  pb::Configuration message;
+  return Parse(message, aBytes) ? detail::FromPb(message) : std::nullopt;
+}
+
+} // namespace fighold::wire
--- /dev/null
+++ b/packages/wire/src/codec_test.cpp
@@ -0,0 +1,109 @@
+#include "fighold/wire/codec.hpp"
+
+#include "fighold/plan/sheet.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <fstream>
+#include <iterator>
+
+namespace fighold::wire {
+namespace {
+
+using namespace membership;
+
+struct CodecFixture
+{
+  Configuration mConfiguration;
+
+  CodecFixture()
+  {
+    std::ifstream file(FIGHOLD_EXAMPLES_DIR "/lykavittos/sheet.csv");
+    const std::string text{ std::istreambuf_iterator<char>(file),
+                            std::istreambuf_iterator<char>() };
+    const auto plan = SharedValue(*plan::ParseSheet(text, "sheet").mValue);
+    const std::vector<ChangeBody> bodies{
+      SubmitPlan{ "", plan },
+      RegisterEntry{ { "e1" }, Entry{ 3, { "127.0.0.1", 80 }, { "attiki" }, { "attiki-a" }, 0 } },
+      AnnounceBackendServer{
+        { "s1" },
+        BackendServer{
+          5, { "vardia" }, { "attiki" }, { "attiki-a" }, { "127.0.0.1", 81 }, 6, 330, false } },
+      DepartBackendServer{ { "s1" }, 5 },
+      SetDrain{ DrainKind::Region, "kriti", true },
+    };
+    for (const ChangeBody& it : bodies) {
+      const Version version = mConfiguration.mVersion + 1;
+      mConfiguration =
+        *Apply(mConfiguration, Change{ { "c" + std::to_string(version) }, it }, version)
+           .mConfiguration;
+    }
+  }
+
+  std::vector<Envelope> Envelopes() const
+  {
+    Grant grant{
+      4, Millis(1500), 5, SharedValue(mConfiguration), { { { "s1" }, 5, Millis(900), 2 } }
+    };
+    Configuration sent = mConfiguration;
+    sent.mAnswers.clear();
+    grant.mConfiguration = SharedValue(sent);
+    return {
+      { "e1",
+        3,
+        Renew{ 9,
+               { "e1" },
+               mConfiguration.mEntries.at({ "e1" }),
+               5,
+               true,
+               { { { "s1" }, 5, Millis(7), 1 } } } },
+      { "c1", 1, grant },
+      { "e1", 3, ChangeAsk{ 2, Change{ { "x" }, RemoveBackendServer{ { "s1" }, 5 } } } },
+      { "c1", 1, ChangeDone{ 2, ChangeAnswer{ Verdict::Conflict, 8, 12, "digest", "message" } } },
+      { "c2", 1, ControlRenew{ 3, { { { "e1" }, { 3, 5, Millis(20) } } }, {} } },
+      { "c1", 1, ControlGrant{ 3, Millis(1800), 5, { { { "s1" }, 5, Millis(900), 2 } } } },
+      { "c1", 1, agreement::Message(agreement::Append{ 1, 2, 1, 2, 7, { { 3, 1, "payload" } } }) },
+      { "c2", 1, agreement::Message(agreement::AppendReply{ 1, true, 3, 7 }) },
+      { "c2", 1, agreement::Message(agreement::Forward{ "payload" }) },
+    };
+  }
+};
+
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeEnvelope, every kind of message, gives the encoded value",
+                 "[wire]")
+{
+  for (const Envelope& it : Envelopes()) {
+    CHECK(DecodeEnvelope(EncodeEnvelope(it)) == it);
+  }
+}
+
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeConfiguration, with plan, members and answers, gives the encoded value",
+                 "[wire]")
+{
+  CHECK(DecodeConfiguration(EncodeConfiguration(mConfiguration)) == mConfiguration);
+}
+
+// Guards against a process that dies from a damaged or forged message.
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeEnvelope, cut or changed bytes, gives a value or nothing",
+                 "[wire]")
+{
+  rc::prop("never throws", [this]() {
+    const auto envelopes = Envelopes();
+    std::string bytes =
+      EncodeEnvelope(envelopes[*rc::gen::inRange<std::size_t>(0, envelopes.size())]);
+    bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
+    if (!bytes.empty()) {
+      bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    }
+    (void)DecodeEnvelope(bytes);
+    (void)DecodeChange(bytes);
+    (void)DecodeConfiguration(bytes);
+  });
+}
+
+} // namespace
+} // namespace fighold::wire
--- /dev/null
+++ b/packages/wire/src/convert.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "fighold/membership/change.hpp"
+#include "messages.pb.h"
+
+#include <optional>
+
+/// Conversion of the configuration and its parts between values and protobuf messages.
+namespace fighold::wire::detail {
+
+/// Whether the answers kept for resends are included.
+enum class Answers
+{
+  Include,
+  LeaveOut,
+};
+
+pb::Entry
+ToPb(const membership::Entry& aEntry);
+
+membership::Entry
+FromPb(const pb::Entry& aEntry);
+
+pb::ChangeAnswer
+ToPb(const membership::ChangeAnswer& aAnswer);
+
+/// @return answer, or nothing when the verdict is unknown
+std::optional<membership::ChangeAnswer>
+FromPb(const pb::ChangeAnswer& aAnswer);
+
+pb::Configuration
+ToPb(const membership::Configuration& aConfiguration, Answers aAnswers);
+
+/// @return configuration, or nothing when a part is malformed
+std::optional<membership::Configuration>
+FromPb(const pb::Configuration& aConfiguration);
+
+pb::Change
+ToPb(const membership::Change& aChange);
+
+/// @return change, or nothing when a part is malformed
+std::optional<membership::Change>
+FromPb(const pb::Change& aChange);
+
+} // namespace fighold::wire::detail
--- /dev/null
+++ b/packages/wire/src/message_thread.cpp
@@ -0,0 +1,216 @@
+#include "fighold/wire/message_thread.hpp"
+
+#include "fighold/wire/codec.hpp"
+
+#include <zmq.hpp>
+
+#include <array>
+#include <stdexcept>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <vector>
+
+namespace fighold::wire {
+namespace {
+
+constexpr int kHighWaterMark = 4096;
+constexpr int kHeartbeatMs = 500;
+constexpr int kHeartbeatTimeoutMs = 1500;
+constexpr int kReconnectMs = 100;
+constexpr int kMaxReconnectMs = 1000;
+constexpr std::int64_t kMaxMessageBytes = 256LL << 20U;
+
+/// File descriptor that wakes zmq_poll when the ring turns from empty to not empty.
+class WakeupDescriptor
+{
+public:
+  WakeupDescriptor()
+    : mFile(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+  {
+    if (mFile < 0) {
+      throw std::runtime_error("cannot create an event descriptor");
+    }
+  }
+  ~WakeupDescriptor() { ::close(mFile); }
+  WakeupDescriptor(const WakeupDescriptor&) = delete;
+  WakeupDescriptor& operator=(const WakeupDescriptor&) = delete;
+
+  void Signal() const
+  {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t n = ::write(mFile, &one, sizeof(one));
+  }
+
+  void Clear() const
+  {
+    std::uint64_t count = 0;
+    [[maybe_unused]] const ssize_t n = ::read(mFile, &count, sizeof(count));
+  }
+
+  int Descriptor() const { return mFile; }
+
+private:
+  int mFile;
+};
+
+void
+SetCommonOptions(zmq::socket_t& aSocket)
+{
+  aSocket.set(zmq::sockopt::linger, 0);
+  aSocket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+  aSocket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+  aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+}
+
+Endpoint
+LastEndpoint(const zmq::socket_t& aSocket)
+{
+  const std::string text = aSocket.get(zmq::sockopt::last_endpoint);
+  const std::string prefix = "tcp://";
+  return ParseEndpoint(text.substr(std::min(text.size(), prefix.size()))).value_or(Endpoint{});
+}
+
+} // namespace
+
+struct MessageSockets::State
+{
+  State(MessageOptions aOptions, OutboundRing& aOut)
+    : mOptions(std::move(aOptions))
+    , mOut(aOut)
+  {
+  }
+
+  MessageOptions mOptions;
+  OutboundRing& mOut;
+  zmq::context_t mContext{ 1 };
+  std::optional<zmq::socket_t> mRouter;
+  std::map<std::string, zmq::socket_t> mDealers;
+  WakeupDescriptor mWakeup;
+
+  void OpenRouter()
+  {
+    mRouter.emplace(mContext, zmq::socket_type::router);
+    SetCommonOptions(*mRouter);
+    // A restarted process connects again under its old identity before the old connection is gone.
+    mRouter->set(zmq::sockopt::router_handover, 1);
+    try {
+      mRouter->bind("tcp://" + ToText(*mOptions.mBind));
+    } catch (const zmq::error_t& error) {
+      throw std::runtime_error("cannot listen on " + ToText(*mOptions.mBind) + ": " + error.what());
+    }
+  }
+
+  void OpenDealer(const std::string& aId, const Endpoint& aEndpoint)
+  {
+    zmq::socket_t dealer(mContext, zmq::socket_type::dealer);
+    SetCommonOptions(dealer);
+    dealer.set(zmq::sockopt::routing_id, mOptions.mSelf);
+    // Without a connection a send fails at once instead of queueing a message that would arrive
+    // late.
+    dealer.set(zmq::sockopt::immediate, 1);
+    dealer.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    dealer.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+    dealer.connect("tcp://" + ToText(aEndpoint));
+    mDealers.emplace(aId, std::move(dealer));
+  }
+
+  void SendOne(const Outbound& aOutbound)
+  {
+    const std::string bytes =
+      EncodeEnvelope(Envelope{ mOptions.mSelf, mOptions.mIncarnation, aOutbound.mBody });
+    const auto dealer = mDealers.find(aOutbound.mTo);
+    if (dealer != mDealers.end()) {
+      dealer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+      return;
+    }
+    if (mRouter) {
+      mRouter->send(zmq::buffer(aOutbound.mTo),
+                    zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+      mRouter->send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    }
+  }
+
+  void SendAll()
+  {
+    while (const auto outbound = mOut.TryPop()) {
+      SendOne(*outbound);
+    }
+  }
+
+  /// @param aIdentity true for the router, whose messages begin with the sender's identity
+  static void ReceiveAll(zmq::socket_t& aSocket,
+                         bool aIdentity,
+                         const std::function<void(Envelope)>& aDeliver)
+  {
+    while (true) {
+      std::string identity;
+      zmq::message_t part;
+      if (!aSocket.recv(part, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      if (aIdentity) {
+        identity = part.to_string();
+        if (!part.more() || !aSocket.recv(part, zmq::recv_flags::dontwait)) {
+          continue;
+        }
+      }
+      auto envelope = DecodeEnvelope(part.to_string_view());
+      while (part.more() && aSocket.recv(part, zmq::recv_flags::dontwait)) {
+        envelope.reset();
+      }
+      // A sender may not speak for another one.
+      if (envelope && (!aIdentity || envelope->mFrom == identity)) {
+        aDeliver(std::move(*envelope));
+      }
+    }
+  }
+};
+
+MessageSockets::MessageSockets(MessageOptions aOptions, OutboundRing& aOut)
+  : mState(std::make_unique<State>(std::move(aOptions), aOut))
+{
+  aOut.SetWakeup([state = mState.get()] { state->mWakeup.Signal(); });
+  if (mState->mOptions.mBind) {
+    mState->OpenRouter();
+  }
+  for (const auto& [id, endpoint] : mState->mOptions.mPeers) {
+    mState->OpenDealer(id, endpoint);
+  }
+}
+
+MessageSockets::~MessageSockets() = default;
+
+Endpoint
+MessageSockets::Address() const
+{
+  return mState->mRouter ? LastEndpoint(*mState->mRouter) : Endpoint{};
+}
+
+void
+MessageSockets::Run(const std::function<void(Envelope)>& aDeliver)
+{
+  std::vector<zmq::pollitem_t> items;
+  items.push_back({ nullptr, mState->mWakeup.Descriptor(), ZMQ_POLLIN, 0 });
+  if (mState->mRouter) {
+    items.push_back({ mState->mRouter->handle(), 0, ZMQ_POLLIN, 0 });
+  }
+  for (auto& [id, dealer] : mState->mDealers) {
+    items.push_back({ dealer.handle(), 0, ZMQ_POLLIN, 0 });
+  }
+  mState->SendAll();
+  while (!mState->mOut.Finished()) {
+    zmq::poll(items.data(), items.size(), std::chrono::milliseconds(-1));
+    mState->mWakeup.Clear();
+    if (mState->mRouter) {
+      State::ReceiveAll(*mState->mRouter, true, aDeliver);
+    }
+    for (auto& [id, dealer] : mState->mDealers) {
+      State::ReceiveAll(dealer, false, aDeliver);
+    }
+    mState->SendAll();
+  }
+}
+
+} // namespace fighold::wire
