--- /dev/null
+++ b/packages/control/include/fighold/control/event.hpp
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "fighold/agreement/node.hpp"
+#include "fighold/core/decision_record.hpp"
+#include "fighold/core/time.hpp"
+#include "fighold/membership/protocol.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What the decisions of a control process take in and give out, as values.
+namespace fighold::control {
+
+/// Identifier of an operator's call within one process.
+using CallId = std::uint64_t;
+
+/// An operator's change: a plan or a drain.
+struct ChangeCall
+{
+  CallId mId = 0;
+  membership::Change mChange;
+  Millis mTimeout{ 10'000 };
+
+  friend bool operator==(const ChangeCall&, const ChangeCall&) = default;
+};
+
+/// An operator asks for the plan or the status.
+struct StatusCall
+{
+  CallId mId = 0;
+
+  friend auto operator<=>(const StatusCall&, const StatusCall&) = default;
+};
+
+/// A message of an entry.
+struct FromEntry
+{
+  EntryId mFrom;
+  std::variant<membership::Renew, membership::ChangeAsk> mBody;
+
+  friend bool operator==(const FromEntry&, const FromEntry&) = default;
+};
+
+/// A message of another control process.
+struct FromControl
+{
+  ControlId mFrom;
+  std::variant<agreement::Message, membership::ControlRenew, membership::ControlGrant> mBody;
+
+  friend auto operator<=>(const FromControl&, const FromControl&) = default;
+};
+
+/// The storage synced a write.
+struct Stored
+{
+  std::uint64_t mWrite = 0;
+
+  friend auto operator<=>(const Stored&, const Stored&) = default;
+};
+
+/// Time passed.
+struct Tick
+{
+  friend auto operator<=>(const Tick&, const Tick&) = default;
+};
+
+using Event = std::variant<ChangeCall, StatusCall, FromEntry, FromControl, Stored, Tick>;
+
+/// Answer to an operator's change.
+struct ChangeCallAnswer
+{
+  bool mDecided =
+    false; ///< false: not known whether the change was accepted; resend with the same identifier
+  membership::ChangeAnswer mAnswer;
+  bool mInForce = false;
+  std::vector<EntryId> mNotYet; ///< entries that have neither confirmed nor lost their lease
+
+  friend auto operator<=>(const ChangeCallAnswer&, const ChangeCallAnswer&) = default;
+};
+
+/// An entry in the status.
+struct EntryLine
+{
+  EntryId mId;
+  membership::Entry mEntry;
+  Version mHeld = 0;
+  bool mCurrent = false; ///< renewed within its lease, with a version at or after its registration
+
+  friend auto operator<=>(const EntryLine&, const EntryLine&) = default;
+};
+
+/// A backend server in the status.
+struct BackendLine
+{
+  BackendServerId mId;
+  membership::BackendServer mServer;
+  bool mAlive = false;
+  std::uint32_t mInFlight = 0;
+
+  friend auto operator<=>(const BackendLine&, const BackendLine&) = default;
+};
+
+/// Answer to a status call.
+struct StatusAnswer
+{
+  ControlId mSelf;
+  std::string mLeader;   ///< empty: not known
+  bool mCurrent = false; ///< may grant leases
+  SharedValue<membership::Configuration> mConfiguration;
+  Version mInForce = 0;
+  std::vector<EntryLine> mEntries;
+  std::vector<BackendLine> mBackends;
+
+  friend bool operator==(const StatusAnswer&, const StatusAnswer&) = default;
+};
+
+using CallAnswer = std::variant<ChangeCallAnswer, StatusAnswer>;
+
+/// Give the answer to the front.
+struct AnswerCall
+{
+  CallId mId = 0;
+  CallAnswer mAnswer;
+
+  friend bool operator==(const AnswerCall&, const AnswerCall&) = default;
+};
+
+/// Send a message to another control process.
+struct SendControl
+{
+  ControlId mTo;
+  std::variant<agreement::Message, membership::ControlRenew, membership::ControlGrant> mBody;
+
+  friend auto operator<=>(const SendControl&, const SendControl&) = default;
+};
+
+/// Send a message to an entry.
+struct SendEntry
+{
+  EntryId mTo;
+  std::variant<membership::Grant, membership::ChangeDone> mBody;
+
+  friend bool operator==(const SendEntry&, const SendEntry&) = default;
+};
+
+/// Write to storage and sync.
+struct Store
+{
+  agreement::Write mWrite;
+
+  friend auto operator<=>(const Store&, const Store&) = default;
+};
+
+/// Write a decision to the log.
+struct LogRecord
+{
+  DecisionRecord mRecord;
+
+  friend auto operator<=>(const LogRecord&, const LogRecord&) = default;
+};
+
+using Effect = std::variant<AnswerCall, SendControl, SendEntry, Store, LogRecord>;
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/calls.cpp
@@ -0,0 +1,181 @@
+#include "calls.hpp"
+
+#include "leases.hpp"
+
+namespace fighold::control {
+namespace {
+
+/// Time after which an undecided change is proposed again; its identifier makes this safe.
+constexpr Millis kProposeAgain{ 1000 };
+
+bool
+WasAccepted(const CallScope& aScope)
+{
+  return aScope.mCall.mAnswer.mVerdict == membership::Verdict::Accepted;
+}
+
+bool
+TimedOut(const CallScope& aScope)
+{
+  return aScope.mContext.mNow >= aScope.mCall.mUntil;
+}
+
+bool
+RetryDue(const CallScope& aScope)
+{
+  return aScope.mContext.mNow >= aScope.mCall.mNextProposal;
+}
+
+/// Every lease that was granted before this process applied the change has run out, or all holders
+/// have confirmed.
+bool
+IsInForce(const CallScope& aScope)
+{
+  const Duration lease = membership::kConfigurationLease;
+  const Instant expired = aScope.mCall.mAppliedAt + lease + lease / membership::kClockRateParts;
+  return aScope.mContext.mNow >= expired ||
+         aScope.mContext.mState.mInForce >= aScope.mCall.mAnswer.mVersion;
+}
+
+void
+AnswerWith(CallScope& aScope, bool aDecided, bool aInForce)
+{
+  ChangeCallAnswer answer{ aDecided, aScope.mCall.mAnswer, aInForce, {} };
+  if (aDecided && !aInForce) {
+    answer.mNotYet =
+      EntriesBehind(aScope.mContext.mState, answer.mAnswer.mVersion, aScope.mContext.mNow);
+  }
+  aScope.mContext.mEffects.emplace_back(AnswerCall{ aScope.mCall.mCall.mId, std::move(answer) });
+}
+
+void
+AnswerDecision(CallScope& aScope)
+{
+  AnswerWith(aScope, true, false);
+}
+
+void
+AnswerUndecided(CallScope& aScope)
+{
+  AnswerWith(aScope, false, false);
+}
+
+void
+AnswerInForce(CallScope& aScope)
+{
+  AnswerWith(aScope, true, true);
+}
+
+void
+ProposeCall(CallScope& aScope)
+{
+  aScope.mCall.mNextProposal = aScope.mContext.mNow + kProposeAgain;
+  Propose(aScope.mContext, aScope.mCall.mCall.mChange);
+}
+
+/// @return true when the call is answered
+bool
+FireCall(Context& aContext, PendingCall& aCall, CallEvent aEvent)
+{
+  CallScope scope{ aContext, aCall };
+  aCall.mStage = chart::Fire(aContext.mState.mCallChart, aCall.mStage, aEvent, scope).mState;
+  return aCall.mStage == CallStage::Answered;
+}
+
+void
+Apply(Context& aContext, PendingCall& aCall, const membership::ChangeAnswer& aAnswer)
+{
+  aCall.mAnswer = aAnswer;
+  aCall.mAppliedAt = aContext.mNow;
+  if (FireCall(aContext, aCall, CallEvent::Applied)) {
+    aContext.mState.mCalls.erase(aCall.mCall.mId);
+  }
+}
+
+} // namespace
+
+chart::Registry<CallScope>
+CallRegistry()
+{
+  return { { "proposed", "accepted", "answered" },
+           { "applied", "tick" },
+           { { "was_accepted", WasAccepted },
+             { "timed_out", TimedOut },
+             { "retry_due", RetryDue },
+             { "is_in_force", IsInForce } },
+           { { "answer_decision", AnswerDecision },
+             { "answer_undecided", AnswerUndecided },
+             { "answer_in_force", AnswerInForce },
+             { "propose", ProposeCall } } };
+}
+
+void
+StartCall(Context& aContext, const ChangeCall& aCall)
+{
+  PendingCall& call = aContext.mState.mCalls[aCall.mId];
+  call.mCall = aCall;
+  call.mUntil = aContext.mNow + aCall.mTimeout;
+  const auto& answers = aContext.mState.mConfiguration->mAnswers;
+  if (const auto known = answers.find(aCall.mChange.mId); known != answers.end()) {
+    const membership::ChangeAnswer answer = known->second;
+    Apply(aContext, call, answer);
+    return;
+  }
+  CallScope scope{ aContext, call };
+  ProposeCall(scope);
+}
+
+void
+OnApplied(Context& aContext,
+          const membership::Change& aChange,
+          const membership::ChangeAnswer& aAnswer)
+{
+  std::vector<CallId> matching;
+  for (const auto& [id, call] : aContext.mState.mCalls) {
+    if (call.mStage == CallStage::Proposed && call.mCall.mChange.mId == aChange.mId) {
+      matching.push_back(id);
+    }
+  }
+  for (const CallId it : matching) {
+    Apply(aContext, aContext.mState.mCalls.at(it), aAnswer);
+  }
+}
+
+void
+TickCalls(Context& aContext)
+{
+  auto& calls = aContext.mState.mCalls;
+  for (auto it = calls.begin(); it != calls.end();) {
+    it = FireCall(aContext, it->second, CallEvent::Tick) ? calls.erase(it) : std::next(it);
+  }
+}
+
+void
+AnswerStatus(Context& aContext, const StatusCall& aCall)
+{
+  const State& state = aContext.mState;
+  StatusAnswer answer;
+  answer.mSelf = state.mNode.mOptions.mSelf;
+  answer.mLeader = agreement::Leader(state.mNode).value_or(ControlId{}).mValue;
+  answer.mCurrent = GrantRight(state, aContext.mNow).has_value();
+  answer.mConfiguration = state.mConfiguration;
+  answer.mInForce = state.mInForce;
+  for (const auto& [id, entry] : state.mConfiguration->mEntries) {
+    const auto view = state.mEntries.find(id);
+    const bool known =
+      view != state.mEntries.end() && view->second.mIncarnation == entry.mIncarnation;
+    const bool current = known && view->second.mHeld >= entry.mRegisteredAt &&
+                         aContext.mNow < view->second.mHeardAt + membership::kConfigurationLease;
+    answer.mEntries.push_back({ id, entry, known ? view->second.mHeld : 0, current });
+  }
+  for (const auto& [id, server] : state.mConfiguration->mBackendServers) {
+    const auto view = state.mBackends.find(id);
+    const bool known =
+      view != state.mBackends.end() && view->second.mIncarnation == server.mIncarnation;
+    const bool alive = known && aContext.mNow < view->second.mAliveUntil;
+    answer.mBackends.push_back({ id, server, alive, known ? view->second.mInFlight : 0 });
+  }
+  aContext.mEffects.emplace_back(AnswerCall{ aCall.mId, std::move(answer) });
+}
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/context.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "fighold/control/state.hpp"
+
+#include <vector>
+
+/// Helpers that the parts of a control process's decisions share.
+namespace fighold::control {
+
+/// One step in progress.
+struct Context
+{
+  State& mState;
+  Instant mNow;
+  std::vector<Effect> mEffects;
+};
+
+/// Hands an event to the agreement and applies what it commits.
+void
+Agree(Context& aContext, const agreement::Event& aEvent);
+
+/// Proposes a change, wherever the leader is.
+void
+Propose(Context& aContext, const membership::Change& aChange);
+
+/// @return time at which this process's right to grant leases began, or nothing without the right
+std::optional<Instant>
+GrantRight(const State& aState, Instant aNow);
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/daemon.cpp
@@ -0,0 +1,129 @@
+#include "fighold/control/daemon.hpp"
+
+#include "fighold/control/decide.hpp"
+#include "fighold/wire/codec.hpp"
+#include "threads.hpp"
+
+#include <thread>
+
+namespace fighold::control {
+namespace {
+
+wire::MessageOptions
+MessageOptionsOf(const DaemonOptions& aOptions)
+{
+  wire::MessageOptions options;
+  options.mSelf = aOptions.mSelf.mValue;
+  options.mIncarnation = aOptions.mIncarnation;
+  options.mBind = aOptions.mMessageBind;
+  for (const auto& [id, endpoint] : aOptions.mControls) {
+    if (id != aOptions.mSelf) {
+      options.mPeers[id.mValue] = endpoint;
+    }
+  }
+  return options;
+}
+
+/// Passes messages on as events; when the inbox is full the message is lost and will be repeated.
+void
+Deliver(Wiring& aWiring, wire::Envelope aEnvelope)
+{
+  const auto push = [&](Event aEvent) { aWiring.mInbox.TryPush(std::move(aEvent), kInboxReserve); };
+  if (auto* renew = std::get_if<membership::Renew>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*renew) });
+  } else if (auto* ask = std::get_if<membership::ChangeAsk>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*ask) });
+  } else if (auto* message = std::get_if<agreement::Message>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*message) });
+  } else if (auto* controlRenew = std::get_if<membership::ControlRenew>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*controlRenew) });
+  } else if (auto* controlGrant = std::get_if<membership::ControlGrant>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*controlGrant) });
+  }
+}
+
+agreement::Options
+AgreementOptionsOf(const DaemonOptions& aOptions)
+{
+  agreement::Options options;
+  options.mSelf = aOptions.mSelf;
+  for (const auto& [id, endpoint] : aOptions.mControls) {
+    options.mVoters.push_back(id);
+  }
+  return options;
+}
+
+Codec
+WireCodec()
+{
+  return { wire::EncodeChange,
+           [](const std::string& aBytes) { return wire::DecodeChange(aBytes); } };
+}
+
+} // namespace
+
+struct Daemon::State
+{
+  explicit State(const DaemonOptions& aOptions)
+    : mSockets(MessageOptionsOf(aOptions), mWiring.mMessagesOut)
+    , mFront(mWiring, aOptions.mServer, aOptions.mToken)
+  {
+    auto chart = LoadCallChart(aOptions.mCharts);
+    std::vector<agreement::LogEntry> entries;
+    auto log = agreement::OpenLog(aOptions.mData, agreement::PosixFileOps(), entries);
+    auto state = MakeState(agreement::MakeNode(AgreementOptionsOf(aOptions), std::move(entries)),
+                           WireCodec(),
+                           std::move(chart));
+    mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
+    mMessageThread = std::thread([this] {
+      mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
+    });
+    mStorageThread =
+      std::thread([this, log = std::move(log), onFatal = aOptions.mOnFatal]() mutable {
+        StorageThread(mWiring, std::move(log), onFatal);
+      });
+    mDecideThread = std::thread(
+      [this, state = std::move(state)]() mutable { DecideThread(mWiring, std::move(state)); });
+    mFrontThread = std::thread([this] { mFront.Run(); });
+  }
+
+  Wiring mWiring;
+  wire::MessageSockets mSockets;
+  Front mFront;
+  std::thread mLogThread;
+  std::thread mMessageThread;
+  std::thread mStorageThread;
+  std::thread mDecideThread;
+  std::thread mFrontThread;
+};
+
+Daemon::Daemon(const DaemonOptions& aOptions)
+  : mState(std::make_unique<State>(aOptions))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Endpoint
+Daemon::Address() const
+{
+  return mState->mFront.Address();
+}
+
+void
+Daemon::StopAndWait()
+{
+  // The decide thread goes on until the front has answered every call.
+  mState->mFront.Drain();
+  mState->mFrontThread.join();
+  mState->mWiring.mInbox.Close();
+  mState->mDecideThread.join();
+  mState->mWiring.mWrites.Close();
+  mState->mStorageThread.join();
+  mState->mWiring.mMessagesOut.Close();
+  mState->mMessageThread.join();
+  mState->mWiring.mLog.mRing.Close();
+  mState->mLogThread.join();
+}
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/event.cpp
@@ -0,0 +1,1 @@
+#include "fighold/control/event.hpp"
--- /dev/null
+++ b/packages/control/src/leases.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "context.hpp"
+
+/// Leases of entries, backend servers and followers.
+namespace fighold::control {
+
+/// Handles a renewal of an entry: registers it, takes its reports, grants a lease.
+void
+HandleRenew(Context& aContext, const EntryId& aFrom, const membership::Renew& aRenew);
+
+/// Handles a follower's renewal; only a leader answers.
+void
+HandleControlRenew(Context& aContext,
+                   const ControlId& aFrom,
+                   const membership::ControlRenew& aRenew);
+
+/// Handles the leader's grant.
+void
+HandleControlGrant(Context& aContext, const membership::ControlGrant& aGrant);
+
+/// Sends a follower's renewal, works out what is in force, and removes entries that are gone.
+void
+TickLeases(Context& aContext);
+
+/// @return entries that may still serve with a version older than `aVersion`
+std::vector<EntryId>
+EntriesBehind(const State& aState, Version aVersion, Instant aNow);
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/storage_thread.cpp
@@ -0,0 +1,27 @@
+#include "threads.hpp"
+
+namespace fighold::control {
+
+void
+StorageThread(Wiring& aWiring,
+              agreement::LogFile aLog,
+              const std::function<void(const std::string&)>& aOnFatal)
+{
+  while (!aWiring.mWrites.Finished()) {
+    const auto write =
+      aWiring.mWrites.PopUntil(std::chrono::steady_clock::now() + std::chrono::hours(1));
+    if (!write) {
+      continue;
+    }
+    try {
+      agreement::AppendLog(aLog, write->mEntries);
+    } catch (const agreement::StorageError& error) {
+      aOnFatal(error.what());
+      break;
+    }
+    aWiring.mInbox.TryPush(Stored{ write->mWrite });
+  }
+  agreement::CloseLog(aLog);
+}
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/entry/include/fighold/entry/daemon.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "fighold/entry/state.hpp"
+#include "fighold/net/http_server.hpp"
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+
+/// The entry role as a running process part.
+namespace fighold::entry {
+
+/// Settings of the entry role.
+struct DaemonOptions
+{
+  Options mDecide; ///< mEntry.mAddress is set from the listener when its port is 0
+  net::ServerOptions mServer;
+  std::map<ControlId, Endpoint> mControls;
+  std::filesystem::path mCharts;
+};
+
+/// A running entry.
+class Daemon
+{
+public:
+  /// Starts all threads.
+  /// @throws FindingsError for damaged charts, std::runtime_error when an address cannot be bound
+  explicit Daemon(DaemonOptions aOptions);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// @return address that callers use
+  Endpoint Address() const;
+
+  /// Planned stop: waits until callers' cached look-ups ran out and nothing is in flight, then ends
+  /// all threads.
+  void StopAndWait();
+
+private:
+  struct State;
+  std::unique_ptr<State> mState;
+};
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/include/fighold/entry/decide.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "fighold/entry/state.hpp"
+
+#include <vector>
+
+/// Decisions of an entry; no I/O and no clock.
+namespace fighold::entry {
+
+/// Handles one event.
+/// @param aState state, changed in place
+/// @param aEvent event
+/// @param aNow monotonic time
+/// @return effects, in the order in which they must be carried out
+std::vector<Effect>
+Step(State& aState, Event aEvent, Instant aNow);
+
+/// @param aState state
+/// @param aNow monotonic time
+/// @return time by which the next Tick is due
+Instant
+NextTick(const State& aState, Instant aNow);
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -0,0 +1,237 @@
+#pragma once
+
+#include "fighold/core/decision_record.hpp"
+#include "fighold/core/id.hpp"
+#include "fighold/core/outcome.hpp"
+#include "fighold/core/shared_value.hpp"
+#include "fighold/core/time.hpp"
+#include "fighold/membership/protocol.hpp"
+#include "fighold/net/http.hpp"
+#include "fighold/net/http_client.hpp"
+#include "fighold/routing/table.hpp"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What the entry's decisions take in and give out, as values.
+namespace fighold::entry {
+
+/// A caller's request. The payload is passed on as it is; decisions read only the other members.
+struct CallerRequest
+{
+  RequestId mId = 0;
+  ServiceId mService;
+  bool mSafe = true;               ///< the method may be repeated
+  std::string mKey;                ///< Idempotency-Key, or empty
+  std::optional<Millis> mDeadline; ///< the caller's own limit, if it is shorter than the plan's
+  std::uint32_t mClient = 0;       ///< IPv4 address of the caller, host order
+  SharedValue<net::HttpRequest> mPayload;
+
+  friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
+};
+
+/// A caller asks which entries to use.
+struct Lookup
+{
+  RequestId mId = 0;
+  ServiceId mService;
+  std::optional<RegionId> mRegion;
+  std::uint32_t mClient = 0;
+
+  friend auto operator<=>(const Lookup&, const Lookup&) = default;
+};
+
+/// A backend server announces itself, renews, and reports its load.
+struct BackendRenewal
+{
+  RequestId mId = 0;
+  BackendServerId mServerId;
+  membership::BackendServer mServer;
+  std::uint32_t mInFlight = 0;
+
+  friend auto operator<=>(const BackendRenewal&, const BackendRenewal&) = default;
+};
+
+/// A backend server announces its departure.
+struct BackendDeparture
+{
+  RequestId mId = 0;
+  BackendServerId mServerId;
+  Incarnation mIncarnation = 0;
+
+  friend auto operator<=>(const BackendDeparture&, const BackendDeparture&) = default;
+};
+
+/// The platform asks for readiness.
+struct StatusAsk
+{
+  RequestId mId = 0;
+
+  friend auto operator<=>(const StatusAsk&, const StatusAsk&) = default;
+};
+
+/// A dispatch ended.
+struct DispatchDone
+{
+  RequestId mId = 0;
+  std::uint64_t mDispatch = 0;
+  net::ExchangeResult mResult;
+
+  friend auto operator<=>(const DispatchDone&, const DispatchDone&) = default;
+};
+
+/// A control process granted a lease.
+struct GrantReceived
+{
+  ControlId mFrom;
+  membership::Grant mGrant;
+
+  friend bool operator==(const GrantReceived&, const GrantReceived&) = default;
+};
+
+/// A control process answered a change.
+struct ChangeDoneReceived
+{
+  membership::ChangeDone mDone;
+
+  friend auto operator<=>(const ChangeDoneReceived&, const ChangeDoneReceived&) = default;
+};
+
+/// Time passed.
+struct Tick
+{
+  friend auto operator<=>(const Tick&, const Tick&) = default;
+};
+
+/// Planned stop.
+struct Stop
+{
+  friend auto operator<=>(const Stop&, const Stop&) = default;
+};
+
+using Event = std::variant<CallerRequest,
+                           Lookup,
+                           BackendRenewal,
+                           BackendDeparture,
+                           StatusAsk,
+                           DispatchDone,
+                           GrantReceived,
+                           ChangeDoneReceived,
+                           Tick,
+                           Stop>;
+
+/// Answer to a caller's request.
+struct CallerAnswer
+{
+  Outcome mOutcome = Outcome::NotRun;
+  std::string mReason;         ///< why the request was not run or its outcome is unknown
+  net::HttpResponse mResponse; ///< the backend server's whole answer when mOutcome is Run
+  ServiceId mService;
+  BackendServerId mServer; ///< backend server of the last dispatch
+  Duration mLatency{};     ///< from arrival to answer
+
+  friend auto operator<=>(const CallerAnswer&, const CallerAnswer&) = default;
+};
+
+/// An entry as a caller sees it.
+struct LookupEntry
+{
+  EntryId mId;
+  Endpoint mAddress;
+  RegionId mRegion;
+
+  friend auto operator<=>(const LookupEntry&, const LookupEntry&) = default;
+};
+
+/// Answer to a look-up.
+struct LookupAnswer
+{
+  std::string mError; ///< empty when answered
+  std::vector<LookupEntry> mEntries;
+  Millis mTimeToLive{ 0 };
+  Version mVersion = 0;
+
+  friend auto operator<=>(const LookupAnswer&, const LookupAnswer&) = default;
+};
+
+/// How a backend server's call ended.
+enum class BackendVerdict : std::uint8_t
+{
+  Accepted,
+  Refused, ///< the call is at fault
+  Busy,    ///< not decided; to be repeated, at another entry
+};
+
+/// Answer to a backend server.
+struct BackendAnswer
+{
+  BackendVerdict mVerdict = BackendVerdict::Busy;
+  std::string mMessage;
+
+  friend auto operator<=>(const BackendAnswer&, const BackendAnswer&) = default;
+};
+
+/// Answer to the platform.
+struct StatusAnswer
+{
+  bool mReady = false;
+  std::string mState;
+  Version mVersion = 0;
+  std::uint64_t mPlanNumber = 0;
+  std::size_t mInFlight = 0;
+
+  friend auto operator<=>(const StatusAnswer&, const StatusAnswer&) = default;
+};
+
+using Answer = std::variant<CallerAnswer, LookupAnswer, BackendAnswer, StatusAnswer>;
+
+/// Give the answer to the front.
+struct Reply
+{
+  RequestId mId = 0;
+  Answer mAnswer;
+
+  friend auto operator<=>(const Reply&, const Reply&) = default;
+};
+
+/// Send a request to a backend server.
+struct Dispatch
+{
+  RequestId mId = 0;
+  std::uint64_t mDispatch = 0;
+  routing::Candidate mServer;
+  SharedValue<net::HttpRequest> mPayload;
+  Instant mUntil{};
+
+  friend bool operator==(const Dispatch&, const Dispatch&) = default;
+};
+
+/// Send a message to a control process.
+struct SendControl
+{
+  ControlId mTo;
+  std::variant<membership::Renew, membership::ChangeAsk> mBody;
+
+  friend bool operator==(const SendControl&, const SendControl&) = default;
+};
+
+/// Write a decision to the log.
+struct LogRecord
+{
+  DecisionRecord mRecord;
+
+  friend auto operator<=>(const LogRecord&, const LogRecord&) = default;
+};
+
+/// The planned stop is complete: nothing is in flight.
+struct Stopped
+{
+  friend auto operator<=>(const Stopped&, const Stopped&) = default;
+};
+
+using Effect = std::variant<Reply, Dispatch, SendControl, LogRecord, Stopped>;
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "fighold/chart/bound_chart.hpp"
+#include "fighold/entry/event.hpp"
+#include "fighold/membership/lease.hpp"
+#include "fighold/routing/route.hpp"
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <set>
+#include <vector>
+
+/// State that the entry's decide thread owns.
+namespace fighold::entry {
+
+/// States of charts/request.scxml, in the order of its registry.
+enum class RequestState : std::uint8_t
+{
+  Received,
+  Dispatched,
+  Answered,
+  NotRun,
+  Unknown,
+};
+
+/// States of charts/entry.scxml, in the order of its registry.
+enum class EntryStage : std::uint8_t
+{
+  Starting,
+  Serving,
+  Unleased,
+  Draining,
+  Stopped,
+};
+
+/// Settings of the decisions.
+struct Options
+{
+  EntryId mId;
+  membership::Entry mEntry;
+  std::vector<ControlId> mControls; ///< control processes, the preferred one first
+  Millis mLookupTimeToLive{ 5000 };
+  std::size_t mMaxInFlight = 2048; ///< equals the capacity of the ring of dispatches
+  std::uint64_t mSeed = 1;         ///< of the random choices
+};
+
+/// A request in flight.
+struct InFlight
+{
+  CallerRequest mRequest;
+  RequestState mState = RequestState::Received;
+  RegionId mOrigin;
+  Instant mArrived{};
+  Instant mUntil{};
+  std::set<BackendServerId> mTried;
+  std::uint32_t mAttempts = 0;
+  std::uint64_t mDispatch = 0;
+  BackendServerId mServer;
+  Instant mDispatchedAt{};
+};
+
+/// A change asked of the control group on behalf of a backend server.
+struct PendingChange
+{
+  RequestId mReplyTo = 0;
+  membership::Change mChange;
+  Instant mUntil{};
+};
+
+struct RequestScope;
+struct StageScope;
+
+/// Bound charts; shared by all requests.
+struct Charts
+{
+  chart::BoundChart<RequestScope> mRequest;
+  chart::BoundChart<StageScope> mStage;
+};
+
+/// The whole state.
+struct State
+{
+  Options mOptions;
+  Charts mCharts;
+  SharedValue<membership::Configuration> mConfiguration;
+  routing::Table mTable;
+  membership::Lease mLease;
+  EntryStage mStage = EntryStage::Starting;
+  Instant mDrainStarted{};
+  std::map<RequestId, InFlight> mInFlight;
+  std::uint64_t mNextDispatch = 1;
+  routing::ServerStates mServers;
+  std::map<BackendServerId, Incarnation> mDeparted; ///< announced their departure here
+  std::map<BackendServerId, std::pair<membership::BackendReport, Instant>>
+    mReports; ///< since the last renewal
+  std::map<std::uint64_t, PendingChange> mPendingChanges;
+  std::uint64_t mNextAsk = 1;
+  std::map<std::uint64_t, Instant> mAsked; ///< renewals sent, by number
+  Instant mNextRenew{};
+  Instant mLastGrant{};
+  std::size_t mControl = 0; ///< index of the control process in use
+  std::uint64_t mRandom = 1;
+};
+
+/// Loads the charts of an entry.
+/// @param aFolder folder of the chart files
+/// @throws FindingsError with every finding
+Charts
+LoadCharts(const std::filesystem::path& aFolder);
+
+/// @param aOptions settings
+/// @param aCharts bound charts
+/// @return state at start
+State
+MakeState(Options aOptions, Charts aCharts);
+
+/// @return next random number of the state's sequence (SplitMix64)
+std::uint64_t
+Draw(State& aState);
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/src/daemon.cpp
@@ -0,0 +1,104 @@
+#include "fighold/entry/daemon.hpp"
+
+#include "threads.hpp"
+
+#include <future>
+#include <thread>
+
+namespace fighold::entry {
+namespace {
+
+wire::MessageOptions
+MessageOptionsOf(const DaemonOptions& aOptions)
+{
+  wire::MessageOptions options;
+  options.mSelf = aOptions.mDecide.mId.mValue;
+  options.mIncarnation = aOptions.mDecide.mEntry.mIncarnation;
+  for (const auto& [id, endpoint] : aOptions.mControls) {
+    options.mPeers[id.mValue] = endpoint;
+  }
+  return options;
+}
+
+/// Passes messages of control processes on as events; when the inbox is full the message is lost
+/// and will be repeated.
+void
+Deliver(Wiring& aWiring, wire::Envelope aEnvelope)
+{
+  if (auto* grant = std::get_if<membership::Grant>(&aEnvelope.mBody)) {
+    aWiring.mInbox.TryPush(GrantReceived{ { aEnvelope.mFrom }, std::move(*grant) }, kInboxReserve);
+  } else if (auto* done = std::get_if<membership::ChangeDone>(&aEnvelope.mBody)) {
+    aWiring.mInbox.TryPush(ChangeDoneReceived{ std::move(*done) }, kInboxReserve);
+  }
+}
+
+} // namespace
+
+struct Daemon::State
+{
+  explicit State(DaemonOptions aOptions)
+    : mSockets(MessageOptionsOf(aOptions), mWiring.mControlOut)
+    , mFront(mWiring, aOptions.mServer)
+    , mBackend(mWiring)
+  {
+    if (aOptions.mDecide.mEntry.mAddress.mPort == 0) {
+      aOptions.mDecide.mEntry.mAddress = mFront.Address();
+    }
+    auto state = MakeState(aOptions.mDecide, LoadCharts(aOptions.mCharts));
+    mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
+    mMessageThread = std::thread([this] {
+      mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
+    });
+    mBackendThread = std::thread([this] { mBackend.Run(); });
+    mDecideThread = std::thread([this, state = std::move(state)]() mutable {
+      DecideThread(mWiring, std::move(state), [this] { mStopped.set_value(); });
+    });
+    mFrontThread = std::thread([this] { mFront.Run(); });
+  }
+
+  Wiring mWiring;
+  wire::MessageSockets mSockets;
+  Front mFront;
+  Backend mBackend;
+  std::promise<void> mStopped;
+  std::thread mLogThread;
+  std::thread mMessageThread;
+  std::thread mBackendThread;
+  std::thread mDecideThread;
+  std::thread mFrontThread;
+};
+
+Daemon::Daemon(DaemonOptions aOptions)
+  : mState(std::make_unique<State>(std::move(aOptions)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Endpoint
+Daemon::Address() const
+{
+  return mState->mFront.Address();
+}
+
+void
+Daemon::StopAndWait()
+{
+  while (!mState->mWiring.mInbox.TryPush(Stop{})) {
+    std::this_thread::sleep_for(Millis(10));
+  }
+  mState->mStopped.get_future().wait();
+  // The decide thread goes on until the front has answered every request that arrived meanwhile.
+  mState->mFront.Drain();
+  mState->mFrontThread.join();
+  mState->mWiring.mInbox.Close();
+  mState->mDecideThread.join();
+  mState->mWiring.mDispatches.Close();
+  mState->mBackendThread.join();
+  mState->mWiring.mControlOut.Close();
+  mState->mMessageThread.join();
+  mState->mWiring.mLog.mRing.Close();
+  mState->mLogThread.join();
+}
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/src/decide.cpp
@@ -0,0 +1,159 @@
+#include "fighold/entry/decide.hpp"
+
+#include "lease_keeping.hpp"
+#include "request_chart.hpp"
+#include "stage_chart.hpp"
+
+#include <algorithm>
+
+namespace fighold::entry {
+namespace {
+
+/// Time between two checks whether a drain has ended.
+constexpr Millis kDrainCheck{ 100 };
+
+/// One step in progress.
+struct Context
+{
+  State& mState;
+  Instant mNow;
+  std::vector<Effect> mEffects;
+};
+
+void
+Handle(CallerRequest aRequest, Context& aContext)
+{
+  HandleArrival(aContext.mState, std::move(aRequest), aContext.mEffects, aContext.mNow);
+}
+
+void
+Handle(DispatchDone aDone, Context& aContext)
+{
+  HandleDispatchDone(aContext.mState, std::move(aDone), aContext.mEffects, aContext.mNow);
+}
+
+/// Entries of one region first, then the others; within a region in random order, so that callers
+/// spread.
+std::vector<LookupEntry>
+EntriesFor(State& aState, const RegionId& aRegion)
+{
+  std::vector<std::pair<std::uint64_t, LookupEntry>> found;
+  for (const auto& [id, entry] : aState.mConfiguration->mEntries) {
+    if (aState.mConfiguration->mDrains.mEntries.count(id) == 0) {
+      found.emplace_back(Draw(aState), LookupEntry{ id, entry.mAddress, entry.mRegion });
+    }
+  }
+  std::sort(found.begin(), found.end(), [&aRegion](const auto& aLeft, const auto& aRight) {
+    const bool left = aLeft.second.mRegion == aRegion;
+    const bool right = aRight.second.mRegion == aRegion;
+    return left != right ? left : aLeft.first < aRight.first;
+  });
+  std::vector<LookupEntry> entries;
+  entries.reserve(found.size());
+  for (auto& it : found) {
+    entries.push_back(std::move(it.second));
+  }
+  return entries;
+}
+
+void
+Handle(const Lookup& aLookup, Context& aContext)
+{
+  State& state = aContext.mState;
+  LookupAnswer answer;
+  answer.mTimeToLive = state.mOptions.mLookupTimeToLive;
+  answer.mVersion = state.mConfiguration->mVersion;
+  if (!membership::Holds(state.mLease, aContext.mNow)) {
+    answer.mError = "no-configuration-lease";
+  } else if (state.mConfiguration->mPlan->mServices.count(aLookup.mService) == 0) {
+    answer.mError = "unknown-service";
+  } else {
+    const auto fromClient = plan::RegionOfClient(*state.mConfiguration->mPlan, aLookup.mClient);
+    const RegionId region =
+      aLookup.mRegion.value_or(fromClient.value_or(state.mOptions.mEntry.mRegion));
+    answer.mEntries = EntriesFor(state, region);
+  }
+  DecisionRecord record{
+    "lookup", std::to_string(aLookup.mId), aLookup.mService.mValue, "", answer.mError, {}
+  };
+  if (!answer.mEntries.empty()) {
+    record.mChoice = answer.mEntries.front().mId.mValue;
+    record.mReason = "nearest-region-first";
+  }
+  aContext.mEffects.emplace_back(LogRecord{ record });
+  aContext.mEffects.emplace_back(Reply{ aLookup.mId, std::move(answer) });
+}
+
+void
+Handle(const BackendRenewal& aRenewal, Context& aContext)
+{
+  HandleRenewal(aContext.mState, aRenewal, aContext.mEffects, aContext.mNow);
+}
+
+void
+Handle(const BackendDeparture& aDeparture, Context& aContext)
+{
+  HandleDeparture(aContext.mState, aDeparture, aContext.mEffects, aContext.mNow);
+}
+
+void
+Handle(const StatusAsk& aAsk, Context& aContext)
+{
+  const State& state = aContext.mState;
+  StatusAnswer answer;
+  answer.mReady =
+    state.mStage == EntryStage::Serving && membership::Holds(state.mLease, aContext.mNow);
+  answer.mState = StageName(state.mStage);
+  answer.mVersion = state.mConfiguration->mVersion;
+  answer.mPlanNumber = state.mConfiguration->mPlan->mNumber;
+  answer.mInFlight = state.mInFlight.size();
+  aContext.mEffects.emplace_back(Reply{ aAsk.mId, answer });
+}
+
+void
+Handle(const GrantReceived& aGrant, Context& aContext)
+{
+  HandleGrant(aContext.mState, aGrant, aContext.mEffects, aContext.mNow);
+}
+
+void
+Handle(const ChangeDoneReceived& aDone, Context& aContext)
+{
+  HandleChangeDone(aContext.mState, aDone.mDone, aContext.mEffects);
+}
+
+void
+Handle(const Tick& /*aTick*/, Context& aContext)
+{
+  KeepLease(aContext.mState, aContext.mEffects, aContext.mNow);
+  FireStage(aContext.mState, StageEvent::Tick, aContext.mEffects, aContext.mNow);
+}
+
+void
+Handle(const Stop& /*aStop*/, Context& aContext)
+{
+  FireStage(aContext.mState, StageEvent::Stop, aContext.mEffects, aContext.mNow);
+  KeepLease(aContext.mState, aContext.mEffects, aContext.mNow);
+}
+
+} // namespace
+
+std::vector<Effect>
+Step(State& aState, Event aEvent, Instant aNow)
+{
+  Context context{ aState, aNow, {} };
+  if (!membership::Holds(aState.mLease, aNow)) {
+    FireStage(aState, StageEvent::LeaseLost, context.mEffects, aNow);
+  }
+  std::visit([&](auto& aBody) { Handle(std::move(aBody), context); }, aEvent);
+  return std::move(context.mEffects);
+}
+
+Instant
+NextTick(const State& aState, Instant aNow)
+{
+  const bool draining = aState.mStage == EntryStage::Draining;
+  return draining ? std::min(aState.mNextRenew, aNow + kDrainCheck) : aState.mNextRenew;
+}
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/src/decide_thread.cpp
@@ -0,0 +1,80 @@
+#include "fighold/entry/decide.hpp"
+#include "threads.hpp"
+
+#include <stdexcept>
+
+namespace fighold::entry {
+namespace {
+
+/// Carries out the effects of the decisions.
+struct Performer
+{
+  Wiring& mWiring;
+  State& mState;
+  const std::function<void()>& mOnStopped;
+
+  void Perform(std::vector<Effect> aEffects)
+  {
+    for (Effect& it : aEffects) {
+      std::visit([this](auto& aEffect) { Do(aEffect); }, it);
+    }
+  }
+
+  void Do(Reply& aReply)
+  {
+    if (const auto* answer = std::get_if<CallerAnswer>(&aReply.mAnswer)) {
+      const telemetry::Labels labels{ { "service", answer->mService.mValue },
+                                      { "outcome", std::string(ToText(answer->mOutcome)) } };
+      mWiring.mMetrics.Observe(
+        "request_seconds", std::chrono::duration<double>(answer->mLatency).count(), labels);
+    }
+    if (!mWiring.mReplies.TryPush(std::move(aReply))) {
+      throw std::logic_error("the ring of replies is full");
+    }
+  }
+
+  void Do(Dispatch& aDispatch)
+  {
+    const DispatchDone unsent{ aDispatch.mId,
+                               aDispatch.mDispatch,
+                               { net::ExchangeStage::NotSent, {}, "dispatch-ring-full" } };
+    if (!mWiring.mDispatches.TryPush(std::move(aDispatch))) {
+      Perform(Step(mState, unsent, std::chrono::steady_clock::now()));
+    }
+  }
+
+  void Do(SendControl& aSend)
+  {
+    wire::Body body =
+      std::visit([](auto& aBody) { return wire::Body(std::move(aBody)); }, aSend.mBody);
+    if (!mWiring.mControlOut.TryPush(wire::Outbound{ aSend.mTo.mValue, std::move(body) })) {
+      mWiring.mMetrics.Count("control_out_full_total");
+    }
+  }
+
+  void Do(const LogRecord& aRecord) { telemetry::LogDecision(mWiring.mLog, aRecord.mRecord); }
+
+  void Do(const Stopped& /*aStopped*/) { mOnStopped(); }
+};
+
+} // namespace
+
+void
+DecideThread(Wiring& aWiring, State aState, const std::function<void()>& aOnStopped)
+{
+  Performer performer{ aWiring, aState, aOnStopped };
+  Instant nextTick = std::chrono::steady_clock::now();
+  while (!aWiring.mInbox.Finished()) {
+    auto event = aWiring.mInbox.PopUntil(nextTick);
+    const Instant now = std::chrono::steady_clock::now();
+    if (event) {
+      performer.Perform(Step(aState, std::move(*event), now));
+    }
+    if (now >= nextTick) {
+      performer.Perform(Step(aState, Tick{}, now));
+      nextTick = NextTick(aState, now);
+    }
+  }
+}
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/src/event.cpp
@@ -0,0 +1,1 @@
+#include "fighold/entry/event.hpp"
--- /dev/null
+++ b/packages/entry/src/front_codec.cpp
@@ -0,0 +1,318 @@
+#include "front_codec.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+
+#include <charconv>
+#include <limits>
+
+namespace fighold::entry {
+namespace {
+
+namespace json = boost::json;
+namespace urls = boost::urls;
+
+constexpr std::size_t kMaxKeyLength = 128;
+
+net::HttpResponse
+ErrorResponse(unsigned aStatus, const std::string& aMessage)
+{
+  auto response =
+    net::JsonResponse(aStatus, json::serialize(json::object{ { "error", aMessage } }));
+  response.mHeaders.push_back({ "Fighold-Outcome", "not-run" });
+  return response;
+}
+
+std::optional<std::string>
+Parameter(const urls::url_view& aUrl, std::string_view aName)
+{
+  for (const auto& it : aUrl.params()) {
+    if (std::string_view(it.key) == aName) {
+      return std::string(it.value);
+    }
+  }
+  return std::nullopt;
+}
+
+Parsed
+ParseLookup(RequestId aId, const net::HttpRequest& aRequest, const urls::url_view& aUrl)
+{
+  Lookup lookup;
+  lookup.mId = aId;
+  const auto service = Parameter(aUrl, "service");
+  if (!service) {
+    return ErrorResponse(400, "the parameter service is missing");
+  }
+  lookup.mService = { *service };
+  if (const auto region = Parameter(aUrl, "region")) {
+    lookup.mRegion = RegionId{ *region };
+  }
+  const auto client = ParseIpv4(Parameter(aUrl, "client").value_or(aRequest.mPeer.mHost));
+  if (!client) {
+    return ErrorResponse(400, "the parameter client is not an IPv4 address");
+  }
+  lookup.mClient = *client;
+  return lookup;
+}
+
+/// Reads members of a JSON object and collects what is wrong with them.
+struct ObjectReader
+{
+  const json::object& mObject;
+  Findings mFindings;
+
+  std::string Text(std::string_view aName)
+  {
+    const auto* value = mObject.if_contains(aName);
+    if (value == nullptr || !value->is_string() || value->as_string().empty()) {
+      Fail(aName, "expected a text");
+      return {};
+    }
+    return std::string(value->as_string().c_str());
+  }
+
+  std::uint64_t Number(std::string_view aName, std::uint64_t aMin, std::uint64_t aMax)
+  {
+    const auto* value = mObject.if_contains(aName);
+    boost::json::error_code ec;
+    const auto number = value == nullptr ? 0 : value->to_number<std::uint64_t>(ec);
+    if (value == nullptr || ec || number < aMin || number > aMax) {
+      Fail(aName,
+           "expected a whole number from " + std::to_string(aMin) + " to " + std::to_string(aMax));
+      return aMin;
+    }
+    return number;
+  }
+
+  void Fail(std::string_view aName, const std::string& aMessage)
+  {
+    mFindings.push_back({ Place{ std::string(aName), 0, 0 }, aMessage });
+  }
+};
+
+constexpr std::uint64_t kMaxSlots = 100'000;
+constexpr std::uint64_t kMaxConnections = 1'000'000;
+constexpr std::uint64_t kMaxInFlight = std::numeric_limits<std::uint32_t>::max();
+
+Parsed
+ParseRenewal(RequestId aId, const std::string& aServer, const std::string& aBody)
+{
+  boost::json::error_code ec;
+  const json::value value = json::parse(aBody, ec);
+  if (ec || !value.is_object()) {
+    return ErrorResponse(400, "the body is no JSON object");
+  }
+  ObjectReader reader{ value.as_object(), {} };
+  BackendRenewal renewal;
+  renewal.mId = aId;
+  renewal.mServerId = { aServer };
+  renewal.mServer.mIncarnation =
+    reader.Number("incarnation", 1, std::numeric_limits<std::int64_t>::max());
+  renewal.mServer.mService = { reader.Text("service") };
+  renewal.mServer.mRegion = { reader.Text("region") };
+  renewal.mServer.mDataCentre = { reader.Text("data_centre") };
+  renewal.mServer.mSlots = static_cast<std::uint32_t>(reader.Number("slots", 1, kMaxSlots));
+  renewal.mServer.mConnections =
+    static_cast<std::uint32_t>(reader.Number("connections", 1, kMaxConnections));
+  renewal.mInFlight = static_cast<std::uint32_t>(reader.Number("in_flight", 0, kMaxInFlight));
+  const auto address = ParseEndpoint(reader.Text("address"));
+  if (address) {
+    renewal.mServer.mAddress = *address;
+  } else {
+    reader.Fail("address", "expected an IPv4 address and port such as 10.0.0.1:8080");
+  }
+  if (!reader.mFindings.empty()) {
+    return ErrorResponse(400, FormatFindings(reader.mFindings));
+  }
+  return renewal;
+}
+
+Parsed
+ParseDeparture(RequestId aId, const std::string& aServer, const urls::url_view& aUrl)
+{
+  const std::string text = Parameter(aUrl, "incarnation").value_or("");
+  Incarnation incarnation = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), incarnation);
+  if (ec != std::errc{} || end != text.data() + text.size() || incarnation == 0) {
+    return ErrorResponse(400, "the parameter incarnation is missing or no number");
+  }
+  return BackendDeparture{ aId, { aServer }, incarnation };
+}
+
+std::optional<std::uint64_t>
+HeaderNumber(const net::Headers& aHeaders, std::string_view aName, bool& aBad)
+{
+  const auto text = net::FindHeader(aHeaders, aName);
+  if (!text) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), number);
+  aBad = ec != std::errc{} || end != text->data() + text->size();
+  return number;
+}
+
+Parsed
+ParseCallerRequest(RequestId aId, const net::HttpRequest& aRequest, std::string_view aRest)
+{
+  CallerRequest out;
+  const auto slash = aRest.find('/');
+  out.mId = aId;
+  out.mService = { std::string(aRest.substr(0, slash)) };
+  out.mSafe = net::IsSafeMethod(aRequest.mMethod);
+  out.mKey = net::FindHeader(aRequest.mHeaders, "Idempotency-Key").value_or("");
+  out.mClient = ParseIpv4(aRequest.mPeer.mHost).value_or(0);
+  bool bad = false;
+  const auto deadline = HeaderNumber(aRequest.mHeaders, "Fighold-Deadline-Ms", bad);
+  if (bad || out.mKey.size() > kMaxKeyLength) {
+    return ErrorResponse(
+      400, "Fighold-Deadline-Ms is no number or Idempotency-Key is longer than 128 bytes");
+  }
+  if (deadline) {
+    constexpr std::uint64_t kMaxDeadlineMs = 600'000;
+    out.mDeadline = Millis(std::min(*deadline, kMaxDeadlineMs));
+  }
+  net::HttpRequest payload = aRequest;
+  payload.mTarget = slash == std::string_view::npos ? "/" : std::string(aRest.substr(slash));
+  out.mPayload = SharedValue(std::move(payload));
+  return out;
+}
+
+Parsed
+ParseBackendCall(RequestId aId,
+                 const net::HttpRequest& aRequest,
+                 const urls::url_view& aUrl,
+                 const std::string& aServer)
+{
+  if (aServer.empty() || aServer.size() > 64 || aServer.find('/') != std::string::npos) {
+    return ErrorResponse(400, "a backend server name is 1 to 64 characters");
+  }
+  if (aRequest.mMethod == "PUT") {
+    return ParseRenewal(aId, aServer, aRequest.mBody);
+  }
+  if (aRequest.mMethod == "DELETE") {
+    return ParseDeparture(aId, aServer, aUrl);
+  }
+  return ErrorResponse(405, "use PUT or DELETE");
+}
+
+net::HttpResponse
+Convert(RequestId aId, const CallerAnswer& aAnswer)
+{
+  net::HttpResponse response;
+  switch (aAnswer.mOutcome) {
+    case Outcome::Run:
+      response = aAnswer.mResponse;
+      break;
+    case Outcome::NotRun:
+      response = NotRunResponse(aAnswer.mReason);
+      break;
+    case Outcome::Unknown:
+      response = net::JsonResponse(
+        504,
+        json::serialize(json::object{ { "outcome", "unknown" }, { "reason", aAnswer.mReason } }));
+      break;
+  }
+  if (aAnswer.mOutcome != Outcome::NotRun) {
+    response.mHeaders.push_back({ "Fighold-Outcome", std::string(ToText(aAnswer.mOutcome)) });
+  }
+  response.mHeaders.push_back({ "Fighold-Request-Id", std::to_string(aId) });
+  if (!aAnswer.mServer.mValue.empty()) {
+    response.mHeaders.push_back({ "Fighold-Backend-Server", aAnswer.mServer.mValue });
+  }
+  return response;
+}
+
+net::HttpResponse
+Convert(RequestId /*aId*/, const LookupAnswer& aAnswer)
+{
+  if (!aAnswer.mError.empty()) {
+    return ErrorResponse(aAnswer.mError == "unknown-service" ? 404 : 503, aAnswer.mError);
+  }
+  json::array entries;
+  for (const LookupEntry& it : aAnswer.mEntries) {
+    entries.push_back(json::object{ { "id", it.mId.mValue },
+                                    { "address", ToText(it.mAddress) },
+                                    { "region", it.mRegion.mValue } });
+  }
+  const json::object body{ { "entries", entries },
+                           { "ttl_ms", aAnswer.mTimeToLive.count() },
+                           { "version", aAnswer.mVersion } };
+  return net::JsonResponse(200, json::serialize(body));
+}
+
+net::HttpResponse
+Convert(RequestId /*aId*/, const BackendAnswer& aAnswer)
+{
+  switch (aAnswer.mVerdict) {
+    case BackendVerdict::Refused:
+      return ErrorResponse(409, aAnswer.mMessage);
+    case BackendVerdict::Busy:
+      return ErrorResponse(503, aAnswer.mMessage);
+    case BackendVerdict::Accepted:
+      break;
+  }
+  const json::object body{ { "lease_ms", membership::kBackendServerLease.count() },
+                           { "renew_ms", membership::kRenewInterval.count() } };
+  return net::JsonResponse(200, json::serialize(body));
+}
+
+net::HttpResponse
+Convert(RequestId /*aId*/, const StatusAnswer& aAnswer)
+{
+  const json::object body{ { "ready", aAnswer.mReady },
+                           { "state", aAnswer.mState },
+                           { "version", aAnswer.mVersion },
+                           { "plan", aAnswer.mPlanNumber },
+                           { "in_flight", aAnswer.mInFlight } };
+  return net::JsonResponse(aAnswer.mReady ? 200 : 503, json::serialize(body));
+}
+
+} // namespace
+
+Parsed
+ParseRequest(RequestId aId, const net::HttpRequest& aRequest)
+{
+  const auto url = urls::parse_origin_form(aRequest.mTarget);
+  if (!url) {
+    return ErrorResponse(400, "the target is malformed");
+  }
+  const std::string path = url->path();
+  const std::string_view target = aRequest.mTarget;
+  constexpr std::string_view kService = "/s/";
+  constexpr std::string_view kBackendServers = "/v1/backend-servers/";
+  if (target.substr(0, kService.size()) == kService) {
+    return ParseCallerRequest(aId, aRequest, target.substr(kService.size()));
+  }
+  if (path.substr(0, kBackendServers.size()) == kBackendServers) {
+    return ParseBackendCall(aId, aRequest, *url, path.substr(kBackendServers.size()));
+  }
+  if (path == "/v1/lookup" && aRequest.mMethod == "GET") {
+    return ParseLookup(aId, aRequest, *url);
+  }
+  if (path == "/readyz") {
+    return StatusAsk{ aId };
+  }
+  return ErrorResponse(404, "no such resource");
+}
+
+net::HttpResponse
+ToResponse(RequestId aId, const Answer& aAnswer)
+{
+  return std::visit([aId](const auto& aBody) { return Convert(aId, aBody); }, aAnswer);
+}
+
+net::HttpResponse
+NotRunResponse(const std::string& aReason)
+{
+  auto response = net::JsonResponse(
+    503, json::serialize(json::object{ { "outcome", "not-run" }, { "reason", aReason } }));
+  response.mHeaders.push_back({ "Fighold-Outcome", "not-run" });
+  response.mHeaders.push_back({ "Retry-After", "1" });
+  return response;
+}
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/src/front_codec.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "fighold/core/finding.hpp"
+#include "fighold/entry/event.hpp"
+
+#include <variant>
+
+/// HTTP requests to events, and answers to HTTP responses. Another front end would replace this
+/// file only.
+namespace fighold::entry {
+
+/// An event for the decide thread, or the response to a request that is at fault.
+using Parsed = std::variant<Event, net::HttpResponse>;
+
+/// @param aId identifier given to the request
+/// @param aRequest request of a caller, a backend server or the platform
+/// @return event, or a response
+Parsed
+ParseRequest(RequestId aId, const net::HttpRequest& aRequest);
+
+/// @return response that states the answer
+net::HttpResponse
+ToResponse(RequestId aId, const Answer& aAnswer);
+
+/// @param aReason why the request was not run
+/// @return 503 with the outcome "not-run"
+net::HttpResponse
+NotRunResponse(const std::string& aReason);
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/src/state.cpp
@@ -0,0 +1,35 @@
+#include "fighold/entry/state.hpp"
+
+#include "request_chart.hpp"
+#include "stage_chart.hpp"
+
+namespace fighold::entry {
+
+Charts
+LoadCharts(const std::filesystem::path& aFolder)
+{
+  return { chart::LoadBound(aFolder / "request.scxml", RequestRegistry()),
+           chart::LoadBound(aFolder / "entry.scxml", StageRegistry()) };
+}
+
+State
+MakeState(Options aOptions, Charts aCharts)
+{
+  State state;
+  state.mRandom = aOptions.mSeed;
+  state.mOptions = std::move(aOptions);
+  state.mCharts = std::move(aCharts);
+  return state;
+}
+
+std::uint64_t
+Draw(State& aState)
+{
+  aState.mRandom += 0x9e3779b97f4a7c15U;
+  std::uint64_t n = aState.mRandom;
+  n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9U;
+  n = (n ^ (n >> 27U)) * 0x94d049bb133111ebU;
+  return n ^ (n >> 31U);
+}
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/figholdd/include/fighold/figholdd/settings.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "fighold/control/daemon.hpp"
+#include "fighold/core/finding.hpp"
+#include "fighold/entry/daemon.hpp"
+
+#include <string>
+#include <variant>
+
+/// Settings of the daemon, from flags and environment variables.
+namespace fighold::figholdd {
+
+/// Values as they are given; a flag NAME is also read from the environment as FLAGS_NAME.
+struct Settings
+{
+  std::string mRole;
+  std::string mId;
+  std::string mRegion;
+  std::string mDataCentre;
+  std::string mListen;        ///< HTTP address
+  std::string mMessageListen; ///< address for messages between daemons; control role only
+  std::string mControls;      ///< "id=host:port,..." of all control processes
+  std::string mData;
+  std::string mCharts;
+  std::string mTokenFile;
+  std::int64_t mLookupTimeToLiveMs = 5000;
+  std::int64_t mMaxConnections = 1024;
+};
+
+/// Checked settings of either role.
+using Checked = std::variant<entry::DaemonOptions, control::DaemonOptions>;
+
+/// Checks all settings.
+/// @param aSettings settings
+/// @param aIncarnation drawn for this start of the process
+/// @return options of the role, or every finding with the flag's name
+fighold::Checked<Checked>
+CheckSettings(const Settings& aSettings, Incarnation aIncarnation);
+
+} // namespace fighold::figholdd
--- /dev/null
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -0,0 +1,123 @@
+#include "fighold/figholdd/settings.hpp"
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <iostream>
+#include <random>
+
+DEFINE_string(role, "", "role of this process: entry or control");
+DEFINE_string(id, "", "name of this process, unique in the deployment");
+DEFINE_string(region, "", "region of this process (entry)");
+DEFINE_string(data_centre, "", "data centre of this process (entry)");
+DEFINE_string(listen, "127.0.0.1:0", "HTTP address; port 0 takes any free port and prints it");
+DEFINE_string(message_listen, "127.0.0.1:0", "address for messages between daemons (control)");
+DEFINE_string(controls, "", "all control processes as id=address:port,...");
+DEFINE_string(data, "", "data folder (control)");
+DEFINE_string(charts, FIGHOLD_DEFAULT_CHARTS, "folder of the state charts");
+DEFINE_string(token_file,
+              "",
+              "file with the operators' token; without it changes need no token (control)");
+DEFINE_int64(lookup_ttl_ms, 5000, "time for which callers may cache a look-up, in ms (entry)");
+DEFINE_int64(max_connections, 1024, "greatest number of HTTP connections");
+
+namespace {
+
+/// Exit codes of the daemon.
+constexpr int kExitFailed = 1;
+constexpr int kExitBadSettings = 2;
+
+/// Every flag may also be set by the environment variable FLAGS_<name>; the command line goes
+/// first.
+constexpr const char* kEnvironmentFlags =
+  "role,id,region,data_centre,listen,message_listen,controls,data,charts,token_file,"
+  "lookup_ttl_ms,max_connections,log_dir,minloglevel,logtostderr";
+
+fighold::figholdd::Settings
+SettingsFromFlags()
+{
+  return { FLAGS_role,          FLAGS_id,
+           FLAGS_region,        FLAGS_data_centre,
+           FLAGS_listen,        FLAGS_message_listen,
+           FLAGS_controls,      FLAGS_data,
+           FLAGS_charts,        FLAGS_token_file,
+           FLAGS_lookup_ttl_ms, FLAGS_max_connections };
+}
+
+/// Signals are blocked before threads start, so that only WaitForStop receives them.
+sigset_t
+BlockStopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+template<typename Daemon, typename Options>
+void
+RunUntilStopped(Options aOptions, const sigset_t& aSignals)
+{
+  Daemon daemon(std::move(aOptions));
+  std::cout << "listening on " << fighold::ToText(daemon.Address()) << std::endl;
+  int signal = 0;
+  sigwait(&aSignals, &signal);
+  daemon.StopAndWait();
+  std::cout << "stopped" << std::endl;
+}
+
+void
+Run(fighold::figholdd::Checked aOptions, const sigset_t& aSignals)
+{
+  if (auto* entry = std::get_if<fighold::entry::DaemonOptions>(&aOptions)) {
+    RunUntilStopped<fighold::entry::Daemon>(std::move(*entry), aSignals);
+    return;
+  }
+  auto& control = std::get<fighold::control::DaemonOptions>(aOptions);
+  control.mOnFatal = [](const std::string& aMessage) {
+    // Nothing may be assumed about the file after a failed write or sync, so the process ends at
+    // once.
+    std::cerr << "figholdd: storage failed, stopping: " << aMessage << std::endl;
+    std::_Exit(kExitFailed);
+  };
+  RunUntilStopped<fighold::control::Daemon>(std::move(control), aSignals);
+}
+
+} // namespace
+
+int
+main(int aArgc, char** aArgv)
+{
+  gflags::SetVersionString(FIGHOLD_VERSION);
+  gflags::SetUsageMessage(
+    "runs an entry or a control process of fighold\n\n"
+    "  figholdd --role=control --id=c1 --message_listen=10.0.0.1:7100 --listen=10.0.0.1:7000 \\\n"
+    "    --data=/var/lib/fighold --controls=c1=10.0.0.1:7100,c2=10.0.0.2:7100,c3=10.0.0.3:7100\n"
+    "  figholdd --role=entry --id=e1 --region=attiki --data_centre=attiki-a \\\n"
+    "    --listen=10.0.0.4:8080 --controls=c1=10.0.0.1:7100,c2=10.0.0.2:7100,c3=10.0.0.3:7100\n\n"
+    "Flags are also read from the environment as FLAGS_<name>. SIGTERM is a planned stop.");
+  gflags::SetCommandLineOption("tryfromenv", kEnvironmentFlags);
+  gflags::ParseCommandLineFlags(&aArgc, &aArgv, true);
+  google::InitGoogleLogging(aArgv[0]);
+  std::random_device device;
+  const fighold::Incarnation incarnation = (fighold::Incarnation{ device() } << 31U) | device();
+  const auto checked = fighold::figholdd::CheckSettings(SettingsFromFlags(), incarnation);
+  if (!checked.mValue) {
+    std::cerr << fighold::FormatFindings(checked.mFindings);
+    return kExitBadSettings;
+  }
+  const sigset_t signals = BlockStopSignals();
+  try {
+    Run(*checked.mValue, signals);
+  } catch (const std::exception& error) {
+    std::cerr << "figholdd: " << error.what() << std::endl;
+    return kExitFailed;
+  }
+  return 0;
+}
--- /dev/null
+++ b/packages/figholdd/src/settings.cpp
@@ -0,0 +1,163 @@
+#include "fighold/figholdd/settings.hpp"
+
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
+
+namespace fighold::figholdd {
+namespace {
+
+constexpr std::int64_t kMaxTimeToLiveMs = 60'000;
+constexpr std::int64_t kMaxConnections = 100'000;
+
+/// Collects findings about flags.
+struct Checker
+{
+  Findings mFindings;
+
+  void Fail(const std::string& aFlag, const std::string& aMessage)
+  {
+    mFindings.push_back({ Place{ "--" + aFlag, 0, 0 }, aMessage });
+  }
+
+  void Present(const std::string& aFlag, const std::string& aValue)
+  {
+    if (aValue.empty()) {
+      Fail(aFlag, "must be set");
+    }
+  }
+
+  void Range(const std::string& aFlag, std::int64_t aValue, std::int64_t aMin, std::int64_t aMax)
+  {
+    if (aValue < aMin || aValue > aMax) {
+      Fail(aFlag,
+           "must be from " + std::to_string(aMin) + " to " + std::to_string(aMax) + ", is " +
+             std::to_string(aValue));
+    }
+  }
+
+  Endpoint Address(const std::string& aFlag, const std::string& aValue)
+  {
+    const auto endpoint = ParseEndpoint(aValue);
+    if (!endpoint) {
+      Fail(aFlag,
+           "expected an IPv4 address and port such as 127.0.0.1:8080, found \"" + aValue + "\"");
+      return {};
+    }
+    return *endpoint;
+  }
+
+  std::map<ControlId, Endpoint> Controls(const std::string& aValue)
+  {
+    std::map<ControlId, Endpoint> controls;
+    std::istringstream in(aValue);
+    for (std::string part; std::getline(in, part, ',');) {
+      const auto n = part.find('=');
+      const std::string id = part.substr(0, n);
+      if (n == std::string::npos || id.empty()) {
+        Fail("controls", "expected id=address:port, found \"" + part + "\"");
+        continue;
+      }
+      if (!controls.emplace(ControlId{ id }, Address("controls", part.substr(n + 1))).second) {
+        Fail("controls", "\"" + id + "\" is named twice");
+      }
+    }
+    if (controls.empty()) {
+      Fail("controls", "must name the control processes as id=address:port,...");
+    }
+    return controls;
+  }
+
+  std::string Token(const std::string& aPath)
+  {
+    if (aPath.empty()) {
+      return {};
+    }
+    struct stat info = {};
+    std::ifstream file(aPath);
+    std::string token;
+    if (!file || ::stat(aPath.c_str(), &info) != 0 || !std::getline(file, token) || token.empty()) {
+      Fail("token_file", "cannot read a token from the first line of \"" + aPath + "\"");
+    } else if ((info.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
+      Fail("token_file", "\"" + aPath + "\" may be read by its owner only (chmod 600)");
+    }
+    return token;
+  }
+};
+
+net::ServerOptions
+ServerOptionsOf(const Settings& aSettings, Checker& aChecker)
+{
+  net::ServerOptions options;
+  options.mBind = aChecker.Address("listen", aSettings.mListen);
+  aChecker.Range("max_connections", aSettings.mMaxConnections, 1, kMaxConnections);
+  options.mMaxConnections = static_cast<std::size_t>(aSettings.mMaxConnections);
+  return options;
+}
+
+entry::DaemonOptions
+EntryOptions(const Settings& aSettings, Incarnation aIncarnation, Checker& aChecker)
+{
+  entry::DaemonOptions options;
+  options.mServer = ServerOptionsOf(aSettings, aChecker);
+  options.mControls = aChecker.Controls(aSettings.mControls);
+  options.mCharts = aSettings.mCharts;
+  aChecker.Present("region", aSettings.mRegion);
+  aChecker.Present("data_centre", aSettings.mDataCentre);
+  aChecker.Range("lookup_ttl_ms", aSettings.mLookupTimeToLiveMs, 1, kMaxTimeToLiveMs);
+  options.mDecide.mId = { aSettings.mId };
+  options.mDecide.mLookupTimeToLive = Millis(aSettings.mLookupTimeToLiveMs);
+  options.mDecide.mSeed = aIncarnation;
+  options.mDecide.mEntry = {
+    aIncarnation, options.mServer.mBind, { aSettings.mRegion }, { aSettings.mDataCentre }, 0
+  };
+  for (const auto& [id, endpoint] : options.mControls) {
+    options.mDecide.mControls.push_back(id);
+  }
+  return options;
+}
+
+control::DaemonOptions
+ControlOptions(const Settings& aSettings, Incarnation aIncarnation, Checker& aChecker)
+{
+  control::DaemonOptions options;
+  options.mServer = ServerOptionsOf(aSettings, aChecker);
+  // A sheet with 3.4 million client blocks is the largest body.
+  options.mServer.mMaxBodyBytes = 160U << 20U;
+  options.mControls = aChecker.Controls(aSettings.mControls);
+  options.mSelf = { aSettings.mId };
+  options.mIncarnation = aIncarnation;
+  options.mMessageBind = aChecker.Address("message_listen", aSettings.mMessageListen);
+  options.mData = aSettings.mData;
+  options.mCharts = aSettings.mCharts;
+  options.mToken = aChecker.Token(aSettings.mTokenFile);
+  aChecker.Present("data", aSettings.mData);
+  if (!options.mControls.empty() && options.mControls.count(options.mSelf) == 0) {
+    aChecker.Fail("controls", "does not name this process, \"" + aSettings.mId + "\"");
+  }
+  return options;
+}
+
+} // namespace
+
+fighold::Checked<Checked>
+CheckSettings(const Settings& aSettings, Incarnation aIncarnation)
+{
+  Checker checker;
+  checker.Present("id", aSettings.mId);
+  checker.Present("charts", aSettings.mCharts);
+  std::optional<Checked> options;
+  if (aSettings.mRole == "entry") {
+    options = EntryOptions(aSettings, aIncarnation, checker);
+  } else if (aSettings.mRole == "control") {
+    options = ControlOptions(aSettings, aIncarnation, checker);
+  } else {
+    checker.Fail("role", "must be entry or control, is \"" + aSettings.mRole + "\"");
+  }
+  if (!checker.mFindings.empty()) {
+    return { std::nullopt, checker.mFindings };
+  }
+  return { std::move(options), {} };
+}
+
+} // namespace fighold::figholdd
--- /dev/null
+++ b/packages/figholdd/src/settings_test.cpp
@@ -0,0 +1,62 @@
+#include "fighold/figholdd/settings.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::figholdd {
+namespace {
+
+struct SettingsFixture
+{
+  Settings mSettings;
+
+  SettingsFixture()
+  {
+    mSettings.mRole = "entry";
+    mSettings.mId = "e1";
+    mSettings.mRegion = "attiki";
+    mSettings.mDataCentre = "attiki-a";
+    mSettings.mListen = "127.0.0.1:0";
+    mSettings.mControls = "c1=127.0.0.1:7001,c2=127.0.0.1:7002";
+    mSettings.mCharts = "charts";
+  }
+
+  std::string Text() const { return FormatFindings(CheckSettings(mSettings, 1).mFindings); }
+};
+
+TEST_CASE_METHOD(SettingsFixture,
+                 "CheckSettings, whole entry settings, has no findings",
+                 "[figholdd]")
+{
+  CHECK(Text().empty());
+}
+
+// Guards against an operator who mends one flag at a time.
+TEST_CASE_METHOD(SettingsFixture,
+                 "CheckSettings, several flags wrong, names every one",
+                 "[figholdd]")
+{
+  mSettings.mListen = "localhost";
+  mSettings.mRegion = "";
+  mSettings.mControls = "c1=127.0.0.1:7001,c1=127.0.0.1:7002,x";
+  mSettings.mLookupTimeToLiveMs = 0;
+  const std::string text = Text();
+  CHECK(text.find("--listen: expected an IPv4 address") != std::string::npos);
+  CHECK(text.find("--region: must be set") != std::string::npos);
+  CHECK(text.find("--controls: \"c1\" is named twice") != std::string::npos);
+  CHECK(text.find("--controls: expected id=address:port, found \"x\"") != std::string::npos);
+  CHECK(text.find("--lookup_ttl_ms: must be from 1 to 60000, is 0") != std::string::npos);
+}
+
+TEST_CASE_METHOD(SettingsFixture,
+                 "CheckSettings, control that its own list does not name, is refused",
+                 "[figholdd]")
+{
+  mSettings.mRole = "control";
+  mSettings.mId = "c3";
+  mSettings.mMessageListen = "127.0.0.1:7003";
+  mSettings.mData = "data";
+  CHECK(Text() == "--controls: does not name this process, \"c3\"\n");
+}
+
+} // namespace
+} // namespace fighold::figholdd
--- a/packages/membership/include/fighold/membership/protocol.hpp
+++ b/packages/membership/include/fighold/membership/protocol.hpp
@@ -91,6 +91,7 @@
 struct ControlRenew
 {
   std::uint64_t mAsk = 0;
+  Version mHeld = 0; ///< version up to which the follower has applied the log
   std::map<EntryId, EntryStatus> mEntries;
   std::vector<BackendReport> mReports;
 
@@ -103,6 +104,7 @@
   std::uint64_t mAsk = 0;
   Millis mLength{ 0 };
   Version mVersion = 0; ///< the follower may grant leases only with this version or a later one
+  Version mInForce = 0; ///< version that is in force everywhere
   std::vector<BackendLease> mBackendLeases;
 
   friend auto operator<=>(const ControlGrant&, const ControlGrant&) = default;
--- a/packages/net/src/asio_scheduler.cpp
+++ b/packages/net/src/asio_scheduler.cpp
@@ -3,6 +3,11 @@
 #include <boost/asio/post.hpp>
 
 namespace fighold::net::detail {
+namespace {
+
+constexpr auto kNever = std::chrono::steady_clock::time_point::max();
+
+} // namespace
 
 AsioScheduler::AsioScheduler(std::shared_ptr<boost::asio::io_context> aContext)
   : mContext(std::move(aContext))
@@ -36,9 +41,16 @@
 void
 AsioScheduler::suspend_until(const std::chrono::steady_clock::time_point& aUntil) noexcept
 {
-  if (aUntil != std::chrono::steady_clock::time_point::max()) {
+  // Setting the timer again cancels the wait that is pending, and its handler would end run_one()
+  // at once: with a sleeping fiber the thread would spin after the first I/O event.
+  if (aUntil != kNever && aUntil != mArmedFor) {
+    mArmedFor = aUntil;
     mTimer.expires_at(aUntil);
-    mTimer.async_wait([](const boost::system::error_code& /*aError*/) {});
+    mTimer.async_wait([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        mArmedFor = kNever;
+      }
+    });
   }
   mContext->restart();
   mContext->run_one();
--- a/packages/net/src/asio_scheduler.hpp
+++ b/packages/net/src/asio_scheduler.hpp
@@ -25,6 +25,7 @@
 private:
   std::shared_ptr<boost::asio::io_context> mContext;
   boost::asio::steady_timer mTimer;
+  std::chrono::steady_clock::time_point mArmedFor = std::chrono::steady_clock::time_point::max();
   boost::fibers::scheduler::ready_queue_type mReady;
 };
 
--- a/packages/net/src/http_test.cpp
+++ b/packages/net/src/http_test.cpp
@@ -129,15 +129,22 @@
   CHECK(status == 413);
 }
 
-// Guards against a scheduler that polls: an idle loop must use no processor time.
-TEST_CASE_METHOD(HttpFixture, "FiberLoop, idle for half a second, uses no processor time", "[net]")
+// Guards against a scheduler that polls, and against one that spins once an event arrives while a
+// fiber sleeps.
+TEST_CASE_METHOD(HttpFixture,
+                 "FiberLoop, fibers sleep and an event arrives, uses no processor time",
+                 "[net]")
 {
   double used = 0;
   Run([](const HttpRequest&) { return HttpResponse{}; },
       [&](HttpServer&) {
         const std::clock_t before = std::clock();
-        boost::this_fiber::sleep_for(Millis(500));
+        boost::fibers::fiber sleeper([] { boost::this_fiber::sleep_for(Millis(600)); });
+        boost::this_fiber::sleep_for(Millis(10));
+        mLoop.Post([] {});
+        boost::this_fiber::sleep_for(Millis(490));
         used = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+        sleeper.join();
       });
   CHECK(used < 0.05);
 }
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -141,6 +141,7 @@
 {
   auto* out = aOut.mutable_control_renew();
   out->set_ask(aRenew.mAsk);
+  out->set_held(aRenew.mHeld);
   for (const auto& [id, status] : aRenew.mEntries) {
     auto& it = (*out->mutable_entries())[id.mValue];
     it.set_incarnation(status.mIncarnation);
@@ -157,6 +158,7 @@
 {
   ControlRenew renew;
   renew.mAsk = aRenew.ask();
+  renew.mHeld = aRenew.held();
   for (const auto& [id, status] : aRenew.entries()) {
     renew.mEntries[{ id }] = { status.incarnation(), status.held(), Millis(status.age_ms()) };
   }
@@ -173,6 +175,7 @@
   out->set_ask(aGrant.mAsk);
   out->set_length_ms(ToMillis(aGrant.mLength));
   out->set_version(aGrant.mVersion);
+  out->set_in_force(aGrant.mInForce);
   for (const auto& it : aGrant.mBackendLeases) {
     Put(it, *out->add_backend_leases());
   }
@@ -181,7 +184,9 @@
 Body
 GetBody(const pb::ControlGrant& aGrant)
 {
-  ControlGrant grant{ aGrant.ask(), Millis(aGrant.length_ms()), aGrant.version(), {} };
+  ControlGrant grant{
+    aGrant.ask(), Millis(aGrant.length_ms()), aGrant.version(), aGrant.in_force(), {}
+  };
   for (const auto& it : aGrant.backend_leases()) {
     grant.mBackendLeases.push_back(Get(it));
   }
--- a/tests/support/test_main.cpp
+++ b/tests/support/test_main.cpp
@@ -3,7 +3,8 @@
 
 #include <cstdlib>
 
-// Runs the tests with a fixed RapidCheck seed, so that a verdict repeats; FIGHOLD_TEST_PARAMS overrides it.
+// Runs the tests with a fixed RapidCheck seed, so that a verdict repeats; FIGHOLD_TEST_PARAMS
+// overrides it.
 int
 main(int aArgc, char** aArgv)
 {
