Move the split in use towards the plan by capped shift steps

Cause: the split in use never changed after a service appeared, so plans, drains and lost regions had no effect on routing.

Change: routing::NextShiftStep decides one step of a service from the configuration, the living groups, the reported load and the last steps. charts/shift.scxml drives it at the control leader, and membership::TakeShiftStep applies it. A step moves at most the cap of each origin's traffic, one step in an interval, and no more towards a region than its headroom. Load that recent steps add is counted for 5 s, since reports lag. Services step in the order of their classes.

Ruled out: load by origin measured at the entries. It needs new messages, and a region that fails takes the measurement with it. The allowance of the origin's own region bounds the traffic without a message.

--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -3,10 +3,12 @@
 #include "fighold/agreement/node.hpp"
 #include "fighold/chart/bound_chart.hpp"
 #include "fighold/control/event.hpp"
+#include "fighold/routing/shift.hpp"
 
 #include <filesystem>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -69,7 +71,38 @@
   friend auto operator<=>(const ControlView&, const ControlView&) = default;
 };
 
+/// States of charts/shift.scxml, in the order of its registry.
+enum class ShiftStage : std::uint8_t
+{
+  Steady,
+  Stepping,
+  Waiting,
+};
+
+/// Shift of one service as the leader follows it.
+struct ServiceShift
+{
+  ShiftStage mStage = ShiftStage::Steady;
+  std::uint64_t mStep = 0; ///< last step seen in the configuration
+  Instant mProposedAt{};
+
+  friend auto operator<=>(const ServiceShift&, const ServiceShift&) = default;
+};
+
 struct CallScope;
+struct ShiftScope;
+
+using SharedChart = std::shared_ptr<const chart::BoundChart<ShiftScope>>;
+
+/// Shifts of all services; used only while this process leads.
+struct ShiftKeeping
+{
+  SharedChart mChart; ///< bound charts/shift.scxml; without it no step is taken
+  std::map<ServiceId, ServiceShift> mServices;
+  routing::LastSteps mLastSteps;
+  Instant mNextCheck{};
+  bool mLeads = false; ///< led at the last tick
+};
 
 /// Encoding of changes, so that decisions do not depend on the message format.
 struct Codec
@@ -100,6 +133,7 @@
   Instant mNextRenew{};
   Version mInForce = 0; ///< version that is in force everywhere, as far as known here
   std::map<EntryId, Instant> mNextEntryProposal; ///< limits repeated proposals about one entry
+  ShiftKeeping mShifts;
 };
 
 /// Loads the charts of a control process.
@@ -107,4 +141,9 @@
 chart::BoundChart<CallScope>
 LoadCallChart(const std::filesystem::path& aFolder);
 
+/// Loads charts/shift.scxml.
+/// @throws FindingsError with every finding
+SharedChart
+LoadShiftChart(const std::filesystem::path& aFolder);
+
 } // namespace fighold::control
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -74,6 +74,7 @@
     auto state = MakeState(agreement::MakeNode(AgreementOptionsOf(aOptions), std::move(entries)),
                            WireCodec(),
                            std::move(chart));
+    state.mShifts.mChart = LoadShiftChart(aOptions.mCharts);
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -2,6 +2,7 @@
 
 #include "calls.hpp"
 #include "leases.hpp"
+#include "shifts.hpp"
 
 namespace fighold::control {
 namespace {
@@ -88,6 +89,7 @@
 {
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
+  TickShifts(aContext);
   TickCalls(aContext);
 }
 
--- /dev/null
+++ b/packages/control/src/shifts.cpp
@@ -0,0 +1,191 @@
+#include "shifts.hpp"
+
+namespace fighold::control {
+namespace {
+
+/// Time after which a proposed step that was not applied is taken for lost.
+constexpr Millis kProposalTimeout{ 2000 };
+
+/// Time between two looks at the splits; each look computes every row of every service.
+constexpr Millis kCheckInterval{ 250 };
+
+ServiceShift&
+Own(ShiftScope& aScope)
+{
+  return aScope.mContext.mState.mShifts.mServices[aScope.mService];
+}
+
+const ServiceShift&
+Own(const ShiftScope& aScope)
+{
+  return aScope.mContext.mState.mShifts.mServices.at(aScope.mService);
+}
+
+routing::LastStep&
+Last(ShiftScope& aScope)
+{
+  return aScope.mContext.mState.mShifts.mLastSteps[aScope.mService];
+}
+
+Duration
+Interval(const ShiftScope& aScope)
+{
+  return aScope.mContext.mState.mConfiguration->mPlan->mShiftInterval;
+}
+
+bool
+StepDue(const ShiftScope& aScope)
+{
+  return aScope.mStep.has_value();
+}
+
+bool
+ProposalLost(const ShiftScope& aScope)
+{
+  return aScope.mContext.mNow >= Own(aScope).mProposedAt + kProposalTimeout;
+}
+
+bool
+IntervalPassed(const ShiftScope& aScope)
+{
+  const auto& steps = aScope.mContext.mState.mShifts.mLastSteps;
+  const auto it = steps.find(aScope.mService);
+  return it == steps.end() || aScope.mContext.mNow >= it->second.mNotBefore;
+}
+
+/// The last leader may have taken a step just before the election. Reports of backend servers need
+/// a lease to reach a new leader; until then regions look lost.
+void
+WaitAfterElection(ShiftScope& aScope)
+{
+  Last(aScope).mNotBefore =
+    aScope.mContext.mNow + Interval(aScope) + membership::kBackendServerLease;
+}
+
+void
+WaitAfterStep(ShiftScope& aScope)
+{
+  routing::LastStep& last = Last(aScope);
+  last.mAppliedAt = aScope.mContext.mNow;
+  last.mNotBefore = aScope.mContext.mNow + Interval(aScope);
+}
+
+/// The added requests count from the proposal on, so that the next service does not use the same
+/// headroom.
+void
+ProposeStep(ShiftScope& aScope)
+{
+  Own(aScope).mProposedAt = aScope.mContext.mNow;
+  Last(aScope).mAppliedAt = aScope.mContext.mNow;
+  Last(aScope).mAdded = aScope.mStep->mAdded;
+  aScope.mContext.mEffects.emplace_back(LogRecord{ aScope.mStep->mRecord });
+  Propose(aScope.mContext, membership::Change{ {}, aScope.mStep->mChange });
+}
+
+void
+FireShift(ShiftScope& aScope, ShiftEvent aEvent)
+{
+  ShiftKeeping& shifts = aScope.mContext.mState.mShifts;
+  const ShiftStage stage = Own(aScope).mStage;
+  const auto fired = chart::Fire(*shifts.mChart, stage, aEvent, aScope);
+  Own(aScope).mStage = fired.mState;
+}
+
+routing::RegionView
+ViewRegions(const State& aState, Instant aNow)
+{
+  routing::RegionView view;
+  for (const auto& [id, server] : aState.mConfiguration->mBackendServers) {
+    const auto it = aState.mBackends.find(id);
+    const bool alive = it != aState.mBackends.end() &&
+                       it->second.mIncarnation == server.mIncarnation &&
+                       aNow < it->second.mAliveUntil;
+    if (alive) {
+      const routing::GroupKey key{ server.mService, server.mRegion };
+      view.mInFlight[key] += it->second.mInFlight;
+      if (!server.mLeaving) {
+        view.mLiving.insert(key);
+      }
+    }
+  }
+  return view;
+}
+
+void
+ForgetServices(State& aState)
+{
+  const auto gone = [&aState](const auto& aItem) {
+    return aState.mConfiguration->mShifts.count(aItem.first) == 0;
+  };
+  std::erase_if(aState.mShifts.mServices, gone);
+  std::erase_if(aState.mShifts.mLastSteps, gone);
+}
+
+/// A service that is new waits like one after an election, since its backend servers come one by
+/// one.
+void
+TickService(Context& aContext,
+            const ServiceId& aService,
+            const routing::RegionView& aRegions,
+            bool aElected)
+{
+  State& state = aContext.mState;
+  ShiftScope scope{ aContext, aService, {} };
+  const std::uint64_t step = state.mConfiguration->mShifts.at(aService).mStep;
+  if (aElected || state.mShifts.mServices.count(aService) == 0) {
+    FireShift(scope, ShiftEvent::Elected);
+  } else if (Own(scope).mStep != step) {
+    FireShift(scope, ShiftEvent::Applied);
+  }
+  Own(scope).mStep = step;
+  if (Own(scope).mStage == ShiftStage::Steady) {
+    scope.mStep = routing::NextShiftStep(
+      *state.mConfiguration, aService, aRegions, state.mShifts.mLastSteps, aContext.mNow);
+  }
+  FireShift(scope, ShiftEvent::Tick);
+}
+
+} // namespace
+
+chart::Registry<ShiftScope>
+ShiftRegistry()
+{
+  return { { "steady", "stepping", "waiting" },
+           { "elected", "applied", "tick" },
+           { { "step_due", StepDue },
+             { "proposal_lost", ProposalLost },
+             { "interval_passed", IntervalPassed } },
+           { { "wait_after_election", WaitAfterElection },
+             { "wait_after_step", WaitAfterStep },
+             { "propose_step", ProposeStep } } };
+}
+
+SharedChart
+LoadShiftChart(const std::filesystem::path& aFolder)
+{
+  return std::make_shared<const chart::BoundChart<ShiftScope>>(
+    chart::LoadBound(aFolder / "shift.scxml", ShiftRegistry()));
+}
+
+void
+TickShifts(Context& aContext)
+{
+  State& state = aContext.mState;
+  const bool leads = agreement::IsLeader(state.mNode) && GrantRight(state, aContext.mNow);
+  const bool elected = leads && !state.mShifts.mLeads;
+  state.mShifts.mLeads = leads;
+  if (!leads || state.mShifts.mChart == nullptr ||
+      (!elected && aContext.mNow < state.mShifts.mNextCheck)) {
+    return;
+  }
+  state.mShifts.mNextCheck = aContext.mNow + kCheckInterval;
+  ForgetServices(state);
+  const routing::RegionView regions = ViewRegions(state, aContext.mNow);
+  for (const ServiceId& it : routing::ServicesByClass(*state.mConfiguration->mPlan)) {
+    if (state.mConfiguration->mShifts.count(it) > 0) {
+      TickService(aContext, it, regions, elected);
+    }
+  }
+}
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/shifts_test.cpp
@@ -0,0 +1,143 @@
+#include "shifts.hpp"
+
+#include "fighold/control/decide.hpp"
+#include "fighold/wire/codec.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::control {
+namespace {
+
+constexpr std::chrono::seconds kInterval{ 10 };
+
+/// A control group of one process with two regions, driven by ticks. Writes are synced at once.
+struct LeaderFixture
+{
+  State mState;
+  Instant mNow{ std::chrono::hours(1) };
+  std::vector<agreement::LogEntry> mLog;
+  std::set<RegionId> mLiving{ { "attiki" }, { "kriti" } };
+
+  LeaderFixture()
+  {
+    Start();
+    Tick();
+    plan::Plan plan;
+    plan.mNumber = 1;
+    plan.mShiftCap = 2500;
+    plan.mShiftInterval = kInterval;
+    plan.mMaxEntries = 3;
+    plan.mServices[{ "vardia" }] = {};
+    for (const RegionId& it : mLiving) {
+      plan.mRegions[it] = 40;
+      plan.mSplits[{ "vardia" }][it] = { { it, plan::kWhole } };
+    }
+    Change(membership::SubmitPlan{ "", SharedValue(plan) });
+    for (const RegionId& it : mLiving) {
+      membership::BackendServer server;
+      server.mService = { "vardia" };
+      server.mRegion = it;
+      Change(membership::AnnounceBackendServer{ { it.mValue + "-1" }, server });
+    }
+  }
+
+  /// Starts the process from its log.
+  void Start()
+  {
+    agreement::Options options;
+    options.mSelf = { "c1" };
+    options.mVoters = { { "c1" } };
+    const auto decode = [](const std::string& aBytes) { return wire::DecodeChange(aBytes); };
+    mState = MakeState(agreement::MakeNode(options, mLog),
+                       Codec{ wire::EncodeChange, decode },
+                       LoadCallChart(FIGHOLD_CHARTS_DIR));
+    mState.mShifts.mChart = LoadShiftChart(FIGHOLD_CHARTS_DIR);
+  }
+
+  void Do(const Event& aEvent)
+  {
+    std::vector<Event> events{ aEvent };
+    while (!events.empty()) {
+      const Event event = events.back();
+      events.pop_back();
+      for (const Effect& it : Step(mState, event, mNow)) {
+        if (const auto* store = std::get_if<Store>(&it)) {
+          mLog.insert(mLog.end(), store->mWrite.mEntries.begin(), store->mWrite.mEntries.end());
+          events.emplace_back(Stored{ store->mWrite.mWrite });
+        }
+      }
+    }
+  }
+
+  void Change(const membership::ChangeBody& aBody)
+  {
+    Do(FromEntry{ { "e1" }, membership::ChangeAsk{ 1, { {}, aBody } } });
+  }
+
+  void Tick()
+  {
+    for (const RegionId& it : mLiving) {
+      mState.mBackends[{ it.mValue + "-1" }] = { 0, mNow + membership::kBackendServerLease, 0 };
+    }
+    mNow += kTickInterval;
+    Do(control::Tick{});
+  }
+
+  std::uint64_t Steps() const { return mState.mConfiguration->mShifts.at({ "vardia" }).mStep; }
+
+  /// @return times at which steps were applied within the time given
+  std::vector<Instant> RunFor(Duration aTime)
+  {
+    std::vector<Instant> times;
+    const Instant until = mNow + aTime;
+    while (mNow < until) {
+      const std::uint64_t before = Steps();
+      Tick();
+      if (Steps() > before) {
+        times.push_back(mNow);
+      }
+    }
+    return times;
+  }
+};
+
+TEST_CASE_METHOD(LeaderFixture, "TickShifts, all regions live, takes no step", "[control][shift]")
+{
+  CHECK(RunFor(5 * kInterval).empty());
+}
+
+// Guards against steps that follow each other faster than the plan's interval.
+TEST_CASE_METHOD(LeaderFixture,
+                 "TickShifts, a region fails, takes one step in each interval until it is empty",
+                 "[control][shift]")
+{
+  RunFor(3 * kInterval);
+  mLiving = { { "attiki" } };
+  const auto times = RunFor(10 * kInterval);
+  REQUIRE(times.size() == 4);
+  for (std::size_t n = 1; n < times.size(); ++n) {
+    CHECK(times[n] - times[n - 1] >= kInterval);
+  }
+  const auto& row = mState.mConfiguration->mShifts.at({ "vardia" }).mInUse.at({ "kriti" });
+  CHECK(row == plan::SplitRow{ { { "attiki" }, plan::kWhole } });
+}
+
+// Guards against a new leader that steps right after the last leader's step.
+TEST_CASE_METHOD(LeaderFixture,
+                 "TickShifts, leader starts anew between steps, waits a full interval",
+                 "[control][shift]")
+{
+  RunFor(3 * kInterval);
+  mLiving = { { "attiki" } };
+  const auto before = RunFor(Millis(4000));
+  REQUIRE(before.size() == 1);
+  Start();
+  Tick();
+  const Instant started = mNow;
+  const auto times = RunFor(3 * kInterval);
+  REQUIRE_FALSE(times.empty());
+  CHECK(times.front() - started >= kInterval);
+}
+
+} // namespace
+} // namespace fighold::control
