--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -16,8 +16,6 @@
 #include <thread>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace fighold::testing {
 namespace {
 
@@ -175,7 +173,7 @@
           "--message_listen=" + ToText(ControlMessages(aNumber)),
           "--controls=" + ControlListOf(name),
           "--data=" + Data(aNumber).string(),
-          "--charts=" FIGHOLD_CHARTS_DIR,
+          std::string("--charts=") + FIGHOLD_CHARTS_DIR,
           "--logtostderr" });
 }
 
@@ -195,7 +193,7 @@
           "--data_centre=" + aRegion + "-a",
           "--listen=" + address,
           "--controls=" + ControlListOf(name),
-          "--charts=" FIGHOLD_CHARTS_DIR,
+          std::string("--charts=") + FIGHOLD_CHARTS_DIR,
           "--lookup_ttl_ms=1000",
           "--logtostderr" });
 }
