Divide limits into base shares and leased demand shares

Cause: nothing kept requests within the capacity of a region, a service's part of it, or a link.

Change: limits are divided into a base part and a demand part (limit.hpp). The allocator grants the demand part and counts a grant until no request under it can run (allocator.hpp). The holder admits requests within its shares; links are paced by token buckets that reserve the 95th percentile of answer sizes (share.hpp, bucket.hpp). The right to base shares is leased too, because a restarted entry would otherwise use the base share of its former life twice.

Checked: routing_test "[share]".

--- /dev/null
+++ b/packages/routing/src/allocator.cpp
@@ -0,0 +1,217 @@
+#include "fighold/routing/allocator.hpp"
+
+#include "fighold/membership/lease.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace fighold::routing {
+namespace {
+
+std::uint64_t
+Less(std::uint64_t aFrom, std::uint64_t aTaken)
+{
+  return aFrom > aTaken ? aFrom - aTaken : 0;
+}
+
+/// Units of the limit that base shares may use, by this plan and by the one before.
+std::uint64_t
+BaseTotal(const AllocatorState& aState, const LimitKey& aKey, Instant aNow)
+{
+  const Limit& limit = aState.mLimits.at(aKey);
+  const std::uint64_t total = limit.mUnits - limit.mDemand;
+  const auto former = aState.mFormerBase.find(aKey);
+  const bool counts = former != aState.mFormerBase.end() && aNow < former->second.mUntil;
+  return counts ? std::max(total, former->second.mTotal) : total;
+}
+
+std::uint64_t
+DemandPart(const AllocatorState& aState, const LimitKey& aKey, Instant aNow)
+{
+  return Less(aState.mLimits.at(aKey).mUnits, BaseTotal(aState, aKey, aNow));
+}
+
+/// A report shows which grants the holder no longer uses: older ones than the newest it applied.
+/// What runs under those is in its count.
+void
+TakeReport(HolderView& aView,
+           const ShareDemand& aDemand,
+           const Limits& aLimits,
+           Duration aHold,
+           Instant aNow)
+{
+  aView.mHeardAt = aNow;
+  aView.mBase = aView.mBase || aDemand.mHoldsBase;
+  if (aDemand.mReport <= aView.mReport) {
+    return;
+  }
+  aView.mReport = aDemand.mReport;
+  for (const auto& [key, limit] : aLimits) {
+    Counted& counted = aView.mCounted[key];
+    std::erase_if(counted.mGrants,
+                  [&](const CountedGrants& aItem) { return aItem.mLast < aDemand.mGrant; });
+    const auto want = aDemand.mWants.find(key);
+    const std::uint64_t inUse = want == aDemand.mWants.end() ? 0 : want->second.mInUse;
+    counted.mRunning = Less(inUse, aView.mBase ? limit.mBase : 0);
+    counted.mRunningUntil = aNow + aHold;
+  }
+}
+
+void
+TakeReports(AllocatorState& aState,
+            const std::set<Holder>& aRegistered,
+            const std::map<Holder, ShareDemand>& aDemands,
+            Instant aNow)
+{
+  for (const Holder& it : aRegistered) {
+    aState.mHolders[it].mHeardAt = aNow;
+  }
+  for (const auto& [holder, demand] : aDemands) {
+    TakeReport(aState.mHolders[holder], demand, aState.mLimits, aState.mHold, aNow);
+  }
+  std::erase_if(aState.mHolders,
+                [&](const auto& aItem) { return aNow >= aItem.second.mHeardAt + aState.mHold; });
+  for (auto& [holder, view] : aState.mHolders) {
+    for (auto& [key, counted] : view.mCounted) {
+      std::erase_if(counted.mGrants,
+                    [aNow](const CountedGrants& aGrants) { return aNow >= aGrants.mUntil; });
+    }
+  }
+}
+
+/// Gives the right to base shares to a holder while there are places.
+void
+GivePlace(AllocatorState& aState, HolderView& aView, Instant aNow)
+{
+  const auto taken = std::count_if(aState.mHolders.begin(),
+                                   aState.mHolders.end(),
+                                   [](const auto& aItem) { return aItem.second.mBase; });
+  aView.mBase =
+    aView.mBase || (aNow >= aState.mGrantFrom && taken < static_cast<long>(aState.mEntries));
+}
+
+void
+Count(Counted& aCounted, const CountedGrants& aGrant)
+{
+  auto& grants = aCounted.mGrants;
+  if (!grants.empty() && grants.back().mUnits == aGrant.mUnits) {
+    grants.back() = aGrant;
+  } else {
+    grants.push_back(aGrant);
+  }
+}
+
+/// Divides the demand part of one limit.
+void
+AllocateLimit(AllocatorState& aState,
+              const LimitKey& aKey,
+              const std::map<Holder, ShareDemand>& aDemands,
+              std::map<Holder, ShareGrant>& aGrants,
+              Instant aNow)
+{
+  const std::uint64_t part = DemandPart(aState, aKey, aNow);
+  std::uint64_t sum = 0;
+  for (const auto& [holder, view] : aState.mHolders) {
+    sum += CountedUnits(view, aKey, aNow);
+  }
+  std::vector<std::uint64_t> wants;
+  for (const auto& [holder, demand] : aDemands) {
+    const auto want = demand.mWants.find(aKey);
+    const std::uint64_t base = aState.mHolders.at(holder).mBase ? aState.mLimits.at(aKey).mBase : 0;
+    wants.push_back(want == demand.mWants.end() ? 0 : Less(want->second.mWanted, base));
+  }
+  const std::vector<std::uint64_t> fair = DivideFairly(wants, part);
+  std::size_t n = 0;
+  for (const auto& [holder, demand] : aDemands) {
+    HolderView& view = aState.mHolders.at(holder);
+    const std::uint64_t counted = CountedUnits(view, aKey, aNow);
+    // After a plan lowered the limit, more may be counted than the part holds; every holder then
+    // keeps its proportion.
+    const std::uint64_t most =
+      sum <= part ? counted + (part - sum) : Proportion(counted, part, sum);
+    const std::uint64_t units = std::min(fair[n++], most);
+    ShareGrant& grant = aGrants.at(holder);
+    grant.mDemand[aKey] = { units, part };
+    Count(view.mCounted[aKey], { grant.mNumber, units, aNow + aState.mHold });
+    sum += Less(CountedUnits(view, aKey, aNow), counted);
+  }
+}
+
+} // namespace
+
+void
+SetLimits(AllocatorState& aState, const plan::Plan& aPlan, std::size_t aRegistered, Instant aNow)
+{
+  std::map<LimitKey, FormerBase> former = aState.mFormerBase;
+  aState.mHold = std::max<Duration>(aState.mHold, kShareLease + LongestDeadline(aPlan));
+  for (const auto& [key, limit] : aState.mLimits) {
+    former[key] = { BaseTotal(aState, key, aNow), aNow + aState.mHold };
+  }
+  aState.mFormerBase = std::move(former);
+  aState.mLimits = LimitsOf(aPlan, aRegistered);
+  aState.mEntries = std::max({ aPlan.mMaxEntries, static_cast<std::uint32_t>(aRegistered), 1U });
+}
+
+void
+StartAllocating(AllocatorState& aState, std::uint64_t aTerm, bool aFresh, Instant aNow)
+{
+  aState.mHolders.clear();
+  aState.mNextGrant = { aTerm, 1 };
+  aState.mGrantFrom = aFresh ? aNow : aNow + membership::kConfigurationLease + aState.mHold;
+}
+
+std::map<Holder, ShareGrant>
+Allocate(AllocatorState& aState,
+         const std::set<Holder>& aRegistered,
+         const std::map<Holder, ShareDemand>& aDemands,
+         Instant aNow)
+{
+  TakeReports(aState, aRegistered, aDemands, aNow);
+  std::map<Holder, ShareGrant> grants;
+  for (const auto& [holder, demand] : aDemands) {
+    HolderView& view = aState.mHolders.at(holder);
+    GivePlace(aState, view, aNow);
+    grants[holder] = { aState.mNextGrant, view.mBase, {} };
+    ++aState.mNextGrant.mCount;
+  }
+  if (aNow >= aState.mGrantFrom) {
+    for (const auto& [key, limit] : aState.mLimits) {
+      AllocateLimit(aState, key, aDemands, grants, aNow);
+    }
+  }
+  return grants;
+}
+
+std::uint64_t
+CountedUnits(const HolderView& aHolder, const LimitKey& aKey, Instant aNow)
+{
+  const auto counted = aHolder.mCounted.find(aKey);
+  if (counted == aHolder.mCounted.end()) {
+    return 0;
+  }
+  std::uint64_t units = aNow < counted->second.mRunningUntil ? counted->second.mRunning : 0;
+  for (const CountedGrants& it : counted->second.mGrants) {
+    units = aNow < it.mUntil ? std::max(units, it.mUnits) : units;
+  }
+  return units;
+}
+
+std::vector<std::uint64_t>
+DivideFairly(const std::vector<std::uint64_t>& aWants, std::uint64_t aUnits)
+{
+  std::vector<std::size_t> order(aWants.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::stable_sort(order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
+    return aWants[aLeft] < aWants[aRight];
+  });
+  std::vector<std::uint64_t> parts(aWants.size(), 0);
+  std::size_t others = order.size();
+  for (const std::size_t it : order) {
+    parts[it] = std::min(aWants[it], aUnits / others);
+    aUnits -= parts[it];
+    --others;
+  }
+  return parts;
+}
+
+} // namespace fighold::routing
--- /dev/null
+++ b/packages/routing/src/share.cpp
@@ -0,0 +1,199 @@
+#include "fighold/routing/share.hpp"
+
+#include <algorithm>
+
+namespace fighold::routing {
+namespace {
+
+/// Reports follow each other in half a second, so bytes since the last report are doubled for a
+/// rate.
+constexpr std::uint64_t kReportsPerSecond = 2;
+
+constexpr std::uint64_t kKibibyte = 1024;
+
+LimitKey
+RegionKey(const ShareRequest& aRequest)
+{
+  return { LimitKind::Region, aRequest.mRegion, {}, {} };
+}
+
+LimitKey
+ServiceKey(const ShareRequest& aRequest)
+{
+  return { LimitKind::Service, aRequest.mRegion, {}, aRequest.mService };
+}
+
+LimitKey
+LinkKey(const RegionId& aFrom, const RegionId& aTo)
+{
+  return { LimitKind::Link, aTo, aFrom, {} };
+}
+
+Admission
+Refuse(ShareState& aState, const LimitKey& aKey, std::uint64_t aUnits, const std::string& aReason)
+{
+  aState.mShares[aKey].mRefused += aUnits;
+  return { false, aReason };
+}
+
+bool
+FitsRequests(const ShareState& aState, const LimitKey& aKey, RequestClass aClass, Instant aNow)
+{
+  const std::uint64_t share = UsableShare(aState, aKey, aNow);
+  const std::uint64_t left = aClass == RequestClass::Deferred ? share * kDeferredLeaves / 100 : 0;
+  const auto held = aState.mShares.find(aKey);
+  const std::uint64_t inUse = held == aState.mShares.end() ? 0 : held->second.mInUse;
+  return inUse < share - left;
+}
+
+bool
+FitsLink(ShareState& aState, const LimitKey& aKey, std::uint64_t aBytes, Instant aNow)
+{
+  const std::uint64_t rate = UsableShare(aState, aKey, aNow);
+  HeldShare& share = aState.mShares[aKey];
+  share.mBucket = FillBucket(share.mBucket, rate, aNow);
+  return CoversReservation(share.mBucket, rate, aBytes);
+}
+
+void
+Use(ShareState& aState, const LimitKey& aKey)
+{
+  HeldShare& share = aState.mShares[aKey];
+  ++share.mInUse;
+  share.mPeak = std::max(share.mPeak, share.mInUse);
+}
+
+void
+UseLink(ShareState& aState, const LimitKey& aKey, std::int64_t aBytes)
+{
+  HeldShare& share = aState.mShares[aKey];
+  share.mBucket.mLevel -= aBytes;
+  share.mPeak += aBytes > 0 ? static_cast<std::uint64_t>(aBytes) : 0;
+}
+
+} // namespace
+
+void
+TakeLimits(ShareState& aState, const plan::Plan& aPlan, std::size_t aRegistered)
+{
+  aState.mLimits = LimitsOf(aPlan, aRegistered);
+  for (const auto& [id, service] : aPlan.mServices) {
+    aState.mSizes.try_emplace(
+      id, SizeEstimate{ static_cast<double>(service.mResponseKibibytes * kKibibyte) });
+  }
+}
+
+void
+TakeShares(ShareState& aState, const ShareGrant& aGrant, Instant aAskedAt)
+{
+  if (aGrant.mNumber <= aState.mGrant) {
+    return;
+  }
+  aState.mGrant = aGrant.mNumber;
+  aState.mDemandUntil = membership::LeaseEnd(aAskedAt, kShareLease);
+  if (aGrant.mBase) {
+    aState.mHoldsBase = true;
+    aState.mBaseUntil = std::max(aState.mBaseUntil, aState.mDemandUntil);
+  }
+  for (auto& [key, share] : aState.mShares) {
+    share.mDemand = {};
+  }
+  for (const auto& [key, demand] : aGrant.mDemand) {
+    aState.mShares[key].mDemand = demand;
+  }
+}
+
+void
+KeepBase(ShareState& aState, Instant aLeaseUntil, Instant aNow)
+{
+  aState.mHoldsBase = aState.mHoldsBase && aNow < aState.mBaseUntil;
+  if (aState.mHoldsBase) {
+    aState.mBaseUntil = std::max(aState.mBaseUntil, aLeaseUntil);
+  }
+}
+
+std::uint64_t
+UsableShare(const ShareState& aState, const LimitKey& aKey, Instant aNow)
+{
+  const auto limit = aState.mLimits.find(aKey);
+  if (limit == aState.mLimits.end()) {
+    return 0;
+  }
+  std::uint64_t units = aState.mHoldsBase && aNow < aState.mBaseUntil ? limit->second.mBase : 0;
+  const auto share = aState.mShares.find(aKey);
+  if (share != aState.mShares.end() && aNow < aState.mDemandUntil) {
+    // A share of a demand part that the plan has lowered since shrinks with it.
+    const DemandShare& demand = share->second.mDemand;
+    units += demand.mOf > limit->second.mDemand
+               ? Proportion(demand.mUnits, limit->second.mDemand, demand.mOf)
+               : demand.mUnits;
+  }
+  return units;
+}
+
+Admission
+AdmitToShare(ShareState& aState, ShareRequest& aRequest, Instant aNow)
+{
+  if (!FitsRequests(aState, RegionKey(aRequest), aRequest.mClass, aNow)) {
+    return Refuse(aState, RegionKey(aRequest), 1, "region-share-used-up");
+  }
+  if (!FitsRequests(aState, ServiceKey(aRequest), aRequest.mClass, aNow)) {
+    return Refuse(aState, ServiceKey(aRequest), 1, "service-share-used-up");
+  }
+  const bool remote = aRequest.mEntryRegion != aRequest.mRegion;
+  const LimitKey out = LinkKey(aRequest.mEntryRegion, aRequest.mRegion);
+  const LimitKey back = LinkKey(aRequest.mRegion, aRequest.mEntryRegion);
+  aRequest.mReserved = static_cast<std::uint64_t>(aState.mSizes[aRequest.mService].mBytes);
+  if (remote && !FitsLink(aState, out, aRequest.mBytes, aNow)) {
+    return Refuse(aState, out, aRequest.mBytes, "link-share-used-up");
+  }
+  if (remote && !FitsLink(aState, back, aRequest.mReserved, aNow)) {
+    return Refuse(aState, back, aRequest.mReserved, "link-share-used-up");
+  }
+  Use(aState, RegionKey(aRequest));
+  Use(aState, ServiceKey(aRequest));
+  if (remote) {
+    UseLink(aState, out, static_cast<std::int64_t>(aRequest.mBytes));
+    UseLink(aState, back, static_cast<std::int64_t>(aRequest.mReserved));
+  }
+  return { true, "" };
+}
+
+void
+Release(ShareState& aState, const ShareRequest& aRequest, std::uint64_t aAnswerBytes, Instant aNow)
+{
+  for (const LimitKey& it : { RegionKey(aRequest), ServiceKey(aRequest) }) {
+    HeldShare& share = aState.mShares[it];
+    share.mInUse -= std::min<std::uint64_t>(share.mInUse, 1);
+  }
+  SizeEstimate& size = aState.mSizes[aRequest.mService];
+  size = ObserveSize(size, aAnswerBytes);
+  if (aRequest.mEntryRegion != aRequest.mRegion) {
+    const LimitKey back = LinkKey(aRequest.mRegion, aRequest.mEntryRegion);
+    HeldShare& share = aState.mShares[back];
+    share.mBucket = FillBucket(share.mBucket, UsableShare(aState, back, aNow), aNow);
+    UseLink(aState,
+            back,
+            static_cast<std::int64_t>(aAnswerBytes) -
+              static_cast<std::int64_t>(aRequest.mReserved));
+  }
+}
+
+ShareDemand
+ReportDemand(ShareState& aState, Instant aNow)
+{
+  KeepBase(aState, {}, aNow);
+  ShareDemand demand{ aState.mNextReport++, aState.mGrant, aState.mHoldsBase, {} };
+  for (auto& [key, share] : aState.mShares) {
+    const bool link = key.mKind == LimitKind::Link;
+    const std::uint64_t used = (share.mPeak + share.mRefused) * (link ? kReportsPerSecond : 1);
+    // A quarter more than was used, so that growth does not have to be refused first.
+    const std::uint64_t wanted = used == 0 ? 0 : used + used / 4 + 1;
+    demand.mWants[key] = { wanted, share.mInUse };
+    share.mPeak = share.mInUse;
+    share.mRefused = 0;
+  }
+  return demand;
+}
+
+} // namespace fighold::routing
--- /dev/null
+++ b/packages/routing/src/share_test.cpp
@@ -0,0 +1,139 @@
+#include "share_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace fighold::routing {
+namespace {
+
+TEST_CASE("DivideLimit, any limit, base shares and demand part make up the limit", "[share]")
+{
+  for (std::uint64_t units = 0; units < 200; ++units) {
+    for (std::uint32_t entries = 1; entries < 40; ++entries) {
+      const Limit limit = DivideLimit(units, entries);
+      REQUIRE(limit.mBase * entries + limit.mDemand == units);
+      REQUIRE(limit.mBase * entries * 2 <= units);
+    }
+  }
+  CHECK(DivideLimit(60, 11) == Limit{ 60, 2, 38 });
+}
+
+TEST_CASE("DivideFairly, one holder wants little, the others receive what it leaves", "[share]")
+{
+  CHECK(DivideFairly({ 2, 30, 30 }, 38) == std::vector<std::uint64_t>{ 2, 18, 18 });
+  CHECK(DivideFairly({ 5, 5 }, 38) == std::vector<std::uint64_t>{ 5, 5 });
+}
+
+/// An entry in attiki with base shares only.
+struct HolderFixture
+{
+  ShareState mShares;
+  Instant mNow{ std::chrono::hours(1) };
+  ShareRequest mRequest{ kService, kRegion, kRegion, RequestClass::Standard, 1000, 0 };
+
+  HolderFixture()
+  {
+    plan::Plan plan = MakePlan(40, 2);
+    plan.mRegions[{ "kriti" }] = 40;
+    plan.mLinks[{ kRegion, { "kriti" } }] = 10;
+    plan.mLinks[{ { "kriti" }, kRegion }] = 10;
+    TakeLimits(mShares, plan, 0);
+    TakeShares(mShares, { { 1, 1 }, true, {} }, mNow);
+  }
+
+  int AdmitAll()
+  {
+    int admitted = 0;
+    while (admitted < 1000 && AdmitToShare(mShares, mRequest, mNow).mAdmitted) {
+      ++admitted;
+    }
+    return admitted;
+  }
+};
+
+TEST_CASE_METHOD(HolderFixture, "AdmitToShare, share is used up, names the limit", "[share]")
+{
+  CHECK(AdmitAll() == 8);
+  CHECK(AdmitToShare(mShares, mRequest, mNow).mReason == "service-share-used-up");
+  Release(mShares, mRequest, 100, mNow);
+  CHECK(AdmitAll() == 1);
+}
+
+TEST_CASE_METHOD(HolderFixture, "AdmitToShare, deferred request, leaves a quarter free", "[share]")
+{
+  mRequest.mClass = RequestClass::Deferred;
+  CHECK(AdmitAll() == 6);
+}
+
+// Guards against a lowered limit that holds only once the leader has granted anew.
+TEST_CASE_METHOD(HolderFixture, "TakeLimits, lower limit, demand shares shrink at once", "[share]")
+{
+  TakeShares(mShares, { { 1, 2 }, true, { { kServiceLimit, { 16, 16 } } } }, mNow);
+  CHECK(UsableShare(mShares, kServiceLimit, mNow) == 24);
+  TakeLimits(mShares, MakePlan(20, 2), 0);
+  CHECK(UsableShare(mShares, kServiceLimit, mNow) == 4 + 8);
+}
+
+// Guards against a late report that hides requests which started after it.
+TEST_CASE("Allocate, report arrives after a newer one, is not taken", "[share]")
+{
+  const Instant now{ std::chrono::hours(1) };
+  const Holder holder{ { "e1" }, 1 };
+  AllocatorState state;
+  SetLimits(state, MakePlan(60, 11), 1, now);
+  StartAllocating(state, 1, true, now);
+  const ShareDemand busy{ 2, { 1, 9 }, false, { { kRegionLimit, { 0, 20 } } } };
+  Allocate(state, { holder }, { { holder, busy } }, now);
+  CHECK(CountedUnits(state.mHolders.at(holder), kRegionLimit, now) == 20);
+  const ShareDemand late{ 1, { 1, 8 }, false, { { kRegionLimit, { 0, 3 } } } };
+  Allocate(state, { holder }, { { holder, late } }, now);
+  CHECK(CountedUnits(state.mHolders.at(holder), kRegionLimit, now) == 20);
+}
+
+// Guards against a thawed entry that goes on with shares which were given to others meanwhile.
+TEST_CASE_METHOD(HolderFixture, "AdmitToShare, lease ran out, admits nothing", "[share]")
+{
+  mNow += Millis(2000);
+  CHECK(AdmitAll() == 0);
+  KeepBase(mShares, mNow + Millis(2000), mNow);
+  CHECK(AdmitAll() == 0);
+}
+
+// Guards against answers of other regions that take more of a link than the entry's share.
+TEST_CASE_METHOD(HolderFixture,
+                 "AdmitToShare, answers over a link, keep within its rate",
+                 "[share]")
+{
+  mRequest.mRegion = { "kriti" };
+  const std::uint64_t rate =
+    UsableShare(mShares, { LimitKind::Link, kRegion, { "kriti" }, {} }, mNow);
+  CHECK(rate == 1'225'000 / 4);
+  std::uint64_t bytes = 0;
+  const std::uint64_t answer = 20'000;
+  for (int n = 0; n < 1000; ++n) {
+    mNow += Millis(10);
+    KeepBase(mShares, mNow + Millis(2000), mNow);
+    if (AdmitToShare(mShares, mRequest, mNow).mAdmitted) {
+      Release(mShares, mRequest, answer, mNow);
+      bytes += answer;
+    }
+  }
+  CHECK(bytes <= rate * 10 + rate / 10 + answer);
+  CHECK(bytes >= rate * 9);
+}
+
+TEST_CASE("ObserveSize, sizes from 1 to 100 kB, settles near the 95th percentile", "[share]")
+{
+  std::mt19937 random(1);
+  SizeEstimate estimate{ 8192 };
+  double sum = 0;
+  for (int n = 0; n < 20'000; ++n) {
+    estimate = ObserveSize(estimate, 1000 * (1 + random() % 100));
+    sum += n >= 10'000 ? estimate.mBytes : 0;
+  }
+  CHECK(sum / 10'000 == Approx(95'000).epsilon(0.05));
+}
+
+} // namespace
+} // namespace fighold::routing
