Choose backend servers, queue, retry and hedge; measure against baselines

Cause: Route looked at own counts only. A slowed backend server kept receiving requests, and nothing queued, hedged or bounded retries.

--- /dev/null
+++ b/packages/routing/bench/entry.cpp
@@ -0,0 +1,317 @@
+#include "rig.hpp"
+
+#include <algorithm>
+
+namespace fighold::bench {
+namespace {
+
+constexpr std::uint64_t kRequestBytes = 500;
+
+const plan::Service&
+ServiceOf(const Rig& aRig, const Job& aJob)
+{
+  return aRig.mConfiguration.mPlan->mServices.at(aRig.mDeployment.mLoads[aJob.mLoad].mService);
+}
+
+routing::GroupKey
+GroupOf(const Rig& aRig, const Job& aJob)
+{
+  return { aRig.mDeployment.mLoads[aJob.mLoad].mService, aJob.mRegion };
+}
+
+Duration
+Hop(const Rig& aRig, const RegionId& aFrom, const RegionId& aTo)
+{
+  const double ms = aFrom == aTo ? aRig.mDeployment.mHopMs : 35;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+routing::ShareRequest
+ShareRequestOf(const Rig& aRig, const Job& aJob)
+{
+  return { aRig.mDeployment.mLoads[aJob.mLoad].mService,
+           aRig.mEntries[aJob.mEntry].mRegion,
+           aJob.mRegion,
+           ServiceOf(aRig, aJob).mClass,
+           kRequestBytes,
+           0 };
+}
+
+std::vector<routing::Candidate>
+Candidates(const Rig& aRig, const routing::GroupKey& aGroup)
+{
+  std::vector<routing::Candidate> candidates;
+  const auto group = aRig.mGroups.find(aGroup);
+  if (group != aRig.mGroups.end()) {
+    for (const std::size_t it : group->second) {
+      candidates.push_back(aRig.mServers[it].mCandidate);
+    }
+  }
+  return candidates;
+}
+
+std::size_t
+IndexOf(const Rig& aRig, const routing::GroupKey& aGroup, const BackendServerId& aId)
+{
+  for (const std::size_t it : aRig.mGroups.at(aGroup)) {
+    if (aRig.mServers[it].mCandidate.mId == aId) {
+      return it;
+    }
+  }
+  throw std::logic_error("no such server");
+}
+
+std::optional<std::size_t>
+ChooseBaseline(Rig& aRig, Entry& aEntry, const routing::GroupKey& aGroup)
+{
+  const auto& group = aRig.mGroups.at(aGroup);
+  if (aRig.mScenario.mPolicy == Policy::RoundRobin) {
+    return group[aEntry.mTurn[aGroup]++ % group.size()];
+  }
+  const std::size_t first = aRig.mDraws() % group.size();
+  std::size_t best = group[first];
+  for (std::size_t n = 1; n < group.size(); ++n) {
+    const std::size_t other = group[(first + n) % group.size()];
+    const auto outstanding = [&](std::size_t aServer) {
+      return aEntry.mStates[aRig.mServers[aServer].mCandidate.mId].mOutstanding;
+    };
+    best = outstanding(other) < outstanding(best) ? other : best;
+  }
+  return best;
+}
+
+std::optional<std::size_t>
+Choose(Rig& aRig, const Job& aJob)
+{
+  Entry& entry = aRig.mEntries[aJob.mEntry];
+  const routing::GroupKey group = GroupOf(aRig, aJob);
+  if (aRig.mScenario.mPolicy != Policy::Fighold) {
+    return ChooseBaseline(aRig, entry, group);
+  }
+  const routing::ChoiceRequest request{
+    ServiceOf(aRig, aJob).mClass, aJob.mTried, aRig.mDeployment.mEntries, true
+  };
+  const auto choice = routing::ChooseBackendServer(Candidates(aRig, group),
+                                                   entry.mStates,
+                                                   request,
+                                                   aRig.mDraws(),
+                                                   aRig.mDraws(),
+                                                   aRig.mClock.mNow);
+  if (!choice.mCandidate) {
+    return std::nullopt;
+  }
+  return IndexOf(aRig, group, choice.mCandidate->mId);
+}
+
+void
+WatchForHedge(Rig& aRig, const std::shared_ptr<Attempt>& aAttempt);
+
+void
+CancelRunning(Rig& aRig, const Job& aJob);
+
+/// Sends one attempt if a server and the shares allow it.
+bool
+Dispatch(Rig& aRig, const std::shared_ptr<Job>& aJob)
+{
+  Entry& entry = aRig.mEntries[aJob->mEntry];
+  auto attempt = std::make_shared<Attempt>();
+  attempt->mShare = ShareRequestOf(aRig, *aJob);
+  const bool fighold = aRig.mScenario.mPolicy == Policy::Fighold;
+  const auto server = Choose(aRig, *aJob);
+  const Instant now = aRig.mClock.mNow;
+  if (!server ||
+      (fighold && !routing::AdmitToShare(entry.mShares, attempt->mShare, now).mAdmitted)) {
+    return false;
+  }
+  attempt->mJob = aJob;
+  attempt->mServer = *server;
+  attempt->mSentAt = now;
+  attempt->mRuns = ServiceTime(aRig, *aJob, aJob->mAttempts);
+  if (aJob->mAttempts++ == 0) {
+    aJob->mDispatched = now;
+  }
+  const BackendServerId& id = aRig.mServers[*server].mCandidate.mId;
+  aJob->mTried.insert(id);
+  ++entry.mStates[id].mOutstanding;
+  const std::int64_t headroom =
+    std::int64_t{ aRig.mConfiguration.mPlan->mRegions.at(aJob->mRegion) } -
+    ++aRig.mInFlight[aJob->mRegion];
+  aRig.mMeasured.mLeastHeadroom = std::min(aRig.mMeasured.mLeastHeadroom, headroom);
+  aRig.mClock.After(Hop(aRig, entry.mRegion, aJob->mRegion),
+                    [&aRig, attempt] { ReachServer(aRig, attempt); });
+  aJob->mTries.push_back(attempt);
+  if (fighold) {
+    WatchForHedge(aRig, attempt);
+    aRig.mClock.After(aJob->mUntil - now, [&aRig, aJob] { CancelRunning(aRig, *aJob); });
+  }
+  return true;
+}
+
+/// When the hedge delay has passed, the server gets a strike and the request perhaps a second
+/// attempt.
+void
+WatchForHedge(Rig& aRig, const std::shared_ptr<Attempt>& aAttempt)
+{
+  const auto job = aAttempt->mJob;
+  const Duration delay = aRig.mEntries[job->mEntry].mBudgets[job->mLoad].mHedgeDelay;
+  if (delay == Duration::zero()) {
+    return;
+  }
+  aRig.mClock.After(delay, [&aRig, aAttempt, job] {
+    Entry& entry = aRig.mEntries[job->mEntry];
+    const Instant now = aRig.mClock.mNow;
+    if (aAttempt->mOver || job->mDone) {
+      return;
+    }
+    routing::ServerState& state = entry.mStates[aRig.mServers[aAttempt->mServer].mCandidate.mId];
+    state = routing::RecordResult(state, routing::Result::Overdue, now - aAttempt->mSentAt, now);
+    routing::Budget spent = entry.mBudgets[job->mLoad];
+    const bool hedge =
+      job->mAttempts == 1 &&
+      routing::ShouldHedge(spent, true, now - aAttempt->mSentAt, job->mUntil - now);
+    if (hedge && Dispatch(aRig, job)) {
+      entry.mBudgets[job->mLoad] = spent;
+      ++aRig.mMeasured.mHedges;
+    }
+  });
+}
+
+void
+Finish(Rig& aRig, const Attempt& aAttempt, std::uint64_t aBytes)
+{
+  const Job& job = *aAttempt.mJob;
+  Entry& entry = aRig.mEntries[job.mEntry];
+  routing::ServerState& state = entry.mStates[aRig.mServers[aAttempt.mServer].mCandidate.mId];
+  state.mOutstanding -= std::min(state.mOutstanding, 1U);
+  if (aRig.mScenario.mPolicy == Policy::Fighold) {
+    routing::Release(entry.mShares, aAttempt.mShare, aBytes, aRig.mClock.mNow);
+  }
+  --aRig.mInFlight[job.mRegion];
+  if (entry.mRegion != job.mRegion) {
+    aRig.mLinkBytes[{ routing::LimitKind::Link, entry.mRegion, job.mRegion, {} }] +=
+      static_cast<double>(aBytes);
+  }
+}
+
+/// Cancels the attempts that still run; their shares are free once the server has heard of it.
+void
+CancelRunning(Rig& aRig, const Job& aJob)
+{
+  for (const auto& it : aJob.mTries) {
+    const auto attempt = it.lock();
+    if (attempt && !attempt->mOver) {
+      attempt->mOver = true;
+      aRig.mClock.After(Hop(aRig, aRig.mEntries[aJob.mEntry].mRegion, aJob.mRegion),
+                        [&aRig, attempt] {
+                          CancelAtServer(aRig, attempt);
+                          Finish(aRig, *attempt, 0);
+                          SendWaiting(aRig, attempt->mJob->mEntry);
+                        });
+    }
+  }
+}
+
+void
+Answered(Rig& aRig, const Attempt& aAttempt)
+{
+  const Job& job = *aAttempt.mJob;
+  const auto ms = [](Duration aTime) {
+    return std::chrono::duration<double, std::milli>(aTime).count();
+  };
+  const Duration took = aRig.mClock.mNow - job.mArrived;
+  aRig.mMeasured.mInTime += aRig.mClock.mNow <= job.mUntil ? 1 : 0;
+  if (job.mLoad == 0) {
+    const Duration network = 2 * Hop(aRig, aRig.mEntries[job.mEntry].mRegion, job.mRegion);
+    const Duration runs = std::chrono::duration_cast<Duration>(
+      aAttempt.mRuns * aRig.mServers[aAttempt.mServer].mSlowness);
+    aRig.mMeasured.mLatencies.push_back(ms(took));
+    // A hedge that wins runs shorter than the request; what its start was delayed by is no hold-up
+    // by other requests.
+    const Duration sent = job.mAttempts > 1 ? aAttempt.mSentAt - job.mDispatched : Duration::zero();
+    aRig.mMeasured.mHoldUps.push_back(ms(took - network - runs - sent));
+  }
+}
+
+} // namespace
+
+void
+Arrive(Rig& aRig, const std::shared_ptr<Job>& aJob)
+{
+  Entry& entry = aRig.mEntries[aJob->mEntry];
+  const auto& row = aRig.mConfiguration.mShifts.at(GroupOf(aRig, *aJob).mService).mInUse;
+  aJob->mRegion = routing::ChooseRegion(row.at(aJob->mOrigin), aRig.mDraws());
+  ++aRig.mMeasured.mRequests;
+  const Duration least = ServiceTime(aRig, *aJob, 0) + 2 * Hop(aRig, entry.mRegion, aJob->mRegion);
+  aRig.mMeasured.mFeasible += aJob->mArrived + least <= aJob->mUntil ? 1 : 0;
+  routing::Budget& budget = entry.mBudgets[aJob->mLoad];
+  budget = routing::CountRequest(budget);
+  if (aRig.mScenario.mPolicy != Policy::Fighold) {
+    Dispatch(aRig, aJob);
+    return;
+  }
+  const routing::Waiting waiting{ aJob->mId,
+                                  GroupOf(aRig, *aJob),
+                                  ServiceOf(aRig, *aJob).mClass,
+                                  aJob->mUntil,
+                                  2 * Hop(aRig, entry.mRegion, aJob->mRegion) };
+  if (routing::Enqueue(entry.mQueue, waiting, aRig.mClock.mNow)) {
+    entry.mWaiting[aJob->mId] = aJob;
+    SendWaiting(aRig, aJob->mEntry);
+  }
+}
+
+void
+SendWaiting(Rig& aRig, std::size_t aEntry)
+{
+  Entry& entry = aRig.mEntries[aEntry];
+  const Instant now = aRig.mClock.mNow;
+  for (const routing::Waiting& it : routing::TakeExpired(entry.mQueue, now)) {
+    entry.mWaiting.erase(it.mId);
+  }
+  const auto isOpen = [&](const routing::GroupKey& aGroup, RequestClass aClass) {
+    const routing::ShareRequest request{ aGroup.mService, entry.mRegion, aGroup.mRegion,
+                                         aClass,          kRequestBytes, 0 };
+    const routing::ChoiceRequest choice{ aClass, {}, aRig.mDeployment.mEntries, true };
+    return routing::FitsShare(entry.mShares, request, now) &&
+           routing::ChooseBackendServer(Candidates(aRig, aGroup), entry.mStates, choice, 0, 0, now)
+             .mCandidate.has_value();
+  };
+  while (const auto next = routing::NextToDispatch(entry.mQueue, isOpen, now)) {
+    const auto job = entry.mWaiting.at(next->mId);
+    entry.mWaiting.erase(next->mId);
+    Dispatch(aRig, job);
+  }
+}
+
+void
+HandleAnswer(Rig& aRig, const std::shared_ptr<Attempt>& aAttempt, routing::Result aResult)
+{
+  if (aAttempt->mOver) {
+    return;
+  }
+  const auto job = aAttempt->mJob;
+  Entry& entry = aRig.mEntries[job->mEntry];
+  const Instant now = aRig.mClock.mNow;
+  aAttempt->mOver = true;
+  const std::uint64_t bytes = ServiceOf(aRig, *job).mResponseKibibytes * 1024;
+  Finish(aRig, *aAttempt, aResult == routing::Result::Answered ? bytes : 0);
+  if (aRig.mScenario.mPolicy == Policy::Fighold && aResult != routing::Result::Failed) {
+    routing::ServerState& state = entry.mStates[aRig.mServers[aAttempt->mServer].mCandidate.mId];
+    routing::Budget& budget = entry.mBudgets[job->mLoad];
+    const Duration latency = now - aAttempt->mSentAt;
+    // A slow answer already counted as overdue; it does not clear the strikes.
+    const bool late = budget.mHedgeDelay > Duration::zero() && latency > budget.mHedgeDelay;
+    if (!late) {
+      state = routing::RecordResult(state, aResult, latency, now);
+    }
+    budget = routing::ObserveLatency(budget, latency);
+  }
+  if (!job->mDone && aResult == routing::Result::Answered) {
+    job->mDone = true;
+    Answered(aRig, *aAttempt);
+    CancelRunning(aRig, *job);
+  }
+  SendWaiting(aRig, job->mEntry);
+}
+
+} // namespace fighold::bench
--- /dev/null
+++ b/packages/routing/bench/measure_main.cpp
@@ -0,0 +1,163 @@
+#include "fighold/plan/sheet.hpp"
+#include "scenario.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace fighold::bench {
+namespace {
+
+double
+Quantile(std::vector<double> aValues, double aPart)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  const auto n = static_cast<std::size_t>(aPart * static_cast<double>(aValues.size() - 1));
+  std::nth_element(aValues.begin(), aValues.begin() + static_cast<long>(n), aValues.end());
+  return aValues[n];
+}
+
+plan::Plan
+ReadPlan(const std::string& aName)
+{
+  const std::string path = std::string(FIGHOLD_EXAMPLES_DIR) + "/" + aName + "/sheet.csv";
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  const auto plan = plan::ParseSheet(text.str(), path);
+  if (!plan.mValue) {
+    throw FindingsError(plan.mFindings);
+  }
+  return *plan.mValue;
+}
+
+/// The rush before the bell: the rate rises to its full height and stays there.
+Deployment
+Lykavittos()
+{
+  return { "lykavittos",
+           ReadPlan("lykavittos"),
+           { { { "vardia" }, 4, 6, 20, 0.9 },
+             { { "antikatastasi" }, 4, 3, 60, 0.9 },
+             { { "programma" }, 4, 6, 800, 0.6 } },
+           3,
+           1,
+           false };
+}
+
+/// Claims in bursts, at twice the rate between them.
+Deployment
+Strathcairn()
+{
+  return { "strathcairn",
+           ReadPlan("strathcairn"),
+           { { { "offer-sheet" }, 5, 3, 25, 0.9 },
+             { { "claim-ledger" }, 4, 3, 120, 0.9 },
+             { { "cellar-book" }, 4, 3, 1500, 0.6 } },
+           3,
+           0.5,
+           true };
+}
+
+void
+Print(const std::string& aName, double aValue)
+{
+  std::printf("%s: %.3f\n", aName.c_str(), aValue);
+}
+
+void
+PrintRun(const std::string& aName, const Measured& aMeasured)
+{
+  const auto requests = static_cast<double>(aMeasured.mRequests);
+  Print(aName + ".p50_ms", Quantile(aMeasured.mLatencies, 0.5));
+  Print(aName + ".p99_ms", Quantile(aMeasured.mLatencies, 0.99));
+  Print(aName + ".p999_ms", Quantile(aMeasured.mLatencies, 0.999));
+  Print(aName + ".holdup_p99_ms", Quantile(aMeasured.mHoldUps, 0.99));
+  Print(aName + ".in_time_percent_of_feasible",
+        100 * static_cast<double>(aMeasured.mInTime) / static_cast<double>(aMeasured.mFeasible));
+  Print(aName + ".least_region_headroom", static_cast<double>(aMeasured.mLeastHeadroom));
+  Print(aName + ".hedges_percent", 100 * static_cast<double>(aMeasured.mHedges) / requests);
+  Print(aName + ".retries_percent", 100 * static_cast<double>(aMeasured.mRetries) / requests);
+}
+
+const char*
+NameOf(Policy aPolicy)
+{
+  switch (aPolicy) {
+    case Policy::Fighold:
+      return "fighold";
+    case Policy::RoundRobin:
+      return "round_robin";
+    case Policy::LeastOutstanding:
+      break;
+  }
+  return "least_outstanding";
+}
+
+void
+MeasurePolicy(const Deployment& aDeployment, Policy aPolicy)
+{
+  const std::string name = aDeployment.mName + "." + NameOf(aPolicy);
+  Scenario scenario;
+  scenario.mPolicy = aPolicy;
+  scenario.mRate = 0.65;
+  const Measured healthy = Run(aDeployment, scenario);
+  PrintRun(name + ".healthy", healthy);
+  for (const std::uint32_t slowed : { 1U, 3U }) {
+    Scenario slow = scenario;
+    slow.mSlowed = slowed;
+    const Measured run = Run(aDeployment, slow);
+    PrintRun(name + ".slowed_" + std::to_string(slowed), run);
+    Print(name + ".slowed_" + std::to_string(slowed) + ".p99_ratio",
+          Quantile(run.mLatencies, 0.99) / Quantile(healthy.mLatencies, 0.99));
+  }
+  Scenario none = scenario;
+  none.mStragglers = 0;
+  const Measured without = Run(aDeployment, none);
+  Print(name + ".holdup_p99_added_by_stragglers_ms",
+        Quantile(healthy.mHoldUps, 0.99) - Quantile(without.mHoldUps, 0.99));
+  Scenario full = scenario;
+  full.mRate = 1;
+  PrintRun(name + ".full", Run(aDeployment, full));
+}
+
+void
+Measure(const Deployment& aDeployment)
+{
+  for (const Policy it : { Policy::Fighold, Policy::RoundRobin, Policy::LeastOutstanding }) {
+    MeasurePolicy(aDeployment, it);
+  }
+  Scenario drain;
+  drain.mRate = 0.4;
+  drain.mSeconds = 500;
+  drain.mDrain = aDeployment.mPlan.mRegions.begin()->first.mValue;
+  const Measured run = Run(aDeployment, drain);
+  PrintRun(aDeployment.mName + ".fighold.drain", run);
+  Print(aDeployment.mName + ".fighold.drain.seconds", run.mDrainSeconds);
+  Print(aDeployment.mName + ".fighold.drain.least_link_headroom_percent", run.mLeastLinkHeadroom);
+}
+
+} // namespace
+} // namespace fighold::bench
+
+/// @param aCount, aArguments optionally the name of one deployment
+int
+main(int aCount, char** aArguments)
+{
+  const std::string only = aCount > 1 ? aArguments[1] : "";
+  try {
+    for (const auto& it : { fighold::bench::Lykavittos(), fighold::bench::Strathcairn() }) {
+      if (only.empty() || it.mName == only) {
+        fighold::bench::Measure(it);
+      }
+    }
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/packages/routing/bench/rig.cpp
@@ -0,0 +1,303 @@
+#include "rig.hpp"
+
+#include <cmath>
+
+namespace fighold::bench {
+namespace {
+
+constexpr Millis kRenewal{ 500 };
+constexpr Millis kShiftCheck{ 250 };
+
+Duration
+FromMs(double aMs)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aMs));
+}
+
+void
+StartNext(Rig& aRig, std::size_t aServer)
+{
+  Server& server = aRig.mServers[aServer];
+  while (server.mRunning < server.mCandidate.mSlots && !server.mWaiting.empty()) {
+    const auto attempt = server.mWaiting.front();
+    server.mWaiting.pop_front();
+    if (aRig.mClock.mNow >= attempt->mJob->mUntil) {
+      aRig.mClock.After(FromMs(aRig.mDeployment.mHopMs),
+                        [&aRig, attempt] { HandleAnswer(aRig, attempt, routing::Result::Failed); });
+      continue;
+    }
+    attempt->mRunning = true;
+    ++server.mRunning;
+    const Duration runs = std::chrono::duration_cast<Duration>(attempt->mRuns * server.mSlowness);
+    const double hop =
+      aRig.mEntries[attempt->mJob->mEntry].mRegion == server.mRegion ? aRig.mDeployment.mHopMs : 35;
+    aRig.mClock.After(runs, [&aRig, attempt, aServer, hop] {
+      if (!attempt->mRunning) {
+        return;
+      }
+      attempt->mRunning = false;
+      --aRig.mServers[aServer].mRunning;
+      StartNext(aRig, aServer);
+      aRig.mClock.After(
+        FromMs(hop), [&aRig, attempt] { HandleAnswer(aRig, attempt, routing::Result::Answered); });
+    });
+  }
+}
+
+void
+AddServers(Rig& aRig)
+{
+  std::uint32_t slowed = 0;
+  for (std::size_t load = 0; load < aRig.mDeployment.mLoads.size(); ++load) {
+    const Load& it = aRig.mDeployment.mLoads[load];
+    for (std::uint32_t n = 0; n < it.mServers; ++n) {
+      for (const auto& [region, capacity] : aRig.mConfiguration.mPlan->mRegions) {
+        Server server;
+        server.mRegion = region;
+        server.mLoad = load;
+        server.mCandidate.mId = { it.mService.mValue + "-" + region.mValue + std::to_string(n) };
+        server.mCandidate.mSlots = it.mSlots;
+        server.mSlowness = load == 0 && slowed < aRig.mScenario.mSlowed ? 10 : 1;
+        slowed += load == 0 ? 1 : 0;
+        aRig.mGroups[{ it.mService, region }].push_back(aRig.mServers.size());
+        aRig.mServers.push_back(server);
+      }
+    }
+  }
+}
+
+void
+AddEntries(Rig& aRig)
+{
+  for (const auto& [region, capacity] : aRig.mConfiguration.mPlan->mRegions) {
+    for (std::uint32_t n = 0; n < aRig.mDeployment.mEntries; ++n) {
+      Entry entry;
+      entry.mRegion = region;
+      entry.mHolder = { { region.mValue + std::to_string(n) }, 1 };
+      routing::TakeLimits(entry.mShares, *aRig.mConfiguration.mPlan, 0);
+      for (const Server& it : aRig.mServers) {
+        entry.mStates[it.mCandidate.mId].mAliveUntil = Instant::max();
+      }
+      aRig.mEntries.push_back(entry);
+    }
+  }
+}
+
+/// Renews leases and shares of an entry; reports of load arrive half a renewal late.
+void
+Renew(Rig& aRig, std::size_t aEntry)
+{
+  Entry& entry = aRig.mEntries[aEntry];
+  const Instant now = aRig.mClock.mNow;
+  routing::KeepBase(entry.mShares, now + membership::kConfigurationLease, now);
+  aRig.mDemands[entry.mHolder] = routing::ReportDemand(entry.mShares, now);
+  std::set<routing::Holder> registered;
+  for (const Entry& it : aRig.mEntries) {
+    registered.insert(it.mHolder);
+  }
+  const auto grant =
+    routing::Allocate(aRig.mAllocator, registered, aRig.mDemands, now).at(entry.mHolder);
+  std::map<BackendServerId, std::uint32_t> reports;
+  for (const Server& it : aRig.mServers) {
+    reports[it.mCandidate.mId] = it.mRunning + static_cast<std::uint32_t>(it.mWaiting.size());
+  }
+  aRig.mClock.After(FromMs(70), [&aRig, aEntry, grant, reports, now] {
+    Entry& holder = aRig.mEntries[aEntry];
+    routing::TakeShares(holder.mShares, grant, now);
+    for (const auto& [id, load] : reports) {
+      holder.mStates[id].mReported = load;
+      holder.mStates[id].mReportedAt = now - kRenewal / 2;
+    }
+    SendWaiting(aRig, aEntry);
+  });
+  aRig.mClock.After(kRenewal, [&aRig, aEntry] { Renew(aRig, aEntry); });
+}
+
+void
+Shift(Rig& aRig)
+{
+  routing::RegionView view;
+  for (const Server& it : aRig.mServers) {
+    const routing::GroupKey key{ aRig.mDeployment.mLoads[it.mLoad].mService, it.mRegion };
+    view.mLiving.insert(key);
+    view.mInFlight[key] += it.mRunning + it.mWaiting.size();
+  }
+  const Instant now = aRig.mClock.mNow;
+  for (const ServiceId& it : routing::ServicesByClass(*aRig.mConfiguration.mPlan)) {
+    if (const auto step =
+          routing::NextShiftStep(aRig.mConfiguration, it, view, aRig.mLastSteps, now)) {
+      aRig.mConfiguration =
+        *membership::Apply(aRig.mConfiguration, { {}, step->mChange }, 1).mConfiguration;
+      aRig.mLastSteps[it] = { now + aRig.mConfiguration.mPlan->mShiftInterval, now, step->mAdded };
+    }
+  }
+  const RegionId drained{ aRig.mScenario.mDrain };
+  if (aRig.mDrainedAt && aRig.mMeasured.mDrainSeconds < 0 && aRig.mInFlight[drained] == 0) {
+    bool empty = true;
+    for (const auto& [service, shift] : aRig.mConfiguration.mShifts) {
+      for (const auto& [origin, row] : shift.mInUse) {
+        empty = empty && row.count(drained) == 0;
+      }
+    }
+    if (empty) {
+      aRig.mMeasured.mDrainSeconds = std::chrono::duration<double>(now - *aRig.mDrainedAt).count();
+    }
+  }
+  aRig.mClock.After(kShiftCheck, [&aRig] { Shift(aRig); });
+}
+
+void
+CheckLinks(Rig& aRig)
+{
+  const routing::Limits limits = routing::LimitsOf(*aRig.mConfiguration.mPlan, 0);
+  for (auto& [key, bytes] : aRig.mLinkBytes) {
+    const double free = 100 * (1 - bytes / static_cast<double>(limits.at(key).mUnits));
+    aRig.mMeasured.mLeastLinkHeadroom = std::min(aRig.mMeasured.mLeastLinkHeadroom, free);
+    bytes = 0;
+  }
+  aRig.mClock.After(std::chrono::seconds(1), [&aRig] { CheckLinks(aRig); });
+}
+
+/// Factor of the arrival rate: a ramp up to the full rate, or bursts.
+double
+RateNow(const Rig& aRig, double aPart)
+{
+  if (aRig.mDeployment.mBurst) {
+    return std::fmod(aPart * 4, 1) < 0.1 ? 1 : 0.5;
+  }
+  return std::min(1.0, 0.3 + aPart * 2);
+}
+
+void
+ScheduleArrival(Rig& aRig,
+                std::size_t aLoad,
+                const RegionId& aRegion,
+                std::size_t aFirstEntry,
+                Instant aStart)
+{
+  const Load& load = aRig.mDeployment.mLoads[aLoad];
+  const double rate = aRig.mScenario.mRate * load.mUse * load.mServers * load.mSlots / load.mMeanMs;
+  const double gap = std::exponential_distribution<double>(rate)(aRig.mArrivals);
+  const std::size_t entry = aFirstEntry + aRig.mArrivals() % aRig.mDeployment.mEntries;
+  const std::uint32_t seed = aRig.mArrivals();
+  const double thin = std::uniform_real_distribution<double>()(aRig.mArrivals);
+  aRig.mClock.After(FromMs(gap), [=, &aRig] {
+    const double part =
+      std::chrono::duration<double>(aRig.mClock.mNow - aStart).count() / aRig.mScenario.mSeconds;
+    if (part >= 1) {
+      return;
+    }
+    ScheduleArrival(aRig, aLoad, aRegion, aFirstEntry, aStart);
+    if (thin < RateNow(aRig, part)) {
+      auto job = std::make_shared<Job>();
+      job->mId = aRig.mNextId++;
+      job->mLoad = aLoad;
+      job->mOrigin = aRegion;
+      job->mEntry = entry;
+      job->mArrived = aRig.mClock.mNow;
+      job->mUntil =
+        aRig.mClock.mNow +
+        aRig.mConfiguration.mPlan->mServices.at(aRig.mDeployment.mLoads[aLoad].mService).mDeadline;
+      job->mSeed = seed;
+      Arrive(aRig, job);
+    }
+  });
+}
+
+} // namespace
+
+Duration
+ServiceTime(const Rig& aRig, const Job& aJob, std::uint32_t aAttempt)
+{
+  constexpr double kSpread = 0.4;
+  std::mt19937 random(aJob.mSeed + aAttempt * 7919);
+  std::normal_distribution<double> normal(-kSpread * kSpread / 2, kSpread);
+  const double ms = aRig.mDeployment.mLoads[aJob.mLoad].mMeanMs * std::exp(normal(random));
+  const bool straggler =
+    std::uniform_real_distribution<double>()(random) < aRig.mScenario.mStragglers;
+  return FromMs(straggler ? ms * aRig.mScenario.mStragglerFactor : ms);
+}
+
+void
+ReachServer(Rig& aRig, const std::shared_ptr<Attempt>& aAttempt)
+{
+  if (!aAttempt->mOver) {
+    aRig.mServers[aAttempt->mServer].mWaiting.push_back(aAttempt);
+    StartNext(aRig, aAttempt->mServer);
+  }
+}
+
+void
+CancelAtServer(Rig& aRig, const std::shared_ptr<Attempt>& aAttempt)
+{
+  Server& server = aRig.mServers[aAttempt->mServer];
+  if (aAttempt->mRunning) {
+    aAttempt->mRunning = false;
+    --server.mRunning;
+  }
+  std::erase(server.mWaiting, aAttempt);
+  StartNext(aRig, aAttempt->mServer);
+}
+
+Measured
+Run(const Deployment& aDeployment, const Scenario& aScenario)
+{
+  Rig rig{ aDeployment,
+           aScenario,
+           {},
+           std::mt19937(aScenario.mSeed),
+           std::mt19937(aScenario.mSeed + 1),
+           {},
+           {},
+           {},
+           {},
+           {},
+           {},
+           {},
+           {},
+           {},
+           {},
+           1,
+           {} };
+  rig.mConfiguration =
+    *membership::Apply({}, { {}, membership::SubmitPlan{ "", SharedValue(aDeployment.mPlan) } }, 1)
+       .mConfiguration;
+  rig.mMeasured.mLeastHeadroom = std::numeric_limits<std::int64_t>::max();
+  const Instant start = rig.mClock.mNow;
+  routing::SetLimits(rig.mAllocator, aDeployment.mPlan, 0, start);
+  routing::StartAllocating(rig.mAllocator, 1, true, start);
+  AddServers(rig);
+  AddEntries(rig);
+  for (std::size_t n = 0; n < rig.mEntries.size(); ++n) {
+    rig.mClock.After(Millis(n * 13), [&rig, n] { Renew(rig, n); });
+  }
+  // Arrivals begin once every entry has its shares.
+  rig.mClock.After(std::chrono::seconds(1), [&rig] {
+    const Instant begin = rig.mClock.mNow;
+    std::size_t entry = 0;
+    for (const auto& [region, capacity] : rig.mConfiguration.mPlan->mRegions) {
+      for (std::size_t load = 0; load < rig.mDeployment.mLoads.size(); ++load) {
+        ScheduleArrival(rig, load, region, entry, begin);
+      }
+      entry += rig.mDeployment.mEntries;
+    }
+  });
+  rig.mClock.After(kShiftCheck, [&rig] { Shift(rig); });
+  rig.mClock.After(std::chrono::seconds(1), [&rig] { CheckLinks(rig); });
+  if (!aScenario.mDrain.empty()) {
+    rig.mClock.After(FromMs(aScenario.mSeconds * 100), [&rig] {
+      rig.mConfiguration.mDrains.mRegions.insert({ rig.mScenario.mDrain });
+      rig.mDrainedAt = rig.mClock.mNow;
+    });
+  }
+  const Instant end = start + FromMs((aScenario.mSeconds + 40) * 1000);
+  while (!rig.mClock.mItems.empty() && rig.mClock.mItems.top().mAt < end) {
+    const auto item = rig.mClock.mItems.top();
+    rig.mClock.mItems.pop();
+    rig.mClock.mNow = item.mAt;
+    item.mDo();
+  }
+  return rig.mMeasured;
+}
+
+} // namespace fighold::bench
--- /dev/null
+++ b/packages/routing/include/fighold/routing/choice.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "fighold/core/decision_record.hpp"
+#include "fighold/core/outcome.hpp"
+#include "fighold/core/time.hpp"
+#include "fighold/routing/table.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+/// The choice of a backend server within a group.
+namespace fighold::routing {
+
+/// Age at which a load report no longer counts; own counts are always current.
+constexpr Millis kReportAge{ 2000 };
+
+/// Time over which the load of a cold-started backend server rises to that of the others.
+constexpr Millis kColdStart{ 5000 };
+
+/// How many times costlier a backend server seems at its cold start.
+constexpr double kColdCost = 4;
+
+/// Overdue or failed requests in a row after which a backend server is ejected. One alone is most
+/// often a straggler.
+constexpr std::uint32_t kStrikes = 2;
+
+/// First and longest time of an ejection; each one in a row is twice as long as the one before.
+constexpr Millis kFirstEjection{ 1000 };
+constexpr Millis kLongestEjection{ 16'000 };
+
+/// At most one in kEjectedParts backend servers of a group is ejected.
+constexpr std::size_t kEjectedParts = 3;
+
+/// What an entry knows of one backend server.
+struct ServerState
+{
+  Instant mAliveUntil{};          ///< end of the backend server's lease
+  std::uint32_t mOutstanding = 0; ///< requests of this entry that run there
+  Duration mLatency{};            ///< decayed mean time from dispatch to answer
+  std::uint32_t mReported = 0;    ///< load in its last report, requests of all entries
+  Instant mReportedAt{};          ///< when it made the report
+  Instant mColdSince{};           ///< when it began to serve, if it was seen to begin
+  std::uint32_t mStrikes = 0;     ///< overdue or failed requests in a row
+  std::uint32_t mEjections = 0;   ///< in a row, without a good answer between them
+  Instant mEjectedUntil{};
+
+  friend auto operator<=>(const ServerState&, const ServerState&) = default;
+};
+
+using ServerStates = std::map<BackendServerId, ServerState>;
+
+/// How a request at a backend server went.
+enum class Result : std::uint8_t
+{
+  Answered,
+  Refused, ///< the server shed the request; it is loaded, not faulty
+  Failed,  ///< no connection, or no whole answer
+  Overdue, ///< still running after the hedge delay
+};
+
+/// A request as the choice sees it.
+struct ChoiceRequest
+{
+  RequestClass mClass = RequestClass::Standard;
+  std::set<BackendServerId> mAlreadyTried; ///< not chosen again
+  std::uint32_t mEntries = 1;              ///< entries that share the slots of each server
+  bool mMayWait = false; ///< true: without a free slot nothing is chosen, and the request waits
+
+  friend auto operator<=>(const ChoiceRequest&, const ChoiceRequest&) = default;
+};
+
+/// The chosen server, or the reason why there is none, and what was rejected.
+struct Choice
+{
+  std::optional<Candidate> mCandidate;
+  std::string mReason;
+  std::vector<Rejected> mRejected;
+
+  friend auto operator<=>(const Choice&, const Choice&) = default;
+};
+
+/// @return slots of a server that one of aEntries entries may fill, at least 1
+std::uint32_t
+SlotShare(std::uint32_t aSlots, std::uint32_t aEntries);
+
+/// @return requests that run at the server: own ones, and those of others as far as the report is
+/// young
+double
+EstimatedLoad(const ServerState& aState, Instant aNow);
+
+/// Chooses the better of two random usable servers.
+/// @param aCandidates servers of the group
+/// @param aStates state of the servers
+/// @param aRequest request
+/// @param aFirst, aSecond uniform random numbers
+/// @param aNow time of the decision
+/// @return the choice
+Choice
+ChooseBackendServer(const std::vector<Candidate>& aCandidates,
+                    const ServerStates& aStates,
+                    const ChoiceRequest& aRequest,
+                    std::uint64_t aFirst,
+                    std::uint64_t aSecond,
+                    Instant aNow);
+
+/// @param aState state of the server before
+/// @param aResult how the request went
+/// @param aLatency time since its dispatch
+/// @param aNow time of the result
+/// @return state after; the caller counts mOutstanding itself
+ServerState
+RecordResult(const ServerState& aState, Result aResult, Duration aLatency, Instant aNow);
+
+} // namespace fighold::routing
--- a/packages/routing/include/fighold/routing/route.hpp
+++ b/packages/routing/include/fighold/routing/route.hpp
@@ -2,6 +2,7 @@
 
 #include "fighold/core/decision_record.hpp"
 #include "fighold/core/time.hpp"
+#include "fighold/routing/choice.hpp"
 #include "fighold/routing/table.hpp"
 
 #include <compare>
@@ -13,18 +14,6 @@
 /// The routing decision: origin region to serving region to backend server.
 namespace fighold::routing {
 
-/// What an entry knows of one backend server.
-struct ServerState
-{
-  Instant mAliveUntil{};          ///< end of the backend server's lease
-  std::uint32_t mOutstanding = 0; ///< requests of this entry that run there
-  Duration mLatency{};            ///< decayed mean time from dispatch to answer
-
-  friend auto operator<=>(const ServerState&, const ServerState&) = default;
-};
-
-using ServerStates = std::map<BackendServerId, ServerState>;
-
 /// A request as the decision sees it.
 struct RouteRequest
 {
@@ -32,6 +21,7 @@
   ServiceId mService;
   RegionId mOrigin;                        ///< region that the caller belongs to
   std::set<BackendServerId> mAlreadyTried; ///< not chosen again
+  bool mMayWait = false;                   ///< true: without a free slot no server is chosen
 
   friend auto operator<=>(const RouteRequest&, const RouteRequest&) = default;
 };
--- a/packages/routing/include/fighold/routing/share.hpp
+++ b/packages/routing/include/fighold/routing/share.hpp
@@ -85,6 +85,10 @@
 std::uint64_t
 UsableShare(const ShareState& aState, const LimitKey& aKey, Instant aNow);
 
+/// @return true when AdmitToShare would admit the request
+bool
+FitsShare(const ShareState& aState, const ShareRequest& aRequest, Instant aNow);
+
 /// Takes a request into the shares of its region, its service and, between regions, the links.
 /// @param aState state, changed in place when the request is admitted
 /// @param aRequest request; receives the reservation
--- /dev/null
+++ b/packages/routing/src/queue.cpp
@@ -0,0 +1,85 @@
+#include "fighold/routing/queue.hpp"
+
+#include <algorithm>
+
+namespace fighold::routing {
+namespace {
+
+bool
+IsWorthSending(const Waiting& aWaiting, Instant aNow)
+{
+  return aNow + aWaiting.mExpected <= aWaiting.mUntil;
+}
+
+} // namespace
+
+RequestClass
+EffectiveClass(RequestClass aClass,
+               std::optional<std::chrono::minutes> aFinishBy,
+               std::chrono::minutes aTimeOfDay)
+{
+  constexpr std::chrono::minutes kDay{ 24 * 60 };
+  if (aClass != RequestClass::Deferred || !aFinishBy) {
+    return aClass;
+  }
+  const auto left = (*aFinishBy - aTimeOfDay + kDay) % kDay;
+  return left <= kRaiseBefore ? RequestClass::Standard : aClass;
+}
+
+bool
+Enqueue(Queue& aQueue, const Waiting& aWaiting, Instant aNow)
+{
+  auto& groups = aQueue.mWaiting[aWaiting.mClass];
+  std::size_t waiting = 0;
+  for (const auto& [group, requests] : groups) {
+    waiting += requests.size();
+  }
+  if (waiting >= kMaxWaiting || !IsWorthSending(aWaiting, aNow)) {
+    return false;
+  }
+  groups[aWaiting.mGroup].push_back(aWaiting);
+  return true;
+}
+
+std::optional<Waiting>
+NextToDispatch(Queue& aQueue,
+               const std::function<bool(const GroupKey&, RequestClass)>& aIsOpen,
+               Instant aNow)
+{
+  for (auto& [requestClass, groups] : aQueue.mWaiting) {
+    std::deque<Waiting>* oldest = nullptr;
+    for (auto& [group, requests] : groups) {
+      const bool waits = !requests.empty() && IsWorthSending(requests.front(), aNow);
+      const bool older = oldest == nullptr || (waits && requests.front().mId < oldest->front().mId);
+      if (waits && older && aIsOpen(group, requestClass)) {
+        oldest = &requests;
+      }
+    }
+    if (oldest != nullptr) {
+      const Waiting next = oldest->front();
+      oldest->pop_front();
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<Waiting>
+TakeExpired(Queue& aQueue, Instant aNow)
+{
+  std::vector<Waiting> expired;
+  for (auto& [requestClass, groups] : aQueue.mWaiting) {
+    for (auto& [group, requests] : groups) {
+      for (const Waiting& it : requests) {
+        if (!IsWorthSending(it, aNow)) {
+          expired.push_back(it);
+        }
+      }
+      std::erase_if(requests,
+                    [aNow](const Waiting& aItem) { return !IsWorthSending(aItem, aNow); });
+    }
+  }
+  return expired;
+}
+
+} // namespace fighold::routing
--- a/packages/routing/src/route.cpp
+++ b/packages/routing/src/route.cpp
@@ -1,51 +1,21 @@
 #include "fighold/routing/route.hpp"
 
+#include <algorithm>
+
 namespace fighold::routing {
 namespace {
 
-/// A candidate with its state, or the reason why it cannot be chosen.
-struct Weighed
-{
-  const Candidate* mCandidate = nullptr;
-  ServerState mState;
-};
-
-std::optional<std::string>
-ReasonAgainst(const Candidate& aCandidate,
-              const ServerState& aState,
-              const RouteRequest& aRequest,
-              Instant aNow)
-{
-  if (aNow >= aState.mAliveUntil) {
-    return "lease-expired";
-  }
-  if (aRequest.mAlreadyTried.count(aCandidate.mId) > 0) {
-    return "already-tried";
-  }
-  return std::nullopt;
-}
-
-/// Fewer outstanding requests for each slot first; with equal counts the lower latency.
-bool
-Better(const Weighed& aLeft, const Weighed& aRight)
+/// Entries that share the slots of a region's servers: those of the region, or all where it has
+/// none.
+std::uint32_t
+EntriesSharing(const membership::Configuration& aConfiguration, const RegionId& aRegion)
 {
-  const auto left = std::uint64_t{ aLeft.mState.mOutstanding } * aRight.mCandidate->mSlots;
-  const auto right = std::uint64_t{ aRight.mState.mOutstanding } * aLeft.mCandidate->mSlots;
-  if (left != right) {
-    return left < right;
-  }
-  return aLeft.mState.mLatency < aRight.mState.mLatency;
-}
-
-const Weighed&
-BetterOfTwo(const std::vector<Weighed>& aUsable, const Draws& aDraws)
-{
-  const std::size_t first = aDraws.mFirst % aUsable.size();
-  if (aUsable.size() == 1) {
-    return aUsable[first];
-  }
-  const std::size_t second = (first + 1 + aDraws.mSecond % (aUsable.size() - 1)) % aUsable.size();
-  return Better(aUsable[second], aUsable[first]) ? aUsable[second] : aUsable[first];
+  const auto count =
+    std::count_if(aConfiguration.mEntries.begin(),
+                  aConfiguration.mEntries.end(),
+                  [&](const auto& aItem) { return aItem.second.mRegion == aRegion; });
+  return static_cast<std::uint32_t>(count > 0 ? static_cast<std::size_t>(count)
+                                              : aConfiguration.mEntries.size());
 }
 
 RouteDecision
@@ -95,22 +65,19 @@
   if (group == aTable.mGroups.end()) {
     return NotRouted(decision, "no-backend-server-in-region");
   }
-  std::vector<Weighed> usable;
-  for (const Candidate& it : group->second) {
-    const auto state = aStates.find(it.mId);
-    const ServerState known = state == aStates.end() ? ServerState{} : state->second;
-    if (const auto reason = ReasonAgainst(it, known, aRequest, aNow)) {
-      decision.mRecord.mRejected.push_back({ it.mId.mValue, *reason });
-    } else {
-      usable.push_back({ &it, known });
-    }
-  }
-  if (usable.empty()) {
-    return NotRouted(decision, "no-usable-backend-server");
-  }
-  decision.mCandidate = *BetterOfTwo(usable, aDraws).mCandidate;
-  decision.mRecord.mChoice = decision.mCandidate->mId.mValue;
-  decision.mRecord.mReason = usable.size() == 1 ? "only-candidate" : "least-outstanding-of-two";
+  const auto& services = aConfiguration.mPlan->mServices;
+  const auto service = services.find(aRequest.mService);
+  const ChoiceRequest request{ service == services.end() ? RequestClass::Standard
+                                                         : service->second.mClass,
+                               aRequest.mAlreadyTried,
+                               EntriesSharing(aConfiguration, decision.mRegion),
+                               aRequest.mMayWait };
+  Choice choice =
+    ChooseBackendServer(group->second, aStates, request, aDraws.mFirst, aDraws.mSecond, aNow);
+  decision.mRecord.mRejected = std::move(choice.mRejected);
+  decision.mCandidate = std::move(choice.mCandidate);
+  decision.mRecord.mReason = choice.mReason;
+  decision.mRecord.mChoice = decision.mCandidate ? decision.mCandidate->mId.mValue : "";
   return decision;
 }
 
--- a/packages/routing/src/share.cpp
+++ b/packages/routing/src/share.cpp
@@ -131,6 +131,19 @@
   return units;
 }
 
+bool
+FitsShare(const ShareState& aState, const ShareRequest& aRequest, Instant aNow)
+{
+  const bool fits = FitsRequests(aState, RegionKey(aRequest), aRequest.mClass, aNow) &&
+                    FitsRequests(aState, ServiceKey(aRequest), aRequest.mClass, aNow);
+  if (!fits || aRequest.mEntryRegion == aRequest.mRegion) {
+    return fits;
+  }
+  ShareState copy = aState;
+  ShareRequest request = aRequest;
+  return AdmitToShare(copy, request, aNow).mAdmitted;
+}
+
 Admission
 AdmitToShare(ShareState& aState, ShareRequest& aRequest, Instant aNow)
 {
