Ask for a share when a request waits for one

Cause: a request that waits for a share was not counted as demand, so an entry without a share of a service never asked for one, and antikatastasi was not answered at all.

Change: CountUnmet counts it. A report asks for at most twice the use plus one, since waiting requests do not need a share each.

--- a/packages/routing/bench/entry.cpp
+++ b/packages/routing/bench/entry.cpp
@@ -256,6 +256,7 @@
                                   2 * Hop(aRig, entry.mRegion, aJob->mRegion) };
   if (routing::Enqueue(entry.mQueue, waiting, aRig.mClock.mNow)) {
     entry.mWaiting[aJob->mId] = aJob;
+    routing::CountUnmet(entry.mShares, ShareRequestOf(aRig, *aJob), aRig.mClock.mNow);
     SendWaiting(aRig, aJob->mEntry);
   }
 }
--- a/packages/routing/include/fighold/routing/share.hpp
+++ b/packages/routing/include/fighold/routing/share.hpp
@@ -89,6 +89,10 @@
 bool
 FitsShare(const ShareState& aState, const ShareRequest& aRequest, Instant aNow);
 
+/// Counts a request that has to wait for a share, so that the next report asks for more.
+void
+CountUnmet(ShareState& aState, const ShareRequest& aRequest, Instant aNow);
+
 /// Takes a request into the shares of its region, its service and, between regions, the links.
 /// @param aState state, changed in place when the request is admitted
 /// @param aRequest request; receives the reservation
--- a/packages/routing/src/share.cpp
+++ b/packages/routing/src/share.cpp
@@ -144,6 +144,16 @@
   return AdmitToShare(copy, request, aNow).mAdmitted;
 }
 
+void
+CountUnmet(ShareState& aState, const ShareRequest& aRequest, Instant aNow)
+{
+  for (const LimitKey& it : { RegionKey(aRequest), ServiceKey(aRequest) }) {
+    if (!FitsRequests(aState, it, aRequest.mClass, aNow)) {
+      ++aState.mShares[it].mRefused;
+    }
+  }
+}
+
 Admission
 AdmitToShare(ShareState& aState, ShareRequest& aRequest, Instant aNow)
 {
@@ -199,7 +209,10 @@
   ShareDemand demand{ aState.mNextReport++, aState.mGrant, aState.mHoldsBase, {} };
   for (auto& [key, share] : aState.mShares) {
     const bool link = key.mKind == LimitKind::Link;
-    const std::uint64_t used = (share.mPeak + share.mRefused) * (link ? kReportsPerSecond : 1);
+    // Requests refused one after the other need no share each, so demand at most doubles in a
+    // report.
+    const std::uint64_t refused = link ? share.mRefused : std::min(share.mRefused, share.mPeak + 1);
+    const std::uint64_t used = (share.mPeak + refused) * (link ? kReportsPerSecond : 1);
     // A quarter more than was used, so that growth does not have to be refused first.
     const std::uint64_t wanted = used == 0 ? 0 : used + used / 4 + 1;
     demand.mWants[key] = { wanted, share.mInUse };
