--- a/packages/routing/bench/rig.cpp
+++ b/packages/routing/bench/rig.cpp
@@ -264,6 +264,7 @@
        .mConfiguration;
   rig.mMeasured.mLeastHeadroom = std::numeric_limits<std::int64_t>::max();
   const Instant start = rig.mClock.mNow;
+  rig.mStart = start;
   routing::SetLimits(rig.mAllocator, aDeployment.mPlan, 0, start);
   routing::StartAllocating(rig.mAllocator, 1, true, start);
   AddServers(rig);
--- a/packages/routing/bench/rig.hpp
+++ b/packages/routing/bench/rig.hpp
@@ -118,6 +118,7 @@
   std::optional<Instant> mDrainedAt;
   RequestId mNextId = 1;
   Measured mMeasured;
+  Instant mStart{};
 };
 
 /// @return service time of an attempt at a healthy server; equal for equal seeds and attempts
