Keep demand through peaks, give out the surplus, let deferred work leave the others' peak

Cause: the wish for shares fell with every quiet half second, and the next burst waited for a grant.

Change: the wish decays by an eighth with each report. What nobody wants is given in equal parts to those that want something. Deferred requests leave free the decayed peak of the other classes.

Ruled out: the surplus in proportion to the wishes.

--- a/packages/routing/include/fighold/routing/share.hpp
+++ b/packages/routing/include/fighold/routing/share.hpp
@@ -13,17 +13,20 @@
 /// The holder's side of shares: whether a request fits into the shares of this entry.
 namespace fighold::routing {
 
-/// Part of a share of requests, in percent, that deferred work leaves to other classes.
+/// Least part of a share of requests, in percent, that deferred work leaves to other classes.
 constexpr std::uint64_t kDeferredLeaves = 25;
 
 /// What an entry holds and uses of one limit.
 struct HeldShare
 {
   DemandShare mDemand;
-  std::uint64_t mInUse = 0;   ///< requests in flight; bytes per second for a link
-  std::uint64_t mPeak = 0;    ///< most in use since the last report
-  std::uint64_t mRefused = 0; ///< refused for this limit since the last report
-  Bucket mBucket;             ///< of a link
+  std::uint64_t mInUse = 0;      ///< requests in flight; bytes per second for a link
+  std::uint64_t mDeferred = 0;   ///< of these, deferred requests
+  std::uint64_t mOthersPeak = 0; ///< decayed peak of the other classes
+  std::uint64_t mPeak = 0;       ///< most in use since the last report
+  std::uint64_t mRefused = 0;    ///< refused for this limit since the last report
+  std::uint64_t mWanted = 0; ///< of the last report; decays, so that shares follow peaks of seconds
+  Bucket mBucket;            ///< of a link
 
   friend auto operator<=>(const HeldShare&, const HeldShare&) = default;
 };
--- a/packages/routing/src/allocator.cpp
+++ b/packages/routing/src/allocator.cpp
@@ -101,6 +101,20 @@
   }
 }
 
+/// Gives what nobody wants to those that want something, in equal parts, so that a burst does not
+/// have to wait for the next grant. Parts in proportion would move with every report, and what has
+/// moved counts twice until the holder reports again.
+void
+ShareSurplus(std::vector<std::uint64_t>& aParts, std::uint64_t aUnits)
+{
+  const std::uint64_t sum = std::accumulate(aParts.begin(), aParts.end(), std::uint64_t{ 0 });
+  const auto active = static_cast<std::uint64_t>(
+    std::count_if(aParts.begin(), aParts.end(), [](std::uint64_t aPart) { return aPart > 0; }));
+  for (std::uint64_t& it : aParts) {
+    it += it > 0 ? (aUnits - sum) / active : 0;
+  }
+}
+
 /// Divides the demand part of one limit.
 void
 AllocateLimit(AllocatorState& aState,
@@ -120,7 +134,8 @@
     const std::uint64_t base = aState.mHolders.at(holder).mBase ? aState.mLimits.at(aKey).mBase : 0;
     wants.push_back(want == demand.mWants.end() ? 0 : Less(want->second.mWanted, base));
   }
-  const std::vector<std::uint64_t> fair = DivideFairly(wants, part);
+  std::vector<std::uint64_t> fair = DivideFairly(wants, part);
+  ShareSurplus(fair, part);
   std::size_t n = 0;
   for (const auto& [holder, demand] : aDemands) {
     HolderView& view = aState.mHolders.at(holder);
--- a/packages/routing/src/share.cpp
+++ b/packages/routing/src/share.cpp
@@ -36,14 +36,18 @@
   return { false, aReason };
 }
 
+/// Deferred requests leave free what other classes used at their peak, and at least a quarter.
 bool
 FitsRequests(const ShareState& aState, const LimitKey& aKey, RequestClass aClass, Instant aNow)
 {
-  const std::uint64_t share = UsableShare(aState, aKey, aNow);
-  const std::uint64_t left = aClass == RequestClass::Deferred ? share * kDeferredLeaves / 100 : 0;
+  const std::uint64_t units = UsableShare(aState, aKey, aNow);
   const auto held = aState.mShares.find(aKey);
-  const std::uint64_t inUse = held == aState.mShares.end() ? 0 : held->second.mInUse;
-  return inUse < share - left;
+  const HeldShare share = held == aState.mShares.end() ? HeldShare{} : held->second;
+  if (aClass != RequestClass::Deferred) {
+    return share.mInUse < units;
+  }
+  const std::uint64_t left = std::max(share.mOthersPeak, units * kDeferredLeaves / 100);
+  return share.mInUse < units && share.mDeferred + left < units;
 }
 
 bool
@@ -56,10 +60,12 @@
 }
 
 void
-Use(ShareState& aState, const LimitKey& aKey)
+Use(ShareState& aState, const LimitKey& aKey, RequestClass aClass)
 {
   HeldShare& share = aState.mShares[aKey];
   ++share.mInUse;
+  share.mDeferred += aClass == RequestClass::Deferred ? 1 : 0;
+  share.mOthersPeak = std::max(share.mOthersPeak, share.mInUse - share.mDeferred);
   share.mPeak = std::max(share.mPeak, share.mInUse);
 }
 
@@ -71,6 +77,13 @@
   share.mPeak += aBytes > 0 ? static_cast<std::uint64_t>(aBytes) : 0;
 }
 
+/// @return the value of the report before, less an eighth
+std::uint64_t
+Decayed(std::uint64_t aValue)
+{
+  return aValue - std::min(aValue, 1 + aValue / 8);
+}
+
 } // namespace
 
 void
@@ -173,8 +186,8 @@
   if (remote && !FitsLink(aState, back, aRequest.mReserved, aNow)) {
     return Refuse(aState, back, aRequest.mReserved, "link-share-used-up");
   }
-  Use(aState, RegionKey(aRequest));
-  Use(aState, ServiceKey(aRequest));
+  Use(aState, RegionKey(aRequest), aRequest.mClass);
+  Use(aState, ServiceKey(aRequest), aRequest.mClass);
   if (remote) {
     UseLink(aState, out, static_cast<std::int64_t>(aRequest.mBytes));
     UseLink(aState, back, static_cast<std::int64_t>(aRequest.mReserved));
@@ -188,6 +201,8 @@
   for (const LimitKey& it : { RegionKey(aRequest), ServiceKey(aRequest) }) {
     HeldShare& share = aState.mShares[it];
     share.mInUse -= std::min<std::uint64_t>(share.mInUse, 1);
+    const std::uint64_t deferred = aRequest.mClass == RequestClass::Deferred ? 1 : 0;
+    share.mDeferred -= std::min(share.mDeferred, deferred);
   }
   SizeEstimate& size = aState.mSizes[aRequest.mService];
   size = ObserveSize(size, aAnswerBytes);
@@ -215,7 +230,9 @@
     const std::uint64_t used = (share.mPeak + refused) * (link ? kReportsPerSecond : 1);
     // A quarter more than was used, so that growth does not have to be refused first.
     const std::uint64_t wanted = used == 0 ? 0 : used + used / 4 + 1;
-    demand.mWants[key] = { wanted, share.mInUse };
+    share.mWanted = std::max(wanted, Decayed(share.mWanted));
+    share.mOthersPeak = std::max(share.mInUse - share.mDeferred, Decayed(share.mOthersPeak));
+    demand.mWants[key] = { share.mWanted, share.mInUse };
     share.mPeak = share.mInUse;
     share.mRefused = 0;
   }
