Overcommit the slot shares of backend servers

Cause: of the waiting requests in lykavittos, nine in ten waited for a slot of their own entry's share while slots of the other entries' shares were free.

Change: the entries' shares of a server's slots sum to 150% of them.

--- a/packages/routing/include/fighold/routing/choice.hpp
+++ b/packages/routing/include/fighold/routing/choice.hpp
@@ -35,6 +35,10 @@
 /// At most one in kEjectedParts backend servers of a group is ejected.
 constexpr std::size_t kEjectedParts = 3;
 
+/// Sum of the entries' shares of a server's slots, in percent of its slots. With 100, an entry has
+/// to wait while slots of the others' shares are free.
+constexpr std::uint32_t kSlotOvercommitPercent = 150;
+
 /// What an entry knows of one backend server.
 struct ServerState
 {
@@ -83,7 +87,7 @@
   friend auto operator<=>(const Choice&, const Choice&) = default;
 };
 
-/// @return slots of a server that one of aEntries entries may fill, at least 1
+/// @return requests that one of aEntries entries may have at a server of aSlots slots
 std::uint32_t
 SlotShare(std::uint32_t aSlots, std::uint32_t aEntries);
 
