Round slot shares down

Cause: a server of three slots, shared by three entries, got two requests from each, twice its slots.

Change: a slot share is rounded down, to at least one.

--- a/packages/routing/src/choice.cpp
+++ b/packages/routing/src/choice.cpp
@@ -106,8 +106,7 @@
 std::uint32_t
 SlotShare(std::uint32_t aSlots, std::uint32_t aEntries)
 {
-  const std::uint32_t entries = std::max(aEntries, 1U);
-  return (aSlots * kSlotOvercommitPercent / 100 + entries - 1) / entries;
+  return std::max(1U, aSlots * kSlotOvercommitPercent / 100 / std::max(aEntries, 1U));
 }
 
 double
