Give idle demand parts to all entries

Cause: an entry that nobody has called yet held base shares only, and with small limits the base share of a service is 0. The first requests waited for a renewal.

Change: when nobody wants a part of a limit, all holders receive it in equal parts. The test of a late report asked that a holder without demand is granted nothing; it now has a second holder that wants the whole part, and also checks what that one is granted.

--- a/packages/routing/src/allocator.cpp
+++ b/packages/routing/src/allocator.cpp
@@ -110,8 +110,9 @@
   const std::uint64_t sum = std::accumulate(aParts.begin(), aParts.end(), std::uint64_t{ 0 });
   const auto active = static_cast<std::uint64_t>(
     std::count_if(aParts.begin(), aParts.end(), [](std::uint64_t aPart) { return aPart > 0; }));
+  const std::uint64_t takers = active > 0 ? active : std::max<std::uint64_t>(aParts.size(), 1);
   for (std::uint64_t& it : aParts) {
-    it += it > 0 ? (aUnits - sum) / active : 0;
+    it += it > 0 || active == 0 ? (aUnits - sum) / takers : 0;
   }
 }
 
--- a/packages/routing/src/share_test.cpp
+++ b/packages/routing/src/share_test.cpp
@@ -83,12 +83,16 @@
   AllocatorState state;
   SetLimits(state, MakePlan(60, 11), 1, now);
   StartAllocating(state, 1, true, now);
+  const Holder other{ { "e2" }, 1 };
+  const ShareDemand greedy{ 1, { 1, 1 }, false, { { kRegionLimit, { 60, 0 } } } };
   const ShareDemand busy{ 2, { 1, 9 }, false, { { kRegionLimit, { 0, 20 } } } };
-  Allocate(state, { holder }, { { holder, busy } }, now);
-  CHECK(CountedUnits(state.mHolders.at(holder), kRegionLimit, now) == 20);
   const ShareDemand late{ 1, { 1, 8 }, false, { { kRegionLimit, { 0, 3 } } } };
-  Allocate(state, { holder }, { { holder, late } }, now);
-  CHECK(CountedUnits(state.mHolders.at(holder), kRegionLimit, now) == 20);
+  for (const ShareDemand& it : { busy, late }) {
+    const auto grants =
+      Allocate(state, { holder, other }, { { holder, it }, { other, greedy } }, now);
+    CHECK(CountedUnits(state.mHolders.at(holder), kRegionLimit, now) == 20);
+    CHECK(grants.at(other).mDemand.at(kRegionLimit).mUnits == 18);
+  }
 }
 
 // Guards against a thawed entry that goes on with shares which were given to others meanwhile.
