--- a/packages/routing/bench/entry.cpp
+++ b/packages/routing/bench/entry.cpp
@@ -298,7 +298,7 @@
   Entry& entry = aRig.mEntries[job->mEntry];
   const Instant now = aRig.mClock.mNow;
   aAttempt->mOver = true;
-  const std::uint64_t bytes = ServiceOf(aRig, *job).mResponseKibibytes * 1024;
+  const std::uint64_t bytes = std::uint64_t{ 1024 } * ServiceOf(aRig, *job).mResponseKibibytes;
   Finish(aRig, *aAttempt, aResult == routing::Result::Answered ? bytes : 0);
   if (aRig.mScenario.mPolicy == Policy::Fighold && aResult != routing::Result::Failed) {
     routing::ServerState& state = entry.mStates[aRig.mServers[aAttempt->mServer].mCandidate.mId];
