--- a/packages/agreement/include/fighold/agreement/message.hpp
+++ b/packages/agreement/include/fighold/agreement/message.hpp
@@ -1,10 +1,14 @@
 #pragma once
 
 #include "fighold/core/id.hpp"
+#include "fighold/core/shared_value.hpp"
 
 #include <compare>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -14,16 +18,85 @@
 using Term = std::uint64_t;
 using Index = std::uint64_t;
 
-/// One entry of the replicated log. The payload is opaque to this package.
+/// What an entry of the replicated log is for.
+enum class EntryKind : std::uint8_t
+{
+  Change,  ///< payload for the state machine
+  Empty,   ///< first entry of a leader's term
+  Members, ///< payload is a membership
+};
+
+/// One entry of the replicated log. The payload of a change is opaque to this package.
 struct LogEntry
 {
   Index mIndex = 0;
   Term mTerm = 0;
   std::string mPayload;
+  EntryKind mKind = EntryKind::Change;
 
   friend auto operator<=>(const LogEntry&, const LogEntry&) = default;
 };
 
+/// A control process with a certain data folder.
+struct Member
+{
+  ControlId mId;
+  Incarnation mIncarnation = 0;
+
+  friend auto operator<=>(const Member&, const Member&) = default;
+};
+
+/// The voters, and the group that they form. The group is named by the incarnation of the process
+/// that formed it; messages of another group are ignored.
+struct Members
+{
+  Incarnation mGroup = 0; ///< 0: not known
+  std::map<ControlId, Incarnation> mVoters;
+
+  friend auto operator<=>(const Members&, const Members&) = default;
+};
+
+/// Encodes a membership as the payload of a log entry.
+std::string
+EncodeMembers(const Members& aMembers);
+
+/// @return membership, or nothing when the bytes are malformed
+std::optional<Members>
+DecodeMembers(std::string_view aBytes);
+
+/// State of the state machine after the entry with `mIndex`.
+struct Snapshot
+{
+  Index mIndex = 0;
+  Term mTerm = 0;
+  Members mMembers;
+  std::string mState;
+
+  friend auto operator<=>(const Snapshot&, const Snapshot&) = default;
+};
+
+/// Candidate to voter.
+struct VoteAsk
+{
+  Term mTerm = 0; ///< term to be led
+  bool mPreVote = false;
+  Index mLastIndex = 0;
+  Term mLastTerm = 0;
+  Incarnation mVoter = 0; ///< incarnation that is asked; any other one must not vote
+
+  friend auto operator<=>(const VoteAsk&, const VoteAsk&) = default;
+};
+
+/// Voter to candidate.
+struct VoteReply
+{
+  Term mTerm = 0; ///< term asked for when granted, otherwise the voter's own
+  bool mPreVote = false;
+  bool mGranted = false;
+
+  friend auto operator<=>(const VoteReply&, const VoteReply&) = default;
+};
+
 /// Leader to follower: log entries after `mPrevious`, and the commit index. Without entries it is a
 /// heartbeat.
 struct Append
@@ -49,6 +122,47 @@
   friend auto operator<=>(const AppendReply&, const AppendReply&) = default;
 };
 
+/// Leader to follower: a part of the encoded state of a snapshot.
+struct SnapshotPart
+{
+  Term mTerm = 0;
+  std::uint64_t mRound = 0;
+  Index mIndex = 0;
+  Term mIndexTerm = 0;
+  std::string mMembers; ///< encoded membership
+  std::uint64_t mOffset = 0;
+  std::uint64_t mTotal = 0; ///< bytes of the whole state
+  std::string mBytes;
+
+  friend auto operator<=>(const SnapshotPart&, const SnapshotPart&) = default;
+};
+
+/// Follower to leader: where the next part begins.
+struct SnapshotReply
+{
+  Term mTerm = 0;
+  std::uint64_t mRound = 0;
+  Index mIndex = 0;
+  std::uint64_t mOffset = 0;
+
+  friend auto operator<=>(const SnapshotReply&, const SnapshotReply&) = default;
+};
+
+/// Asks whether a process has an empty data folder, before a group is formed.
+struct EmptyAsk
+{
+  friend auto operator<=>(const EmptyAsk&, const EmptyAsk&) = default;
+};
+
+/// Answers EmptyAsk.
+struct EmptyReply
+{
+  Incarnation mAsker = 0; ///< incarnation that asked
+  bool mEmpty = false;
+
+  friend auto operator<=>(const EmptyReply&, const EmptyReply&) = default;
+};
+
 /// Passes a proposal to the leader.
 struct Forward
 {
@@ -57,6 +171,24 @@
   friend auto operator<=>(const Forward&, const Forward&) = default;
 };
 
-using Message = std::variant<Append, AppendReply, Forward>;
+using Body = std::variant<VoteAsk,
+                          VoteReply,
+                          Append,
+                          AppendReply,
+                          SnapshotPart,
+                          SnapshotReply,
+                          EmptyAsk,
+                          EmptyReply,
+                          Forward>;
+
+/// A message with what is known of its sender.
+struct Message
+{
+  Incarnation mSender = 0; ///< of the sender's data folder
+  Incarnation mGroup = 0;  ///< group of the sender; 0: it belongs to none yet
+  Body mBody;
+
+  friend auto operator<=>(const Message&, const Message&) = default;
+};
 
 } // namespace fighold::agreement
--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "fighold/agreement/message.hpp"
+#include "fighold/chart/bound_chart.hpp"
+#include "fighold/core/decision_record.hpp"
 #include "fighold/core/time.hpp"
 
+#include <filesystem>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -16,11 +20,63 @@
 /// Time between two heartbeat rounds of a leader.
 constexpr Millis kHeartbeatInterval{ 250 };
 
+/// Shortest time without a leader after which an election begins, and longest time that a leader
+/// goes on without a majority. Three heartbeat rounds and a round trip between regions fit in.
+constexpr Millis kElectionTimeout{ 850 };
+
+/// Random part of the election timeout, so that two processes seldom begin at the same time.
+constexpr Millis kElectionSpread{ 600 };
+
+/// States of charts/control_role.scxml, in the order of its registry.
+enum class Role : std::uint8_t
+{
+  Learner,
+  Follower,
+  PreCandidate,
+  Candidate,
+  Leader,
+  Halted,
+};
+
+struct Context;
+
+using RoleChart = chart::BoundChart<Context>;
+
+/// Loads charts/control_role.scxml.
+/// @param aFolder folder of the charts
+/// @throws FindingsError with every finding
+std::shared_ptr<const RoleChart>
+LoadRoleChart(const std::filesystem::path& aFolder);
+
 /// Settings of a node.
 struct Options
 {
   ControlId mSelf;
-  std::vector<ControlId> mVoters; ///< sorted; includes mSelf
+  std::set<ControlId> mConfigured;     ///< all control processes, this one included
+  std::uint64_t mSeed = 1;             ///< of the random part of election timeouts
+  std::uint64_t mSnapshotEvery = 1000; ///< entries
+  std::uint64_t mPartSize = 65'536;    ///< bytes of a part of a snapshot
+  std::shared_ptr<const RoleChart> mChart;
+};
+
+/// Term, and the vote given in it.
+struct TermVote
+{
+  Term mTerm = 0;
+  std::optional<Member> mVote;
+
+  friend auto operator<=>(const TermVote&, const TermVote&) = default;
+};
+
+/// What the storage holds at start, all synced.
+struct Recovered
+{
+  Incarnation mIncarnation = 0;
+  TermVote mTermVote;
+  SharedValue<Snapshot> mSnapshot; ///< index 0: none
+  std::vector<LogEntry> mLog;      ///< entries after the snapshot
+
+  friend bool operator==(const Recovered&, const Recovered&) = default;
 };
 
 /// Time passed.
@@ -29,7 +85,8 @@
   friend auto operator<=>(const Tick&, const Tick&) = default;
 };
 
-/// A payload to append to the replicated log, wherever the leader is.
+/// A payload to append to the replicated log, wherever the leader is. It is dropped when no leader
+/// is known, and it may be appended twice.
 struct Propose
 {
   std::string mPayload;
@@ -54,7 +111,16 @@
   friend auto operator<=>(const Stored&, const Stored&) = default;
 };
 
-using Event = std::variant<Tick, Propose, Received, Stored>;
+/// The state machine's answer to TakeSnapshot.
+struct SnapshotTaken
+{
+  Index mIndex = 0;
+  std::string mState;
+
+  friend auto operator<=>(const SnapshotTaken&, const SnapshotTaken&) = default;
+};
+
+using Event = std::variant<Tick, Propose, Received, Stored, SnapshotTaken>;
 
 /// Send a message.
 struct Send
@@ -65,16 +131,19 @@
   friend auto operator<=>(const Send&, const Send&) = default;
 };
 
-/// Write log entries and sync; answered by Stored with the same number.
+/// Write and sync; answered by Stored with the same number. Writes are carried out in order.
 struct Write
 {
   std::uint64_t mWrite = 0;
+  std::optional<TermVote> mTermVote;
+  std::optional<SharedValue<Snapshot>>
+    mSnapshot;                    ///< replaces the snapshot; mEntries then replace the whole log
   std::vector<LogEntry> mEntries; ///< replace whatever the log holds from the first one's index on
 
-  friend auto operator<=>(const Write&, const Write&) = default;
+  friend bool operator==(const Write&, const Write&) = default;
 };
 
-/// Apply a committed entry to the state machine; emitted in order, each index once.
+/// Apply a committed change to the state machine; emitted in order, each index once.
 struct Commit
 {
   LogEntry mEntry;
@@ -82,42 +151,99 @@
   friend auto operator<=>(const Commit&, const Commit&) = default;
 };
 
-using Effect = std::variant<Send, Write, Commit>;
+/// Replace the state of the state machine by a snapshot of the leader.
+struct Restore
+{
+  SharedValue<Snapshot> mSnapshot;
+
+  friend bool operator==(const Restore&, const Restore&) = default;
+};
+
+/// Encode the state of the state machine as it is now; answered by SnapshotTaken.
+struct TakeSnapshot
+{
+  Index mIndex = 0;
+
+  friend auto operator<=>(const TakeSnapshot&, const TakeSnapshot&) = default;
+};
+
+/// Log a change of role or membership.
+struct Record
+{
+  DecisionRecord mRecord;
+
+  friend auto operator<=>(const Record&, const Record&) = default;
+};
+
+using Effect = std::variant<Send, Write, Commit, Restore, TakeSnapshot, Record>;
 
-/// What is known of another voter.
+/// What a leader knows of another process.
 struct Peer
 {
+  Incarnation mIncarnation = 0;
   Index mSynced = 0;
   Index mNext = 1;
-  std::uint64_t mRound = 0; ///< last heartbeat round it acknowledged
+  bool mMatched = false;         ///< the log is known to match up to mSynced
+  std::uint64_t mRound = 0;      ///< last heartbeat round it acknowledged
+  std::uint64_t mFirstRound = 0; ///< first round begun after this incarnation was first heard
+  Index mSnapshotIndex = 0;      ///< snapshot in transfer
+  std::uint64_t mSnapshotOffset = 0;
 
   friend auto operator<=>(const Peer&, const Peer&) = default;
 };
 
+/// Parts of a snapshot received so far.
+struct Incoming
+{
+  Term mTerm = 0; ///< of the sending leader; two leaders may encode the same state differently
+  Index mIndex = 0;
+  std::string mBytes;
+
+  friend auto operator<=>(const Incoming&, const Incoming&) = default;
+};
+
 /// State of one control process.
 struct Node
 {
   Options mOptions;
-  Term mTerm = 1;
-  std::vector<LogEntry> mLog; ///< entry i has index i + 1
+  Incarnation mIncarnation = 0;
+  Role mRole = Role::Learner;
+  TermVote mTermVote;
+  std::optional<ControlId> mLeader;
+  Instant mHeardLeaderAt{};
+  Instant mElectionDeadline{};
+  std::uint64_t mRandom = 0;
+
+  SharedValue<Snapshot> mSnapshot;
+  std::vector<LogEntry> mLog; ///< entries after the snapshot
   Index mSynced = 0;
   Index mCommitted = 0;
+  Members mMembers; ///< newest in the log, committed or not
+  Index mMembersIndex = 0;
+  Incoming mIncoming;
+
   std::uint64_t mNextWrite = 1;
-  std::map<std::uint64_t, Index> mPendingWrites;
-  std::map<std::uint64_t, std::pair<ControlId, AppendReply>>
-    mPendingReplies; ///< sent once the write is synced
+  std::uint64_t mStoredWrite = 0;
+  std::uint64_t mTermWrite = 0;                     ///< write that holds mTermVote
+  std::map<std::uint64_t, Index> mPendingWrites;    ///< last entry that is synced with a write
+  std::multimap<std::uint64_t, Send> mPendingSends; ///< sent once the write is synced
+
+  std::set<ControlId> mVotes;                   ///< for the candidate or pre-candidate
+  std::map<ControlId, Incarnation> mEmptyPeers; ///< processes known to have empty folders
   std::map<ControlId, Peer> mPeers;
+  Index mTermStart = 0; ///< first entry of the leader's term
   std::uint64_t mRound = 0;
   std::map<std::uint64_t, Instant> mRoundTimes;
   Instant mNextHeartbeat{};
+  Instant mLeaderSince{};
   Instant mQuorumAt{};
 };
 
 /// @param aOptions settings
-/// @param aLog entries recovered from storage, all synced
-/// @return node at start
+/// @param aRecovered contents of the storage
+/// @return node at start; its state machine holds the recovered snapshot
 Node
-MakeNode(Options aOptions, std::vector<LogEntry> aLog);
+MakeNode(Options aOptions, Recovered aRecovered);
 
 /// @return true while the node acts as the leader
 bool
@@ -128,10 +254,15 @@
 Leader(const Node& aNode);
 
 /// @return start of the last heartbeat round that a majority acknowledged; leases that a leader
-/// grants rest on it
+/// grants rest on it. The epoch while the node does not lead or has not yet committed an entry of
+/// its term, because its state machine may be behind until then.
 Instant
 QuorumAt(const Node& aNode);
 
+/// @return name of a role, as in the chart
+std::string
+RoleName(Role aRole);
+
 /// Handles one event.
 /// @param aNode state, changed in place
 /// @param aEvent event
--- a/packages/agreement/include/fighold/agreement/storage.hpp
+++ b/packages/agreement/include/fighold/agreement/storage.hpp
@@ -1,14 +1,13 @@
 #pragma once
 
-#include "fighold/agreement/message.hpp"
+#include "fighold/agreement/node.hpp"
 
 #include <filesystem>
 #include <functional>
 #include <stdexcept>
 #include <string>
-#include <vector>
 
-/// Durable log of a control process.
+/// Durable state of a control process: incarnation, log with term and vote, snapshot.
 namespace fighold::agreement {
 
 /// A write or sync failed, or the files are damaged; the process must stop, since nothing is known
@@ -31,30 +30,34 @@
 FileOps
 PosixFileOps();
 
-/// An open log.
-struct LogFile
+/// An open data folder.
+struct Storage
 {
-  int mFile = -1;
-  std::filesystem::path mPath;
+  int mFile = -1; ///< log
+  std::filesystem::path mFolder;
   FileOps mOps;
 };
 
-/// Opens the log of a data folder, which is created when missing. A torn last record is cut off.
+/// Opens a data folder, which is created when missing. A torn last record of the log is cut off.
 /// @param aFolder data folder
 /// @param aOps file operations
-/// @param aEntries receives the entries
-/// @return open log
-/// @throws StorageError on a damaged record before the end or a failed operation
-LogFile
-OpenLog(const std::filesystem::path& aFolder, FileOps aOps, std::vector<LogEntry>& aEntries);
-
-/// Appends entries and syncs. An entry with a known index replaces all entries from that index on.
-/// @throws StorageError when the operation fails
+/// @param aFresh incarnation of the folder when it is new; not 0
+/// @param aRecovered receives what the folder holds
+/// @return open folder
+/// @throws StorageError on a damaged record before the end, a missing file or a failed operation
+Storage
+OpenStorage(const std::filesystem::path& aFolder,
+            FileOps aOps,
+            Incarnation aFresh,
+            Recovered& aRecovered);
+
+/// Carries out a write and syncs it.
+/// @throws StorageError when an operation fails
 void
-AppendLog(const LogFile& aLog, const std::vector<LogEntry>& aEntries);
+Perform(Storage& aStorage, const Write& aWrite);
 
-/// Closes the file.
+/// Closes the log.
 void
-CloseLog(LogFile& aLog);
+CloseStorage(Storage& aStorage);
 
 } // namespace fighold::agreement
--- /dev/null
+++ b/packages/agreement/src/election.cpp
@@ -0,0 +1,159 @@
+#include "context.hpp"
+
+namespace fighold::agreement {
+namespace {
+
+/// splitmix64: small, and good enough to spread timeouts.
+std::uint64_t
+NextRandom(std::uint64_t& aState)
+{
+  std::uint64_t z = (aState += 0x9e3779b97f4a7c15U);
+  z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9U;
+  z = (z ^ (z >> 27U)) * 0x94d049bb133111ebU;
+  return z ^ (z >> 31U);
+}
+
+void
+SendVoteAsks(Context& aContext, std::uint64_t aWrite, const VoteAsk& aAsk)
+{
+  for (const auto& [id, incarnation] : aContext.mNode.mMembers.mVoters) {
+    if (id != aContext.mNode.mOptions.mSelf) {
+      VoteAsk ask = aAsk;
+      ask.mVoter = incarnation;
+      SendAfter(aContext, aWrite, id, ask);
+    }
+  }
+}
+
+bool
+LogReaches(const Node& aNode, const VoteAsk& aAsk)
+{
+  const Index last = LastIndex(aNode);
+  return std::pair(aAsk.mLastTerm, aAsk.mLastIndex) >= std::pair(TermAt(aNode, last), last);
+}
+
+/// @return true while this process leads or has a leader that it heard from recently
+bool
+HasLeader(const Context& aContext)
+{
+  const Node& node = aContext.mNode;
+  return node.mRole == Role::Leader ||
+         (node.mLeader && aContext.mNow < node.mHeardLeaderAt + kElectionTimeout);
+}
+
+} // namespace
+
+void
+ResetElectionDeadline(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  const auto spread = static_cast<std::uint64_t>(kElectionSpread.count());
+  node.mElectionDeadline =
+    aContext.mNow + kElectionTimeout + Millis(NextRandom(node.mRandom) % spread);
+}
+
+void
+AdoptTerm(Context& aContext, TermVote aTermVote)
+{
+  aContext.mNode.mLeader.reset();
+  SetTermVote(aContext, std::move(aTermVote));
+  FireRole(aContext, RoleEvent::HigherTerm, "");
+}
+
+void
+AskPreVotes(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  node.mLeader.reset();
+  node.mVotes = { node.mOptions.mSelf };
+  ResetElectionDeadline(aContext);
+  const Index last = LastIndex(node);
+  SendVoteAsks(aContext, 0, { node.mTermVote.mTerm + 1, true, last, TermAt(node, last), 0 });
+}
+
+void
+AskVotes(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  node.mVotes.clear();
+  ResetElectionDeadline(aContext);
+  SetTermVote(aContext, { node.mTermVote.mTerm + 1, Self(node) });
+  const Index last = LastIndex(node);
+  // A restart must not forget that this term was asked for, so nothing is sent before the sync. It
+  // also covers the entries that the voters are told of.
+  SendVoteAsks(
+    aContext, node.mTermWrite, { node.mTermVote.mTerm, false, last, TermAt(node, last), 0 });
+}
+
+void
+CountVotes(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  if (node.mRole == Role::Candidate && node.mStoredWrite >= node.mTermWrite) {
+    node.mVotes.insert(node.mOptions.mSelf);
+  }
+  if ((node.mRole == Role::PreCandidate || node.mRole == Role::Candidate) &&
+      node.mVotes.size() > node.mMembers.mVoters.size() / 2) {
+    FireRole(aContext, RoleEvent::Majority, std::to_string(node.mVotes.size()) + " votes");
+  }
+}
+
+void
+TickElection(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  if (aContext.mNow >= node.mElectionDeadline) {
+    FireRole(aContext, RoleEvent::Timeout, "no leader heard");
+    CountVotes(aContext);
+  }
+}
+
+void
+HandleVoteAsk(Context& aContext, const Member& aFrom, const VoteAsk& aAsk)
+{
+  Node& node = aContext.mNode;
+  // A process that lost its disk does not know what its former self promised.
+  if (aAsk.mVoter != node.mIncarnation) {
+    return;
+  }
+  const bool newer = aAsk.mTerm > node.mTermVote.mTerm;
+  if (HasLeader(aContext) || aAsk.mTerm < node.mTermVote.mTerm || aAsk.mPreVote) {
+    const bool granted = aAsk.mPreVote && newer && !HasLeader(aContext) && LogReaches(node, aAsk);
+    SendAfter(aContext,
+              node.mTermWrite,
+              aFrom.mId,
+              VoteReply{ granted ? aAsk.mTerm : node.mTermVote.mTerm, aAsk.mPreVote, granted });
+    return;
+  }
+  const bool free = newer || !node.mTermVote.mVote || node.mTermVote.mVote == aFrom;
+  const bool granted = free && LogReaches(node, aAsk);
+  const std::optional<Member> vote = granted ? std::optional(aFrom) : std::nullopt;
+  if (newer) {
+    AdoptTerm(aContext, { aAsk.mTerm, vote });
+  } else if (granted && node.mTermVote.mVote != vote) {
+    SetTermVote(aContext, { aAsk.mTerm, vote });
+  }
+  if (granted) {
+    ResetElectionDeadline(aContext);
+  }
+  SendAfter(aContext, node.mTermWrite, aFrom.mId, VoteReply{ aAsk.mTerm, false, granted });
+}
+
+void
+HandleVoteReply(Context& aContext, const Member& aFrom, const VoteReply& aReply)
+{
+  Node& node = aContext.mNode;
+  const Term own = node.mTermVote.mTerm;
+  if (!aReply.mGranted && aReply.mTerm > own) {
+    AdoptTerm(aContext, { aReply.mTerm, std::nullopt });
+    return;
+  }
+  const bool counts = aReply.mPreVote ? node.mRole == Role::PreCandidate && aReply.mTerm == own + 1
+                                      : node.mRole == Role::Candidate && aReply.mTerm == own;
+  if (counts && aReply.mGranted && IsVoter(node, aFrom)) {
+    node.mVotes.insert(aFrom.mId);
+    CountVotes(aContext);
+  }
+}
+
+} // namespace fighold::agreement
--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -1,189 +1,117 @@
 #include "fighold/agreement/node.hpp"
 
+#include "context.hpp"
+
 #include <algorithm>
 
 namespace fighold::agreement {
 namespace {
 
-/// One step in progress.
-struct Context
-{
-  Node& mNode;
-  Instant mNow;
-  std::vector<Effect> mEffects;
-};
-
-Term
-TermAt(const Node& aNode, Index aIndex)
+void
+Handle(const Tick& /*aTick*/, Context& aContext)
 {
-  return aIndex == 0 || aIndex > aNode.mLog.size() ? 0 : aNode.mLog[aIndex - 1].mTerm;
+  switch (aContext.mNode.mRole) {
+    case Role::Learner:
+      TickBootstrap(aContext);
+      break;
+    case Role::Leader:
+      TickLeader(aContext);
+      break;
+    default:
+      TickElection(aContext);
+      break;
+  }
 }
 
 void
-SendAppend(Context& aContext, const ControlId& aPeer)
+Handle(const Propose& aPropose, Context& aContext)
 {
-  constexpr std::size_t kMaxEntries = 64;
   const Node& node = aContext.mNode;
-  const Index next = node.mPeers.at(aPeer).mNext;
-  Append append{ node.mTerm, next - 1, TermAt(node, next - 1), node.mCommitted, node.mRound, {} };
-  for (Index n = next; n <= node.mLog.size() && append.mEntries.size() < kMaxEntries; ++n) {
-    append.mEntries.push_back(node.mLog[n - 1]);
+  if (IsLeader(node)) {
+    AppendOwn(aContext, EntryKind::Change, aPropose.mPayload);
+  } else if (node.mLeader) {
+    SendTo(aContext, *node.mLeader, Forward{ aPropose.mPayload });
   }
-  aContext.mEffects.emplace_back(Send{ aPeer, append });
 }
 
 void
-SendAppendToAll(Context& aContext)
+Handle(const Stored& aStored, Context& aContext)
 {
-  for (const auto& [id, peer] : aContext.mNode.mPeers) {
-    SendAppend(aContext, id);
+  Node& node = aContext.mNode;
+  node.mStoredWrite = std::max(node.mStoredWrite, aStored.mWrite);
+  const auto written = node.mPendingWrites.upper_bound(aStored.mWrite);
+  if (written != node.mPendingWrites.begin()) {
+    node.mSynced = std::prev(written)->second;
+    node.mPendingWrites.erase(node.mPendingWrites.begin(), written);
+  }
+  const auto last = node.mPendingSends.upper_bound(aStored.mWrite);
+  for (auto it = node.mPendingSends.begin(); it != last; ++it) {
+    aContext.mEffects.emplace_back(std::move(it->second));
+  }
+  node.mPendingSends.erase(node.mPendingSends.begin(), last);
+  if (IsLeader(node)) {
+    AdvanceLeader(aContext);
+  } else {
+    CountVotes(aContext);
   }
 }
 
 void
-CommitUpTo(Context& aContext, Index aIndex)
+Handle(const SnapshotTaken& aTaken, Context& aContext)
 {
-  Node& node = aContext.mNode;
-  while (node.mCommitted < std::min<Index>(aIndex, node.mLog.size())) {
-    aContext.mEffects.emplace_back(Commit{ node.mLog[node.mCommitted] });
-    ++node.mCommitted;
-  }
+  HandleSnapshotTaken(aContext, aTaken);
 }
 
-/// @return value that a majority of the voters has reached, given this node's own value and those
-/// of its peers
-template<typename T>
-T
-MajorityValue(T aOwn, const std::map<ControlId, Peer>& aPeers, T Peer::*aField)
+void
+HandleBody(const Member& aFrom, const VoteAsk& aAsk, Context& aContext)
 {
-  std::vector<T> values{ aOwn };
-  for (const auto& [id, peer] : aPeers) {
-    values.push_back(peer.*aField);
-  }
-  std::sort(values.begin(), values.end(), std::greater<>());
-  return values[values.size() / 2];
+  HandleVoteAsk(aContext, aFrom, aAsk);
 }
 
 void
-AdvanceLeader(Context& aContext)
+HandleBody(const Member& aFrom, const VoteReply& aReply, Context& aContext)
 {
-  Node& node = aContext.mNode;
-  const Index before = node.mCommitted;
-  CommitUpTo(aContext, MajorityValue(node.mSynced, node.mPeers, &Peer::mSynced));
-  if (node.mCommitted > before) {
-    SendAppendToAll(aContext);
-  }
-  const std::uint64_t round = MajorityValue(node.mRound, node.mPeers, &Peer::mRound);
-  if (const auto it = node.mRoundTimes.find(round); it != node.mRoundTimes.end()) {
-    node.mQuorumAt = std::max(node.mQuorumAt, it->second);
-    node.mRoundTimes.erase(node.mRoundTimes.begin(), it);
-  }
+  HandleVoteReply(aContext, aFrom, aReply);
 }
 
-std::uint64_t
-WriteEntries(Context& aContext, std::vector<LogEntry> aEntries)
+void
+HandleBody(const Member& aFrom, const Append& aAppend, Context& aContext)
 {
-  Node& node = aContext.mNode;
-  const std::uint64_t write = node.mNextWrite++;
-  node.mLog.resize(aEntries.front().mIndex - 1);
-  node.mLog.insert(node.mLog.end(), aEntries.begin(), aEntries.end());
-  node.mPendingWrites[write] = aEntries.back().mIndex;
-  aContext.mEffects.emplace_back(Write{ write, std::move(aEntries) });
-  return write;
+  HandleAppend(aContext, aFrom.mId, aAppend);
 }
 
 void
-Handle(const Tick& /*aTick*/, Context& aContext)
+HandleBody(const Member& aFrom, const AppendReply& aReply, Context& aContext)
 {
-  Node& node = aContext.mNode;
-  if (!IsLeader(node) || aContext.mNow < node.mNextHeartbeat) {
-    return;
-  }
-  node.mNextHeartbeat = aContext.mNow + kHeartbeatInterval;
-  node.mRoundTimes[++node.mRound] = aContext.mNow;
-  SendAppendToAll(aContext);
-  AdvanceLeader(aContext);
+  HandleAppendReply(aContext, aFrom, aReply);
 }
 
 void
-Handle(const Propose& aPropose, Context& aContext)
+HandleBody(const Member& aFrom, const SnapshotPart& aPart, Context& aContext)
 {
-  Node& node = aContext.mNode;
-  if (!IsLeader(node)) {
-    aContext.mEffects.emplace_back(Send{ *Leader(node), Forward{ aPropose.mPayload } });
-    return;
-  }
-  WriteEntries(aContext, { LogEntry{ node.mLog.size() + 1, node.mTerm, aPropose.mPayload } });
-  SendAppendToAll(aContext);
+  HandleSnapshotPart(aContext, aFrom.mId, aPart);
 }
 
 void
-Handle(const Stored& aStored, Context& aContext)
+HandleBody(const Member& aFrom, const SnapshotReply& aReply, Context& aContext)
 {
-  Node& node = aContext.mNode;
-  const auto it = node.mPendingWrites.find(aStored.mWrite);
-  if (it == node.mPendingWrites.end()) {
-    return;
-  }
-  node.mSynced = it->second;
-  node.mPendingWrites.erase(it);
-  if (const auto reply = node.mPendingReplies.find(aStored.mWrite);
-      reply != node.mPendingReplies.end()) {
-    aContext.mEffects.emplace_back(Send{ reply->second.first, reply->second.second });
-    node.mPendingReplies.erase(reply);
-  }
-  if (IsLeader(node)) {
-    AdvanceLeader(aContext);
-  }
+  HandleSnapshotReply(aContext, aFrom, aReply);
 }
 
 void
-HandleMessage(const ControlId& aFrom, const Append& aAppend, Context& aContext)
+HandleBody(const Member& aFrom, const EmptyAsk& /*aAsk*/, Context& aContext)
 {
-  Node& node = aContext.mNode;
-  if (aAppend.mPrevious > node.mLog.size() ||
-      TermAt(node, aAppend.mPrevious) != aAppend.mPreviousTerm) {
-    aContext.mEffects.emplace_back(
-      Send{ aFrom, AppendReply{ node.mTerm, false, node.mSynced, aAppend.mRound } });
-    return;
-  }
-  std::vector<LogEntry> fresh;
-  for (const LogEntry& it : aAppend.mEntries) {
-    if (it.mIndex > node.mLog.size()) {
-      fresh.push_back(it);
-    }
-  }
-  const Index matched = aAppend.mPrevious + aAppend.mEntries.size();
-  const AppendReply reply{ node.mTerm, true, matched, aAppend.mRound };
-  if (!fresh.empty()) {
-    const std::uint64_t write = WriteEntries(aContext, fresh);
-    node.mPendingReplies[write] = { aFrom, reply };
-  } else {
-    aContext.mEffects.emplace_back(Send{
-      aFrom, AppendReply{ node.mTerm, true, std::min(matched, node.mSynced), aAppend.mRound } });
-  }
-  CommitUpTo(aContext, std::min(aAppend.mCommit, matched));
+  HandleEmptyAsk(aContext, aFrom);
 }
 
 void
-HandleMessage(const ControlId& aFrom, const AppendReply& aReply, Context& aContext)
+HandleBody(const Member& aFrom, const EmptyReply& aReply, Context& aContext)
 {
-  Node& node = aContext.mNode;
-  const auto it = node.mPeers.find(aFrom);
-  if (it == node.mPeers.end()) {
-    return;
-  }
-  Peer& peer = it->second;
-  peer.mRound = std::max(peer.mRound, aReply.mRound);
-  if (aReply.mAccepted) {
-    peer.mSynced = std::max(peer.mSynced, aReply.mSynced);
-  }
-  peer.mNext = aReply.mSynced + 1;
-  AdvanceLeader(aContext);
+  HandleEmptyReply(aContext, aFrom, aReply);
 }
 
 void
-HandleMessage(const ControlId& /*aFrom*/, const Forward& aForward, Context& aContext)
+HandleBody(const Member& /*aFrom*/, const Forward& aForward, Context& aContext)
 {
   if (IsLeader(aContext.mNode)) {
     Handle(Propose{ aForward.mPayload }, aContext);
@@ -193,51 +121,142 @@
 void
 Handle(const Received& aReceived, Context& aContext)
 {
-  std::visit([&](const auto& aMessage) { HandleMessage(aReceived.mFrom, aMessage, aContext); },
-             aReceived.mMessage);
+  const Message& message = aReceived.mMessage;
+  const Incarnation group = aContext.mNode.mMembers.mGroup;
+  if (group != 0 && message.mGroup != 0 && message.mGroup != group) {
+    return;
+  }
+  const Member from{ aReceived.mFrom, message.mSender };
+  std::visit([&](const auto& aBody) { HandleBody(from, aBody, aContext); }, message.mBody);
 }
 
 } // namespace
 
+Index
+LastIndex(const Node& aNode)
+{
+  return aNode.mSnapshot->mIndex + aNode.mLog.size();
+}
+
+Term
+TermAt(const Node& aNode, Index aIndex)
+{
+  if (aIndex == aNode.mSnapshot->mIndex) {
+    return aNode.mSnapshot->mTerm;
+  }
+  const bool known = aIndex > aNode.mSnapshot->mIndex && aIndex <= LastIndex(aNode);
+  return known ? EntryAt(aNode, aIndex).mTerm : 0;
+}
+
+const LogEntry&
+EntryAt(const Node& aNode, Index aIndex)
+{
+  return aNode.mLog[aIndex - aNode.mSnapshot->mIndex - 1];
+}
+
+void
+SendTo(Context& aContext, const ControlId& aTo, Body aBody)
+{
+  SendAfter(aContext, 0, aTo, std::move(aBody));
+}
+
+void
+SendAfter(Context& aContext, std::uint64_t aWrite, const ControlId& aTo, Body aBody)
+{
+  Node& node = aContext.mNode;
+  Send send{ aTo, Message{ node.mIncarnation, node.mMembers.mGroup, std::move(aBody) } };
+  if (aWrite <= node.mStoredWrite) {
+    aContext.mEffects.emplace_back(std::move(send));
+  } else {
+    node.mPendingSends.emplace(aWrite, std::move(send));
+  }
+}
+
+std::uint64_t
+EmitWrite(Context& aContext, Write aWrite)
+{
+  aWrite.mWrite = aContext.mNode.mNextWrite++;
+  const std::uint64_t number = aWrite.mWrite;
+  aContext.mEffects.emplace_back(std::move(aWrite));
+  return number;
+}
+
+std::uint64_t
+WriteEntries(Context& aContext, std::vector<LogEntry> aEntries)
+{
+  Node& node = aContext.mNode;
+  const Index first = aEntries.front().mIndex;
+  node.mLog.resize(first - node.mSnapshot->mIndex - 1);
+  node.mLog.insert(node.mLog.end(), aEntries.begin(), aEntries.end());
+  // Entries that are replaced no longer count as synced, even when their write completes.
+  node.mSynced = std::min(node.mSynced, first - 1);
+  for (auto& [number, last] : node.mPendingWrites) {
+    last = std::min(last, first - 1);
+  }
+  const std::uint64_t write =
+    EmitWrite(aContext, { 0, std::nullopt, std::nullopt, std::move(aEntries) });
+  node.mPendingWrites[write] = LastIndex(node);
+  RefreshMembers(aContext);
+  return write;
+}
+
+void
+SetTermVote(Context& aContext, TermVote aTermVote)
+{
+  Node& node = aContext.mNode;
+  node.mTermVote = std::move(aTermVote);
+  node.mTermWrite = EmitWrite(aContext, { 0, node.mTermVote, std::nullopt, {} });
+}
+
 Node
-MakeNode(Options aOptions, std::vector<LogEntry> aLog)
+MakeNode(Options aOptions, Recovered aRecovered)
 {
   Node node;
-  for (const ControlId& it : aOptions.mVoters) {
+  for (const ControlId& it : aOptions.mConfigured) {
     if (it != aOptions.mSelf) {
       node.mPeers[it] = {};
     }
   }
+  node.mRandom = aOptions.mSeed;
   node.mOptions = std::move(aOptions);
-  node.mLog = std::move(aLog);
-  node.mSynced = node.mLog.size();
+  node.mIncarnation = aRecovered.mIncarnation;
+  node.mTermVote = std::move(aRecovered.mTermVote);
+  node.mSnapshot = std::move(aRecovered.mSnapshot);
+  node.mLog = std::move(aRecovered.mLog);
+  node.mSynced = LastIndex(node);
+  node.mCommitted = node.mSnapshot->mIndex;
   return node;
 }
 
 bool
 IsLeader(const Node& aNode)
 {
-  return Leader(aNode) == aNode.mOptions.mSelf;
+  return aNode.mRole == Role::Leader;
 }
 
 std::optional<ControlId>
 Leader(const Node& aNode)
 {
-  // The first voter leads until elections are built.
-  return aNode.mOptions.mVoters.front();
+  return aNode.mLeader;
 }
 
 Instant
 QuorumAt(const Node& aNode)
 {
-  return aNode.mQuorumAt;
+  return IsLeader(aNode) && aNode.mCommitted >= aNode.mTermStart ? aNode.mQuorumAt : Instant{};
 }
 
 std::vector<Effect>
 Step(Node& aNode, const Event& aEvent, Instant aNow)
 {
   Context context{ aNode, aNow, {} };
-  std::visit([&](const auto& aBody) { Handle(aBody, context); }, aEvent);
+  if (aNode.mRole == Role::Learner && aNode.mMembers.mGroup == 0) {
+    // The first step after a start takes up the recovered membership.
+    RefreshMembers(context);
+  }
+  if (aNode.mRole != Role::Halted) {
+    std::visit([&](const auto& aBody) { Handle(aBody, context); }, aEvent);
+  }
   return std::move(context.mEffects);
 }
 
--- /dev/null
+++ b/packages/agreement/src/records.cpp
@@ -0,0 +1,159 @@
+#include "records.hpp"
+
+#include "bytes.hpp"
+#include "fighold/agreement/storage.hpp"
+
+#include <xxhash.h>
+
+namespace fighold::agreement::detail {
+namespace {
+
+constexpr std::size_t kHeaderSize = 12;
+
+/// Kinds of records in the log.
+enum class RecordKind : std::uint8_t
+{
+  Entry = 1,
+  TermVote = 2,
+};
+
+std::uint64_t
+Checksum(std::string_view aBody, std::size_t aPlace)
+{
+  // The length takes part through the seed; the place alone would let a length of zero pass.
+  return XXH3_64bits_withSeed(
+    aBody.data(), aBody.size(), (static_cast<std::uint64_t>(aPlace) << 32U) + aBody.size());
+}
+
+/// @return body of the whole record at a place, or nothing
+std::optional<std::string_view>
+BodyAt(std::string_view aBytes, std::size_t aPlace)
+{
+  Reader in{ aBytes.substr(aPlace) };
+  const auto size = in.Number<std::uint32_t>();
+  const auto checksum = in.Number<std::uint64_t>();
+  const std::string_view body = in.Bytes(size);
+  const bool whole = in.mOk && size > 0 && Checksum(body, aPlace) == checksum;
+  return whole ? std::optional(body) : std::nullopt;
+}
+
+void
+PutText(std::string& aOut, std::string_view aText)
+{
+  PutNumber(aOut, static_cast<std::uint32_t>(aText.size()));
+  aOut += aText;
+}
+
+} // namespace
+
+void
+PutRecord(std::string& aOut, std::size_t aPlace, std::string_view aBody)
+{
+  const std::uint64_t checksum = Checksum(aBody, aPlace + aOut.size());
+  PutNumber(aOut, static_cast<std::uint32_t>(aBody.size()));
+  PutNumber(aOut, checksum);
+  aOut += aBody;
+}
+
+Bodies
+GetBodies(std::string_view aBytes, const std::string& aName)
+{
+  Bodies bodies;
+  while (const auto body = BodyAt(aBytes, bodies.mWhole)) {
+    bodies.mBodies.push_back(*body);
+    bodies.mWhole += kHeaderSize + body->size();
+  }
+  for (std::size_t at = bodies.mWhole + 1; at + kHeaderSize < aBytes.size(); ++at) {
+    if (BodyAt(aBytes, at)) {
+      throw StorageError(aName + ": damaged record at byte " + std::to_string(bodies.mWhole));
+    }
+  }
+  return bodies;
+}
+
+std::string
+EncodeEntry(const LogEntry& aEntry)
+{
+  std::string out;
+  PutNumber(out, static_cast<std::uint8_t>(RecordKind::Entry));
+  PutNumber(out, aEntry.mIndex);
+  PutNumber(out, aEntry.mTerm);
+  PutNumber(out, static_cast<std::uint8_t>(aEntry.mKind));
+  return out + aEntry.mPayload;
+}
+
+std::string
+EncodeTermVote(const TermVote& aTermVote)
+{
+  std::string out;
+  PutNumber(out, static_cast<std::uint8_t>(RecordKind::TermVote));
+  PutNumber(out, aTermVote.mTerm);
+  if (aTermVote.mVote) {
+    PutNumber(out, aTermVote.mVote->mIncarnation);
+    PutText(out, aTermVote.mVote->mId.mValue);
+  }
+  return out;
+}
+
+std::string
+EncodeSnapshot(const Snapshot& aSnapshot)
+{
+  std::string out;
+  PutNumber(out, aSnapshot.mIndex);
+  PutNumber(out, aSnapshot.mTerm);
+  PutText(out, EncodeMembers(aSnapshot.mMembers));
+  return out + aSnapshot.mState;
+}
+
+bool
+ReplayLogRecord(std::string_view aBody, Recovered& aRecovered)
+{
+  Reader in{ aBody };
+  const auto kind = in.Number<std::uint8_t>();
+  if (kind == static_cast<std::uint8_t>(RecordKind::TermVote)) {
+    TermVote read{ in.Number<std::uint64_t>(), std::nullopt };
+    if (!in.mRest.empty()) {
+      const auto incarnation = in.Number<std::uint64_t>();
+      const auto size = in.Number<std::uint32_t>();
+      read.mVote = Member{ { std::string(in.Bytes(size)) }, incarnation };
+    }
+    const bool ordered = read.mTerm >= aRecovered.mTermVote.mTerm;
+    aRecovered.mTermVote = std::move(read);
+    return in.mOk && ordered;
+  }
+  LogEntry entry;
+  entry.mIndex = in.Number<std::uint64_t>();
+  entry.mTerm = in.Number<std::uint64_t>();
+  const auto entryKind = in.Number<std::uint8_t>();
+  entry.mKind = static_cast<EntryKind>(entryKind);
+  entry.mPayload = in.mRest;
+  auto& log = aRecovered.mLog;
+  const Index first = log.empty() ? entry.mIndex : log.front().mIndex;
+  if (!in.mOk || kind != static_cast<std::uint8_t>(RecordKind::Entry) ||
+      entryKind > static_cast<std::uint8_t>(EntryKind::Members) || entry.mIndex == 0 ||
+      entry.mIndex < first || entry.mIndex > first + log.size()) {
+    return false;
+  }
+  log.resize(entry.mIndex - first);
+  log.push_back(std::move(entry));
+  return true;
+}
+
+std::optional<Snapshot>
+DecodeSnapshot(std::string_view aBody)
+{
+  Reader in{ aBody };
+  Snapshot snapshot;
+  snapshot.mIndex = in.Number<std::uint64_t>();
+  snapshot.mTerm = in.Number<std::uint64_t>();
+  const auto size = in.Number<std::uint32_t>();
+  const auto members = DecodeMembers(in.Bytes(size));
+  if (!in.mOk || !members) {
+    return std::nullopt;
+  }
+  snapshot.mMembers = *members;
+  snapshot.mState = in.mRest;
+  return snapshot;
+}
+
+} // namespace fighold::agreement::detail
--- /dev/null
+++ b/packages/agreement/src/replication.cpp
@@ -0,0 +1,272 @@
+#include "context.hpp"
+
+#include <algorithm>
+
+namespace fighold::agreement {
+namespace {
+
+/// Entries in one message.
+constexpr std::size_t kMaxEntries = 64;
+
+void
+SendAppendToAll(Context& aContext)
+{
+  for (const auto& [id, peer] : aContext.mNode.mPeers) {
+    SendAppend(aContext, id);
+  }
+}
+
+void
+StartRound(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  node.mNextHeartbeat = aContext.mNow + kHeartbeatInterval;
+  node.mRoundTimes[++node.mRound] = aContext.mNow;
+  for (auto& [id, peer] : node.mPeers) {
+    if (peer.mMatched) {
+      peer.mNext = peer.mSynced + 1;
+    }
+    SendAppend(aContext, id);
+  }
+}
+
+/// @return value that a majority of the voters has reached
+template<typename T>
+T
+MajorityValue(const Node& aNode, T aOwn, T Peer::*aField)
+{
+  std::vector<T> values;
+  for (const auto& [id, incarnation] : aNode.mMembers.mVoters) {
+    const auto it = aNode.mPeers.find(id);
+    if (id == aNode.mOptions.mSelf) {
+      values.push_back(aOwn);
+    } else {
+      const bool known = it != aNode.mPeers.end() && it->second.mIncarnation == incarnation;
+      values.push_back(known ? it->second.*aField : T{});
+    }
+  }
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values.empty() ? T{} : values[values.size() / 2];
+}
+
+/// @return entries that this process lacks, or nothing when one contradicts a committed entry
+std::optional<std::vector<LogEntry>>
+FreshEntries(const Node& aNode, const std::vector<LogEntry>& aEntries)
+{
+  for (auto it = aEntries.begin(); it != aEntries.end(); ++it) {
+    const bool known = it->mIndex <= aNode.mSnapshot->mIndex ||
+                       (it->mIndex <= LastIndex(aNode) && TermAt(aNode, it->mIndex) == it->mTerm);
+    if (!known && it->mIndex <= aNode.mCommitted) {
+      return std::nullopt;
+    }
+    if (!known) {
+      return std::vector<LogEntry>(it, aEntries.end());
+    }
+  }
+  return std::vector<LogEntry>{};
+}
+
+} // namespace
+
+void
+Lead(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  node.mLeader = node.mOptions.mSelf;
+  node.mLeaderSince = aContext.mNow;
+  node.mQuorumAt = {};
+  node.mRoundTimes.clear();
+  for (const auto& [id, incarnation] : node.mMembers.mVoters) {
+    node.mPeers[id] = {};
+  }
+  node.mPeers.erase(node.mOptions.mSelf);
+  for (auto& [id, peer] : node.mPeers) {
+    const auto it = node.mMembers.mVoters.find(id);
+    peer = Peer{};
+    peer.mIncarnation = it == node.mMembers.mVoters.end() ? 0 : it->second;
+    peer.mNext = LastIndex(node) + 1;
+  }
+  node.mTermStart = LastIndex(node) + 1;
+  WriteEntries(aContext, { { node.mTermStart, node.mTermVote.mTerm, "", EntryKind::Empty } });
+  StartRound(aContext);
+}
+
+void
+TickLeader(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  if (aContext.mNow >= std::max(node.mQuorumAt, node.mLeaderSince) + kElectionTimeout) {
+    FireRole(aContext, RoleEvent::QuorumLost, "no majority acknowledged");
+    return;
+  }
+  if (aContext.mNow >= node.mNextHeartbeat) {
+    StartRound(aContext);
+    AdvanceLeader(aContext);
+  }
+}
+
+void
+AppendOwn(Context& aContext, EntryKind aKind, std::string aPayload)
+{
+  Node& node = aContext.mNode;
+  WriteEntries(aContext,
+               { { LastIndex(node) + 1, node.mTermVote.mTerm, std::move(aPayload), aKind } });
+  SendAppendToAll(aContext);
+}
+
+void
+SendAppend(Context& aContext, const ControlId& aPeer)
+{
+  const Node& node = aContext.mNode;
+  Peer& peer = aContext.mNode.mPeers.at(aPeer);
+  if (peer.mNext <= node.mSnapshot->mIndex) {
+    SendSnapshotPart(aContext, aPeer);
+    return;
+  }
+  const Index previous = peer.mNext - 1;
+  Append append{ node.mTermVote.mTerm, previous,    TermAt(node, previous),
+                 node.mCommitted,      node.mRound, {} };
+  for (Index n = peer.mNext; n <= LastIndex(node) && append.mEntries.size() < kMaxEntries; ++n) {
+    append.mEntries.push_back(EntryAt(node, n));
+  }
+  if (peer.mMatched) {
+    peer.mNext += append.mEntries.size();
+  }
+  SendTo(aContext, aPeer, std::move(append));
+}
+
+void
+CommitUpTo(Context& aContext, Index aIndex)
+{
+  Node& node = aContext.mNode;
+  while (node.mCommitted < std::min(aIndex, LastIndex(node))) {
+    const LogEntry& entry = EntryAt(node, ++node.mCommitted);
+    if (entry.mKind == EntryKind::Change) {
+      aContext.mEffects.emplace_back(Commit{ entry });
+    }
+  }
+  SnapshotIfDue(aContext);
+}
+
+void
+AdvanceLeader(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  const Index reached = MajorityValue(node, node.mSynced, &Peer::mSynced);
+  // An entry of an older term may still be replaced by another leader, however many copies it has.
+  if (reached > node.mCommitted && TermAt(node, reached) == node.mTermVote.mTerm) {
+    CommitUpTo(aContext, reached);
+    SendAppendToAll(aContext);
+  }
+  const std::uint64_t round = MajorityValue(node, node.mRound, &Peer::mRound);
+  if (const auto it = node.mRoundTimes.find(round); it != node.mRoundTimes.end()) {
+    node.mQuorumAt = std::max(node.mQuorumAt, it->second);
+    node.mRoundTimes.erase(node.mRoundTimes.begin(), it);
+  }
+  AdmitLearners(aContext);
+}
+
+bool
+AcceptLeader(Context& aContext, const ControlId& aFrom, Term aTerm)
+{
+  Node& node = aContext.mNode;
+  if (aTerm < node.mTermVote.mTerm) {
+    return false;
+  }
+  if (aTerm > node.mTermVote.mTerm) {
+    AdoptTerm(aContext, { aTerm, std::nullopt });
+  }
+  if (node.mRole == Role::Leader) {
+    FireRole(aContext, RoleEvent::Conflict, aFrom.mValue + " leads the same term");
+    return false;
+  }
+  node.mLeader = aFrom;
+  node.mHeardLeaderAt = aContext.mNow;
+  ResetElectionDeadline(aContext);
+  FireRole(aContext, RoleEvent::LeaderSeen, aFrom.mValue);
+  return true;
+}
+
+Peer*
+PeerOf(Context& aContext, const Member& aFrom, Term aTerm, std::uint64_t aRound)
+{
+  Node& node = aContext.mNode;
+  if (aTerm > node.mTermVote.mTerm) {
+    AdoptTerm(aContext, { aTerm, std::nullopt });
+  }
+  const auto it = node.mPeers.find(aFrom.mId);
+  if (node.mRole != Role::Leader || aTerm < node.mTermVote.mTerm || it == node.mPeers.end()) {
+    return nullptr;
+  }
+  Peer& peer = it->second;
+  if (peer.mIncarnation != aFrom.mIncarnation) {
+    peer = Peer{};
+    peer.mIncarnation = aFrom.mIncarnation;
+    peer.mNext = LastIndex(node) + 1;
+    peer.mFirstRound = node.mRound + 1;
+  }
+  peer.mRound = std::max(peer.mRound, aRound);
+  return &peer;
+}
+
+void
+HandleAppend(Context& aContext, const ControlId& aFrom, const Append& aAppend)
+{
+  Node& node = aContext.mNode;
+  if (!AcceptLeader(aContext, aFrom, aAppend.mTerm)) {
+    SendAfter(aContext, node.mTermWrite, aFrom, AppendReply{ node.mTermVote.mTerm, false, 0, 0 });
+    return;
+  }
+  const Term term = node.mTermVote.mTerm;
+  const bool matches = aAppend.mPrevious < node.mSnapshot->mIndex ||
+                       (aAppend.mPrevious <= LastIndex(node) &&
+                        TermAt(node, aAppend.mPrevious) == aAppend.mPreviousTerm);
+  if (!matches) {
+    SendAfter(aContext,
+              node.mTermWrite,
+              aFrom,
+              AppendReply{ term, false, node.mCommitted, aAppend.mRound });
+    return;
+  }
+  auto fresh = FreshEntries(node, aAppend.mEntries);
+  if (!fresh) {
+    FireRole(aContext, RoleEvent::Conflict, aFrom.mValue + " replaces a committed entry");
+    return;
+  }
+  const Index matched = aAppend.mPrevious + aAppend.mEntries.size();
+  if (!fresh->empty()) {
+    const std::uint64_t write = WriteEntries(aContext, std::move(*fresh));
+    SendAfter(aContext, write, aFrom, AppendReply{ term, true, matched, aAppend.mRound });
+  } else {
+    SendAfter(aContext,
+              node.mTermWrite,
+              aFrom,
+              AppendReply{ term, true, std::min(matched, node.mSynced), aAppend.mRound });
+  }
+  CommitUpTo(aContext, std::min(aAppend.mCommit, matched));
+}
+
+void
+HandleAppendReply(Context& aContext, const Member& aFrom, const AppendReply& aReply)
+{
+  Peer* peer = PeerOf(aContext, aFrom, aReply.mTerm, aReply.mRound);
+  if (peer == nullptr) {
+    return;
+  }
+  const Index next = peer->mNext;
+  if (aReply.mAccepted) {
+    peer->mSynced = std::max(peer->mSynced, aReply.mSynced);
+    peer->mMatched = true;
+    peer->mNext = std::max(peer->mNext, peer->mSynced + 1);
+  } else {
+    peer->mNext = std::max(peer->mSynced, aReply.mSynced) + 1;
+    peer->mMatched = false;
+  }
+  // A refusal that brings nothing new is answered by the next heartbeat only.
+  if (peer->mNext <= LastIndex(aContext.mNode) && (aReply.mAccepted || peer->mNext != next)) {
+    SendAppend(aContext, aFrom.mId);
+  }
+  AdvanceLeader(aContext);
+}
+
+} // namespace fighold::agreement
--- a/packages/agreement/src/storage.cpp
+++ b/packages/agreement/src/storage.cpp
@@ -1,6 +1,7 @@
 #include "fighold/agreement/storage.hpp"
 
-#include <xxhash.h>
+#include "bytes.hpp"
+#include "records.hpp"
 
 #include <cerrno>
 #include <cstring>
@@ -12,10 +13,9 @@
 namespace fighold::agreement {
 namespace {
 
-/// Record: length of the body (4 bytes), checksum of the body (8), body: index (8), term (8),
-/// payload. Little endian.
-constexpr std::size_t kHeaderSize = 12;
-constexpr std::size_t kFixedBody = 16;
+constexpr const char* kIncarnationFile = "incarnation";
+constexpr const char* kSnapshotFile = "snapshot";
+constexpr const char* kLogFile = "log";
 
 [[noreturn]] void
 Fail(const std::string& aWhat)
@@ -23,80 +23,161 @@
   throw StorageError(aWhat + ": " + std::strerror(errno));
 }
 
-template<typename T>
+/// A file descriptor that is closed at the end of its scope.
+struct OpenFile
+{
+  int mFile;
+
+  OpenFile(const std::filesystem::path& aPath, int aFlags)
+    : mFile(::open(aPath.c_str(), aFlags | O_CLOEXEC, 0600))
+  {
+    if (mFile < 0) {
+      Fail("cannot open " + aPath.string());
+    }
+  }
+  ~OpenFile()
+  {
+    if (mFile >= 0) {
+      ::close(mFile);
+    }
+  }
+  OpenFile(const OpenFile&) = delete;
+  OpenFile& operator=(const OpenFile&) = delete;
+
+  int Release() { return std::exchange(mFile, -1); }
+};
+
+std::optional<std::string>
+ReadFile(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::string bytes{ std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+  if (file.bad()) {
+    Fail("cannot read " + aPath.string());
+  }
+  return bytes;
+}
+
 void
-PutNumber(std::string& aOut, T aNumber)
+SyncFolder(const Storage& aStorage)
+{
+  const OpenFile folder(aStorage.mFolder, O_RDONLY | O_DIRECTORY);
+  aStorage.mOps.mSync(folder.mFile);
+}
+
+/// Replaces a file as a whole: after a crash either the old or the new contents are there.
+/// @return the new file, open for appending
+int
+ReplaceFile(const Storage& aStorage, const char* aName, const std::string& aBytes)
 {
-  for (std::size_t n = 0; n < sizeof(T); ++n) {
-    aOut += static_cast<char>((aNumber >> (8 * n)) & 0xffU);
+  const std::filesystem::path path = aStorage.mFolder / aName;
+  const std::filesystem::path fresh = path.string() + ".new";
+  OpenFile file(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND);
+  aStorage.mOps.mWrite(file.mFile, aBytes);
+  aStorage.mOps.mSync(file.mFile);
+  if (::rename(fresh.c_str(), path.c_str()) != 0) {
+    Fail("cannot rename " + fresh.string());
   }
+  SyncFolder(aStorage);
+  return file.Release();
 }
 
-template<typename T>
-T
-GetNumber(const std::string& aBytes, std::size_t aAt)
+/// @return the only body of a file that is always replaced as a whole
+std::string_view
+OnlyBody(std::string_view aBytes, const std::filesystem::path& aPath)
 {
-  T number = 0;
-  for (std::size_t n = 0; n < sizeof(T); ++n) {
-    number |= static_cast<T>(static_cast<unsigned char>(aBytes[aAt + n])) << (8 * n);
+  const detail::Bodies bodies = detail::GetBodies(aBytes, aPath.string());
+  if (bodies.mBodies.size() != 1 || bodies.mWhole != aBytes.size()) {
+    throw StorageError(aPath.string() + ": damaged");
   }
-  return number;
+  return bodies.mBodies.front();
 }
 
-std::string
-Encode(const LogEntry& aEntry)
+Incarnation
+ReadIncarnation(const Storage& aStorage, Incarnation aFresh)
 {
+  const std::filesystem::path path = aStorage.mFolder / kIncarnationFile;
+  if (const auto bytes = ReadFile(path)) {
+    detail::Reader in{ OnlyBody(*bytes, path) };
+    return in.Number<std::uint64_t>();
+  }
+  if (std::filesystem::exists(aStorage.mFolder / kLogFile) ||
+      std::filesystem::exists(aStorage.mFolder / kSnapshotFile)) {
+    throw StorageError(path.string() + ": missing, although the folder holds a log");
+  }
   std::string body;
-  PutNumber(body, aEntry.mIndex);
-  PutNumber(body, aEntry.mTerm);
-  body += aEntry.mPayload;
-  std::string out;
-  PutNumber(out, static_cast<std::uint32_t>(body.size()));
-  PutNumber(out, static_cast<std::uint64_t>(XXH3_64bits(body.data(), body.size())));
-  return out + body;
+  detail::PutNumber(body, aFresh);
+  std::string bytes;
+  detail::PutRecord(bytes, 0, body);
+  ::close(ReplaceFile(aStorage, kIncarnationFile, bytes));
+  return aFresh;
 }
 
-/// Reads records from the start.
-/// @return number of bytes of whole records
-std::size_t
-Decode(const std::string& aBytes, const std::string& aName, std::vector<LogEntry>& aEntries)
+/// Drops entries that the snapshot covers, and a log that contradicts it.
+void
+TrimLog(Recovered& aRecovered, const std::string& aName)
 {
-  std::size_t at = 0;
-  while (aBytes.size() - at >= kHeaderSize) {
-    const auto size = GetNumber<std::uint32_t>(aBytes, at);
-    const auto checksum = GetNumber<std::uint64_t>(aBytes, at + 4);
-    const std::size_t end = at + kHeaderSize + size;
-    if (size < kFixedBody || end > aBytes.size()) {
-      break;
-    }
-    const std::string body = aBytes.substr(at + kHeaderSize, size);
-    if (XXH3_64bits(body.data(), body.size()) != checksum) {
-      if (end == aBytes.size()) {
-        break;
-      }
-      throw StorageError(aName + ": damaged record at byte " + std::to_string(at));
+  const Snapshot& snapshot = *aRecovered.mSnapshot;
+  std::vector<LogEntry>& log = aRecovered.mLog;
+  if (log.empty()) {
+    return;
+  }
+  if (log.front().mIndex > snapshot.mIndex + 1) {
+    throw StorageError(aName + ": entries before " + std::to_string(log.front().mIndex) +
+                       " are missing");
+  }
+  const std::size_t covered = snapshot.mIndex + 1 - log.front().mIndex;
+  // A crash between the replacement of the snapshot and that of the log leaves an older log.
+  if (covered > log.size() || (covered > 0 && log[covered - 1].mTerm != snapshot.mTerm)) {
+    log.clear();
+    return;
+  }
+  log.erase(log.begin(), log.begin() + static_cast<std::ptrdiff_t>(covered));
+}
+
+void
+ReadSnapshot(const Storage& aStorage, Recovered& aRecovered)
+{
+  const std::filesystem::path path = aStorage.mFolder / kSnapshotFile;
+  if (const auto bytes = ReadFile(path)) {
+    auto snapshot = detail::DecodeSnapshot(OnlyBody(*bytes, path));
+    if (!snapshot) {
+      throw StorageError(path.string() + ": malformed");
     }
-    LogEntry entry{ GetNumber<std::uint64_t>(body, 0),
-                    GetNumber<std::uint64_t>(body, 8),
-                    body.substr(kFixedBody) };
-    if (entry.mIndex == 0 || entry.mIndex > aEntries.size() + 1) {
-      throw StorageError(aName + ": record out of order at byte " + std::to_string(at));
+    aRecovered.mSnapshot = SharedValue(std::move(*snapshot));
+  }
+}
+
+/// @return bytes of whole records, and of the file
+std::pair<std::size_t, std::size_t>
+ReadLog(const Storage& aStorage, Recovered& aRecovered)
+{
+  const std::filesystem::path path = aStorage.mFolder / kLogFile;
+  const std::string bytes = ReadFile(path).value_or("");
+  const detail::Bodies bodies = detail::GetBodies(bytes, path.string());
+  for (const std::string_view it : bodies.mBodies) {
+    if (!detail::ReplayLogRecord(it, aRecovered)) {
+      throw StorageError(path.string() + ": malformed record or record out of order");
     }
-    aEntries.resize(entry.mIndex - 1);
-    aEntries.push_back(std::move(entry));
-    at = end;
   }
-  return at;
+  TrimLog(aRecovered, path.string());
+  return { bodies.mWhole, bytes.size() };
 }
 
-void
-SyncFolder(const std::filesystem::path& aFolder)
+std::string
+LogRecords(const Write& aWrite, std::size_t aPlace)
 {
-  const int folder = ::open(aFolder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (folder < 0 || ::fsync(folder) != 0) {
-    Fail("cannot sync the folder " + aFolder.string());
+  std::string bytes;
+  if (aWrite.mTermVote) {
+    detail::PutRecord(bytes, aPlace, detail::EncodeTermVote(*aWrite.mTermVote));
+  }
+  for (const LogEntry& it : aWrite.mEntries) {
+    detail::PutRecord(bytes, aPlace, detail::EncodeEntry(it));
   }
-  ::close(folder);
+  return bytes;
 }
 
 } // namespace
@@ -110,58 +191,67 @@
     while (done < aBytes.size()) {
       const ssize_t n = ::write(aFile, aBytes.data() + done, aBytes.size() - done);
       if (n < 0 && errno != EINTR) {
-        Fail("cannot write the log");
+        Fail("cannot write to the data folder");
       }
       done += n > 0 ? static_cast<std::size_t>(n) : 0;
     }
   };
   ops.mSync = [](int aFile) {
-    if (::fdatasync(aFile) != 0) {
-      Fail("cannot sync the log");
+    if (::fsync(aFile) != 0) {
+      Fail("cannot sync the data folder");
     }
   };
   return ops;
 }
 
-LogFile
-OpenLog(const std::filesystem::path& aFolder, FileOps aOps, std::vector<LogEntry>& aEntries)
+Storage
+OpenStorage(const std::filesystem::path& aFolder,
+            FileOps aOps,
+            Incarnation aFresh,
+            Recovered& aRecovered)
 {
   std::filesystem::create_directories(aFolder);
-  LogFile log{ -1, aFolder / "log", std::move(aOps) };
-  std::string bytes;
-  if (std::ifstream file(log.mPath, std::ios::binary); file) {
-    bytes.assign(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
-  }
-  const std::size_t whole = Decode(bytes, log.mPath.string(), aEntries);
-  log.mFile = ::open(log.mPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-  if (log.mFile < 0) {
-    Fail("cannot open " + log.mPath.string());
-  }
-  if (whole < bytes.size() && ::ftruncate(log.mFile, static_cast<off_t>(whole)) != 0) {
-    Fail("cannot cut the torn record off " + log.mPath.string());
+  Storage storage{ -1, aFolder, std::move(aOps) };
+  aRecovered.mIncarnation = ReadIncarnation(storage, aFresh);
+  ReadSnapshot(storage, aRecovered);
+  const auto [whole, size] = ReadLog(storage, aRecovered);
+  OpenFile file(aFolder / kLogFile, O_WRONLY | O_CREAT | O_APPEND);
+  if (whole < size && ::ftruncate(file.mFile, static_cast<off_t>(whole)) != 0) {
+    Fail("cannot cut the torn record off the log");
   }
-  log.mOps.mSync(log.mFile);
-  SyncFolder(aFolder);
-  return log;
+  // What was read may not have been synced before the crash, and it counts from now on.
+  storage.mOps.mSync(file.mFile);
+  SyncFolder(storage);
+  storage.mFile = file.Release();
+  return storage;
 }
 
 void
-AppendLog(const LogFile& aLog, const std::vector<LogEntry>& aEntries)
+Perform(Storage& aStorage, const Write& aWrite)
 {
-  std::string bytes;
-  for (const LogEntry& it : aEntries) {
-    bytes += Encode(it);
+  if (aWrite.mSnapshot) {
+    std::string snapshot;
+    detail::PutRecord(snapshot, 0, detail::EncodeSnapshot(**aWrite.mSnapshot));
+    ::close(ReplaceFile(aStorage, kSnapshotFile, snapshot));
+    const int file = ReplaceFile(aStorage, kLogFile, LogRecords(aWrite, 0));
+    CloseStorage(aStorage);
+    aStorage.mFile = file;
+    return;
+  }
+  const off_t place = ::lseek(aStorage.mFile, 0, SEEK_END);
+  if (place < 0) {
+    Fail("cannot find the end of the log");
   }
-  aLog.mOps.mWrite(aLog.mFile, bytes);
-  aLog.mOps.mSync(aLog.mFile);
+  aStorage.mOps.mWrite(aStorage.mFile, LogRecords(aWrite, static_cast<std::size_t>(place)));
+  aStorage.mOps.mSync(aStorage.mFile);
 }
 
 void
-CloseLog(LogFile& aLog)
+CloseStorage(Storage& aStorage)
 {
-  if (aLog.mFile >= 0) {
-    ::close(aLog.mFile);
-    aLog.mFile = -1;
+  if (aStorage.mFile >= 0) {
+    ::close(aStorage.mFile);
+    aStorage.mFile = -1;
   }
 }
 
--- a/packages/agreement/src/storage_test.cpp
+++ b/packages/agreement/src/storage_test.cpp
@@ -22,25 +22,29 @@
   StorageFixture(const StorageFixture&) = delete;
   StorageFixture& operator=(const StorageFixture&) = delete;
 
-  void Append(const std::vector<LogEntry>& aEntries) const
+  void Append(const std::vector<LogEntry>& aEntries) const { Put({ 1, {}, {}, aEntries }); }
+
+  void Put(const Write& aWrite) const
   {
-    std::vector<LogEntry> known;
-    LogFile log = OpenLog(mFolder, PosixFileOps(), known);
-    AppendLog(log, aEntries);
-    CloseLog(log);
+    Recovered known;
+    Storage storage = OpenStorage(mFolder, PosixFileOps(), 7, known);
+    Perform(storage, aWrite);
+    CloseStorage(storage);
   }
 
-  std::vector<LogEntry> Read() const
+  Recovered Read(Incarnation aFresh = 8) const
   {
-    std::vector<LogEntry> entries;
-    LogFile log = OpenLog(mFolder, PosixFileOps(), entries);
-    CloseLog(log);
-    return entries;
+    Recovered recovered;
+    Storage storage = OpenStorage(mFolder, PosixFileOps(), aFresh, recovered);
+    CloseStorage(storage);
+    return recovered;
   }
 
-  void ChangeByte(std::size_t aAt) const
+  std::uintmax_t Size() const { return std::filesystem::file_size(mFolder / "log"); }
+
+  void ChangeByte(const char* aName, std::size_t aAt) const
   {
-    std::fstream file(mFolder / "log", std::ios::binary | std::ios::in | std::ios::out);
+    std::fstream file(mFolder / aName, std::ios::binary | std::ios::in | std::ios::out);
     file.seekg(static_cast<std::streamoff>(aAt));
     const int byte = file.get();
     file.seekp(static_cast<std::streamoff>(aAt));
@@ -49,57 +53,180 @@
 };
 
 TEST_CASE_METHOD(StorageFixture,
-                 "OpenLog, after appends, reads the entries in order",
+                 "OpenStorage, after appends, reads entries in order",
                  "[agreement]")
 {
-  Append({ { 1, 1, "a" }, { 2, 1, "b" } });
+  Append({ { 1, 1, "a" }, { 2, 1, "", EntryKind::Empty } });
   Append({ { 3, 2, "c" } });
-  CHECK(Read() == std::vector<LogEntry>{ { 1, 1, "a" }, { 2, 1, "b" }, { 3, 2, "c" } });
+  CHECK(Read().mLog ==
+        std::vector<LogEntry>{ { 1, 1, "a" }, { 2, 1, "", EntryKind::Empty }, { 3, 2, "c" } });
 }
 
 TEST_CASE_METHOD(StorageFixture,
-                 "OpenLog, entry written again, replaces those from its index on",
+                 "OpenStorage, entry written again, replaces those from its index on",
                  "[agreement]")
 {
   Append({ { 1, 1, "a" }, { 2, 1, "b" }, { 3, 1, "c" } });
   Append({ { 2, 2, "x" } });
-  CHECK(Read() == std::vector<LogEntry>{ { 1, 1, "a" }, { 2, 2, "x" } });
+  CHECK(Read().mLog == std::vector<LogEntry>{ { 1, 1, "a" }, { 2, 2, "x" } });
+}
+
+// Guards against a second vote in a term after a restart.
+TEST_CASE_METHOD(StorageFixture, "OpenStorage, after votes, reads the last one", "[agreement]")
+{
+  Put({ 1, TermVote{ 3, Member{ { "c1" }, 11 } }, {}, {} });
+  CHECK(Read().mTermVote == TermVote{ 3, Member{ { "c1" }, 11 } });
+  Put({ 1, TermVote{ 4, std::nullopt }, {}, {} });
+  CHECK(Read().mTermVote == TermVote{ 4, std::nullopt });
+}
+
+// Guards against a VM with a new disk that passes for the member it was.
+TEST_CASE_METHOD(StorageFixture,
+                 "OpenStorage, folder lost, takes the new incarnation, else keeps its own",
+                 "[agreement]")
+{
+  CHECK(Read(7).mIncarnation == 7);
+  CHECK(Read(8).mIncarnation == 7);
+  std::filesystem::remove_all(mFolder);
+  CHECK(Read(9).mIncarnation == 9);
+}
+
+// Guards against a member that forgot its log but still counts towards a quorum.
+TEST_CASE_METHOD(StorageFixture, "OpenStorage, incarnation missing, refuses", "[agreement]")
+{
+  Append({ { 1, 1, "a" } });
+  std::filesystem::remove(mFolder / "incarnation");
+  CHECK_THROWS_AS(Read(), StorageError);
 }
 
 // Guards against a crash in the middle of a write that makes the whole log unreadable.
 TEST_CASE_METHOD(StorageFixture,
-                 "OpenLog, last record torn at any byte, keeps the records before it",
+                 "OpenStorage, last record torn at any byte, keeps the records before it",
                  "[agreement]")
 {
   Append({ { 1, 1, "a" } });
-  const auto first = std::filesystem::file_size(mFolder / "log");
+  const auto first = Size();
   Append({ { 2, 1, "bb" } });
-  const auto whole = std::filesystem::file_size(mFolder / "log");
+  const auto whole = Size();
   for (auto n = whole - 1; n > first; --n) {
     std::filesystem::resize_file(mFolder / "log", n);
-    CHECK(Read().size() == 1);
+    CHECK(Read().mLog.size() == 1);
+    CHECK(Size() == first);
     Append({ { 2, 1, "bb" } });
   }
 }
 
 // Guards against entries that are silently lost when the disk returns other bytes than were
-// written.
-TEST_CASE_METHOD(StorageFixture, "OpenLog, damaged record before the end, refuses", "[agreement]")
+// written, in the length, the checksum or the body of a record.
+TEST_CASE_METHOD(StorageFixture,
+                 "OpenStorage, any byte before the last record damaged, refuses",
+                 "[agreement]")
 {
   Append({ { 1, 1, "a" }, { 2, 1, "b" } });
-  ChangeByte(20);
+  const auto last = Size();
+  Append({ { 3, 1, "c" } });
+  for (std::size_t n = 0; n < last; ++n) {
+    ChangeByte("log", n);
+    CAPTURE(n);
+    CHECK_THROWS_AS(Read(), StorageError);
+    ChangeByte("log", n);
+  }
+  CHECK(Read().mLog.size() == 3);
+}
+
+TEST_CASE_METHOD(StorageFixture,
+                 "OpenStorage, any byte of snapshot or incarnation damaged, refuses",
+                 "[agreement]")
+{
+  Put({ 1, TermVote{ 1, {} }, SharedValue(Snapshot{ 2, 1, { 5, { { { "c1" }, 7 } } }, "s" }), {} });
+  for (const char* name : { "snapshot", "incarnation" }) {
+    for (std::size_t n = 0; n < std::filesystem::file_size(mFolder / name); ++n) {
+      ChangeByte(name, n);
+      CAPTURE(name, n);
+      CHECK_THROWS_AS(Read(), StorageError);
+      ChangeByte(name, n);
+    }
+  }
+}
+
+TEST_CASE_METHOD(StorageFixture,
+                 "OpenStorage, after a snapshot, reads it and the entries after it",
+                 "[agreement]")
+{
+  const Snapshot snapshot{ 2, 1, { 5, { { { "c1" }, 7 } } }, std::string("state\0x", 7) };
+  Append({ { 1, 1, "a" }, { 2, 1, "b" }, { 3, 1, "c" } });
+  Put({ 1, TermVote{ 4, {} }, SharedValue(snapshot), { { 3, 1, "c" } } });
+  Append({ { 4, 4, "d" } });
+  const Recovered read = Read();
+  CHECK(*read.mSnapshot == snapshot);
+  CHECK(read.mTermVote.mTerm == 4);
+  CHECK(read.mLog == std::vector<LogEntry>{ { 3, 1, "c" }, { 4, 4, "d" } });
+}
+
+// Guards against a crash between the replacement of the snapshot and that of the log.
+TEST_CASE_METHOD(StorageFixture,
+                 "OpenStorage, snapshot newer than the log, drops what it covers",
+                 "[agreement]")
+{
+  struct Row
+  {
+    Term mTerm;
+    Index mIndex;
+    std::size_t mLeft;
+  };
+  for (const Row& row : { Row{ 1, 2, 1 }, Row{ 1, 3, 0 }, Row{ 1, 9, 0 }, Row{ 5, 2, 0 } }) {
+    std::filesystem::remove_all(mFolder);
+    Append({ { 1, 1, "a" }, { 2, 1, "b" }, { 3, 1, "c" } });
+    std::filesystem::copy(mFolder / "log", mFolder / "old");
+    Put({ 1, {}, SharedValue(Snapshot{ row.mIndex, row.mTerm, {}, "s" }), {} });
+    std::filesystem::rename(mFolder / "old", mFolder / "log");
+    CAPTURE(row.mTerm, row.mIndex);
+    CHECK(Read().mLog.size() == row.mLeft);
+  }
+}
+
+// Guards against a snapshot that is lost while the entries before it are gone.
+TEST_CASE_METHOD(StorageFixture, "OpenStorage, snapshot missing, refuses", "[agreement]")
+{
+  Put({ 1, {}, SharedValue(Snapshot{ 2, 1, {}, "s" }), { { 3, 1, "c" } } });
+  std::filesystem::remove(mFolder / "snapshot");
   CHECK_THROWS_AS(Read(), StorageError);
 }
 
-// Guards against going on after a sync that failed.
-TEST_CASE_METHOD(StorageFixture, "AppendLog, sync fails, throws", "[agreement]")
+// Guards against going on after an operation that failed.
+TEST_CASE_METHOD(StorageFixture, "Perform, write or sync fails, throws", "[agreement]")
 {
-  FileOps ops = PosixFileOps();
-  std::vector<LogEntry> known;
-  LogFile log = OpenLog(mFolder, ops, known);
-  log.mOps.mSync = [](int) { throw StorageError("no space"); };
-  CHECK_THROWS_AS(AppendLog(log, { { 1, 1, "a" } }), StorageError);
-  CloseLog(log);
+  Recovered known;
+  Storage storage = OpenStorage(mFolder, PosixFileOps(), 7, known);
+  const Write entries{ 1, {}, {}, { { 1, 1, "a" } } };
+  const Write snapshot{ 1, {}, SharedValue(Snapshot{ 2, 1, {}, "s" }), {} };
+  for (const Write& it : { entries, snapshot }) {
+    storage.mOps = PosixFileOps();
+    storage.mOps.mSync = [](int) { throw StorageError("no space"); };
+    CHECK_THROWS_AS(Perform(storage, it), StorageError);
+    storage.mOps = PosixFileOps();
+    storage.mOps.mWrite = [](int aFile, const std::string& aBytes) {
+      PosixFileOps().mWrite(aFile, aBytes.substr(0, aBytes.size() / 2));
+      throw StorageError("no space");
+    };
+    CHECK_THROWS_AS(Perform(storage, it), StorageError);
+  }
+  CloseStorage(storage);
+}
+
+// Guards against a half-written record that makes the next start fail or is taken for a whole one.
+TEST_CASE_METHOD(StorageFixture, "OpenStorage, after a partial write, cuts it off", "[agreement]")
+{
+  Append({ { 1, 1, "a" } });
+  Recovered known;
+  Storage storage = OpenStorage(mFolder, PosixFileOps(), 7, known);
+  storage.mOps.mWrite = [](int aFile, const std::string& aBytes) {
+    PosixFileOps().mWrite(aFile, aBytes.substr(0, aBytes.size() - 1));
+    throw StorageError("no space");
+  };
+  CHECK_THROWS_AS(Perform(storage, { 1, {}, {}, { { 2, 1, "b" } } }), StorageError);
+  CloseStorage(storage);
+  CHECK(Read().mLog == std::vector<LogEntry>{ { 1, 1, "a" } });
 }
 
 } // namespace
--- a/packages/control/include/fighold/control/decide.hpp
+++ b/packages/control/include/fighold/control/decide.hpp
@@ -7,7 +7,7 @@
 /// Decisions of a control process; no I/O and no clock.
 namespace fighold::control {
 
-/// @param aNode log of this process as recovered from storage
+/// @param aNode agreement of this process as recovered from storage
 /// @param aCodec encoding of changes
 /// @param aChart bound charts/plan_change.scxml
 /// @return state at start
--- a/packages/control/include/fighold/control/event.hpp
+++ b/packages/control/include/fighold/control/event.hpp
@@ -151,7 +151,7 @@
 {
   agreement::Write mWrite;
 
-  friend auto operator<=>(const Store&, const Store&) = default;
+  friend bool operator==(const Store&, const Store&) = default;
 };
 
 /// Write a decision to the log.
--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -71,11 +71,14 @@
 
 struct CallScope;
 
-/// Encoding of changes, so that decisions do not depend on the message format.
+/// Encoding of changes and of the state machine, so that decisions do not depend on the message
+/// format.
 struct Codec
 {
   std::function<std::string(const membership::Change&)> mEncode;
   std::function<std::optional<membership::Change>(const std::string&)> mDecode;
+  std::function<std::string(const membership::Configuration&)> mEncodeState;
+  std::function<std::optional<membership::Configuration>(const std::string&)> mDecodeState;
 };
 
 /// The whole state.
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -47,8 +47,10 @@
 {
   agreement::Options options;
   options.mSelf = aOptions.mSelf;
+  options.mSeed = aOptions.mIncarnation;
+  options.mChart = agreement::LoadRoleChart(aOptions.mCharts);
   for (const auto& [id, endpoint] : aOptions.mControls) {
-    options.mVoters.push_back(id);
+    options.mConfigured.insert(id);
   }
   return options;
 }
@@ -57,7 +59,9 @@
 WireCodec()
 {
   return { wire::EncodeChange,
-           [](const std::string& aBytes) { return wire::DecodeChange(aBytes); } };
+           [](const std::string& aBytes) { return wire::DecodeChange(aBytes); },
+           wire::EncodeConfiguration,
+           [](const std::string& aBytes) { return wire::DecodeConfiguration(aBytes); } };
 }
 
 } // namespace
@@ -69,18 +73,19 @@
     , mFront(mWiring, aOptions.mServer, aOptions.mToken)
   {
     auto chart = LoadCallChart(aOptions.mCharts);
-    std::vector<agreement::LogEntry> entries;
-    auto log = agreement::OpenLog(aOptions.mData, agreement::PosixFileOps(), entries);
-    auto state = MakeState(agreement::MakeNode(AgreementOptionsOf(aOptions), std::move(entries)),
-                           WireCodec(),
-                           std::move(chart));
+    auto options = AgreementOptionsOf(aOptions);
+    agreement::Recovered recovered;
+    auto storage = agreement::OpenStorage(
+      aOptions.mData, agreement::PosixFileOps(), aOptions.mIncarnation, recovered);
+    auto state = MakeState(
+      agreement::MakeNode(std::move(options), std::move(recovered)), WireCodec(), std::move(chart));
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
     });
     mStorageThread =
-      std::thread([this, log = std::move(log), onFatal = aOptions.mOnFatal]() mutable {
-        StorageThread(mWiring, std::move(log), onFatal);
+      std::thread([this, storage = std::move(storage), onFatal = aOptions.mOnFatal]() mutable {
+        StorageThread(mWiring, std::move(storage), onFatal);
       });
     mDecideThread = std::thread(
       [this, state = std::move(state)]() mutable { DecideThread(mWiring, std::move(state)); });
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -6,6 +6,18 @@
 namespace fighold::control {
 namespace {
 
+/// @return the state machine of a snapshot
+SharedValue<membership::Configuration>
+RestoredConfiguration(const Codec& aCodec, const agreement::Snapshot& aSnapshot)
+{
+  auto configuration = aCodec.mDecodeState(aSnapshot.mState);
+  if (!configuration) {
+    throw std::runtime_error("snapshot " + std::to_string(aSnapshot.mIndex) +
+                             " holds no configuration");
+  }
+  return SharedValue(std::move(*configuration));
+}
+
 void
 ApplyCommitted(Context& aContext, const agreement::LogEntry& aEntry)
 {
@@ -96,15 +108,28 @@
 void
 Agree(Context& aContext, const agreement::Event& aEvent)
 {
-  for (agreement::Effect& it : agreement::Step(aContext.mState.mNode, aEvent, aContext.mNow)) {
+  State& state = aContext.mState;
+  std::vector<agreement::SnapshotTaken> taken;
+  for (agreement::Effect& it : agreement::Step(state.mNode, aEvent, aContext.mNow)) {
     if (auto* send = std::get_if<agreement::Send>(&it)) {
       aContext.mEffects.emplace_back(SendControl{ send->mTo, std::move(send->mMessage) });
     } else if (auto* write = std::get_if<agreement::Write>(&it)) {
       aContext.mEffects.emplace_back(Store{ std::move(*write) });
+    } else if (auto* commit = std::get_if<agreement::Commit>(&it)) {
+      ApplyCommitted(aContext, commit->mEntry);
+    } else if (auto* restore = std::get_if<agreement::Restore>(&it)) {
+      state.mConfiguration = RestoredConfiguration(state.mCodec, *restore->mSnapshot);
+    } else if (auto* take = std::get_if<agreement::TakeSnapshot>(&it)) {
+      taken.push_back({ take->mIndex, state.mCodec.mEncodeState(*state.mConfiguration) });
     } else {
-      ApplyCommitted(aContext, std::get<agreement::Commit>(it).mEntry);
+      aContext.mEffects.emplace_back(
+        LogRecord{ std::move(std::get<agreement::Record>(it).mRecord) });
     }
   }
+  // Only now, so that writes stay in the order of their numbers.
+  for (agreement::SnapshotTaken& it : taken) {
+    Agree(aContext, std::move(it));
+  }
 }
 
 void
@@ -119,6 +144,9 @@
   State state;
   state.mNode = std::move(aNode);
   state.mCodec = std::move(aCodec);
+  if (state.mNode.mSnapshot->mIndex != 0) {
+    state.mConfiguration = RestoredConfiguration(state.mCodec, *state.mNode.mSnapshot);
+  }
   state.mCallChart = std::move(aChart);
   return state;
 }
--- a/packages/control/src/storage_thread.cpp
+++ b/packages/control/src/storage_thread.cpp
@@ -4,7 +4,7 @@
 
 void
 StorageThread(Wiring& aWiring,
-              agreement::LogFile aLog,
+              agreement::Storage aStorage,
               const std::function<void(const std::string&)>& aOnFatal)
 {
   while (!aWiring.mWrites.Finished()) {
@@ -14,14 +14,14 @@
       continue;
     }
     try {
-      agreement::AppendLog(aLog, write->mEntries);
+      agreement::Perform(aStorage, *write);
     } catch (const agreement::StorageError& error) {
       aOnFatal(error.what());
       break;
     }
     aWiring.mInbox.TryPush(Stored{ write->mWrite });
   }
-  agreement::CloseLog(aLog);
+  agreement::CloseStorage(aStorage);
 }
 
 } // namespace fighold::control
--- a/packages/control/src/threads.hpp
+++ b/packages/control/src/threads.hpp
@@ -56,7 +56,7 @@
 /// @param aOnFatal called when a write or sync failed; the thread ends
 void
 StorageThread(Wiring& aWiring,
-              agreement::LogFile aLog,
+              agreement::Storage aStorage,
               const std::function<void(const std::string&)>& aOnFatal);
 
 /// Body of the decide thread: handles events until the inbox is closed and empty.
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -1,5 +1,6 @@
 #include "fighold/wire/codec.hpp"
 
+#include "agreement_convert.hpp"
 #include "convert.hpp"
 
 namespace fighold::wire {
@@ -194,66 +195,16 @@
 }
 
 void
-PutMessage(const agreement::Append& aAppend, pb::Envelope& aOut)
-{
-  auto* out = aOut.mutable_append();
-  out->set_term(aAppend.mTerm);
-  out->set_previous(aAppend.mPrevious);
-  out->set_previous_term(aAppend.mPreviousTerm);
-  out->set_commit(aAppend.mCommit);
-  out->set_round(aAppend.mRound);
-  for (const auto& it : aAppend.mEntries) {
-    auto* entry = out->add_entries();
-    entry->set_index(it.mIndex);
-    entry->set_term(it.mTerm);
-    entry->set_payload(it.mPayload);
-  }
-}
-
-Body
-GetBody(const pb::Append& aAppend)
-{
-  agreement::Append append{ aAppend.term(),   aAppend.previous(), aAppend.previous_term(),
-                            aAppend.commit(), aAppend.round(),    {} };
-  for (const auto& it : aAppend.entries()) {
-    append.mEntries.push_back({ it.index(), it.term(), it.payload() });
-  }
-  return agreement::Message(append);
-}
-
-void
-PutMessage(const agreement::AppendReply& aReply, pb::Envelope& aOut)
-{
-  auto* out = aOut.mutable_append_reply();
-  out->set_term(aReply.mTerm);
-  out->set_accepted(aReply.mAccepted);
-  out->set_synced(aReply.mSynced);
-  out->set_round(aReply.mRound);
-}
-
-Body
-GetBody(const pb::AppendReply& aReply)
-{
-  return agreement::Message(
-    agreement::AppendReply{ aReply.term(), aReply.accepted(), aReply.synced(), aReply.round() });
-}
-
-void
-PutMessage(const agreement::Forward& aForward, pb::Envelope& aOut)
-{
-  aOut.mutable_forward()->set_payload(aForward.mPayload);
-}
-
-Body
-GetBody(const pb::Forward& aForward)
+PutBody(const agreement::Message& aMessage, pb::Envelope& aOut)
 {
-  return agreement::Message(agreement::Forward{ aForward.payload() });
+  *aOut.mutable_agreement() = detail::ToPb(aMessage);
 }
 
-void
-PutBody(const agreement::Message& aMessage, pb::Envelope& aOut)
+std::optional<Body>
+GetBody(const pb::Agreement& aMessage)
 {
-  std::visit([&aOut](const auto& aBody) { PutMessage(aBody, aOut); }, aMessage);
+  auto message = detail::FromPb(aMessage);
+  return message ? std::optional<Body>(std::move(*message)) : std::nullopt;
 }
 
 std::optional<Body>
@@ -272,12 +223,8 @@
       return GetBody(aEnvelope.control_renew());
     case pb::Envelope::kControlGrant:
       return GetBody(aEnvelope.control_grant());
-    case pb::Envelope::kAppend:
-      return GetBody(aEnvelope.append());
-    case pb::Envelope::kAppendReply:
-      return GetBody(aEnvelope.append_reply());
-    case pb::Envelope::kForward:
-      return GetBody(aEnvelope.forward());
+    case pb::Envelope::kAgreement:
+      return GetBody(aEnvelope.agreement());
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -13,6 +13,13 @@
 
 using namespace membership;
 
+/// A message of the agreement in its envelope.
+Envelope
+Agreed(agreement::Body aBody)
+{
+  return { "c1", 1, agreement::Message{ 3, 4, std::move(aBody) } };
+}
+
 struct CodecFixture
 {
   Configuration mConfiguration;
@@ -63,9 +70,16 @@
       { "c1", 1, ChangeDone{ 2, ChangeAnswer{ Verdict::Conflict, 8, 12, "digest", "message" } } },
       { "c2", 1, ControlRenew{ 3, 8, { { { "e1" }, { 3, 5, Millis(20) } } }, {} } },
       { "c1", 1, ControlGrant{ 3, Millis(1800), 5, 4, { { { "s1" }, 5, Millis(900), 2 } } } },
-      { "c1", 1, agreement::Message(agreement::Append{ 1, 2, 1, 2, 7, { { 3, 1, "payload" } } }) },
-      { "c2", 1, agreement::Message(agreement::AppendReply{ 1, true, 3, 7 }) },
-      { "c2", 1, agreement::Message(agreement::Forward{ "payload" }) },
+      Agreed(agreement::VoteAsk{ 3, true, 2, 1, 9 }),
+      Agreed(agreement::VoteReply{ 3, true, true }),
+      Agreed(agreement::Append{
+        1, 2, 1, 2, 7, { { 3, 1, "payload" }, { 4, 1, "", agreement::EntryKind::Empty } } }),
+      Agreed(agreement::AppendReply{ 1, true, 3, 7 }),
+      Agreed(agreement::SnapshotPart{ 1, 2, 3, 1, "members", 4, 9, "bytes" }),
+      Agreed(agreement::SnapshotReply{ 1, 2, 3, 4 }),
+      Agreed(agreement::EmptyAsk{}),
+      Agreed(agreement::EmptyReply{ 5, true }),
+      Agreed(agreement::Forward{ "payload" }),
     };
   }
 };
