--- a/packages/agreement/src/cluster_fake.hpp
+++ b/packages/agreement/src/cluster_fake.hpp
@@ -103,6 +103,7 @@
   std::multimap<Instant, Flight> mFlights;
   std::map<Term, Member> mLeaders;
   std::map<Index, std::pair<Term, std::string>> mCommittedEntries;
+  std::map<Index, Term> mCommitTerms; ///< term in which the commit of an entry was first seen
   std::map<ControlId, Index> mCheckedUpTo;
 };
 
--- /dev/null
+++ b/packages/agreement/src/node_test.cpp
@@ -0,0 +1,324 @@
+#include "fighold/agreement/node.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::agreement {
+namespace {
+
+const ControlId kSelf{ "c1" };
+const ControlId kSecond{ "c2" };
+const ControlId kThird{ "c3" };
+
+/// Process c1 of the group c1, c2, c3 with the incarnations 1, 2, 3; the log ends with entry 3 of
+/// term 2.
+struct NodeFixture
+{
+  Node mNode;
+  Instant mNow{ std::chrono::hours(1) };
+  std::vector<Effect> mEffects;
+
+  NodeFixture() { Start({ 2, std::nullopt }); }
+
+  void Start(const TermVote& aTermVote)
+  {
+    static const auto kChart = LoadRoleChart(FIGHOLD_CHARTS_DIR);
+    Options options;
+    options.mSelf = kSelf;
+    options.mConfigured = { kSelf, kSecond, kThird };
+    options.mChart = kChart;
+    const Members members{ 1, { { kSelf, 1 }, { kSecond, 2 }, { kThird, 3 } } };
+    Recovered recovered{
+      1,
+      aTermVote,
+      {},
+      { { 1, 1, EncodeMembers(members), EntryKind::Members }, { 2, 1, "a" }, { 3, 2, "b" } }
+    };
+    mNode = MakeNode(options, recovered);
+    Do(Tick{});
+    REQUIRE(mNode.mRole != Role::Learner);
+  }
+
+  void Do(const Event& aEvent) { mEffects = Step(mNode, aEvent, mNow); }
+
+  void Receive(const Member& aFrom, Body aBody)
+  {
+    Do(Received{ aFrom.mId, Message{ aFrom.mIncarnation, 1, std::move(aBody) } });
+  }
+
+  /// Reports all writes as synced.
+  void Sync() { Do(Stored{ mNode.mNextWrite - 1 }); }
+
+  template<typename T>
+  std::vector<T> Effects() const
+  {
+    std::vector<T> found;
+    for (const Effect& it : mEffects) {
+      if (const auto* effect = std::get_if<T>(&it)) {
+        found.push_back(*effect);
+      }
+    }
+    return found;
+  }
+
+  /// @return bodies of one kind among the messages sent
+  template<typename T>
+  std::vector<T> Sent() const
+  {
+    std::vector<T> found;
+    for (const Send& it : Effects<Send>()) {
+      if (const auto* body = std::get_if<T>(&it.mMessage.mBody)) {
+        found.push_back(*body);
+      }
+    }
+    return found;
+  }
+
+  /// Makes the node ask for votes of the next term; its own vote is synced.
+  void Stand()
+  {
+    mNow += kElectionTimeout + kElectionSpread;
+    Do(Tick{});
+    Receive({ kSecond, 2 }, VoteReply{ mNode.mTermVote.mTerm + 1, true, true });
+    REQUIRE(mNode.mRole == Role::Candidate);
+    Sync();
+  }
+
+  /// Makes the node the leader; its empty entry is number 4.
+  void Lead()
+  {
+    Stand();
+    Receive({ kSecond, 2 }, VoteReply{ mNode.mTermVote.mTerm, false, true });
+    REQUIRE(IsLeader(mNode));
+    Sync();
+  }
+
+  void Acknowledge(const Member& aFrom, Index aSynced)
+  {
+    Receive(aFrom, AppendReply{ mNode.mTermVote.mTerm, true, aSynced, mNode.mRound });
+  }
+
+  void NextRound()
+  {
+    mNow += kHeartbeatInterval;
+    Do(Tick{});
+  }
+};
+
+// Guards against two leaders in a term and against a leader without committed entries.
+TEST_CASE_METHOD(NodeFixture, "Step, asked for a vote, grants by table", "[agreement]")
+{
+  struct Row
+  {
+    const char* mName;
+    TermVote mKnown;
+    VoteAsk mAsk;
+    bool mGranted;
+  };
+  const Member second{ kSecond, 2 };
+  const Member former{ kSecond, 9 };
+  const Row rows[] = {
+    { "newer term", { 2, {} }, { 3, false, 3, 2, 1 }, true },
+    { "pre-vote", { 2, {} }, { 3, true, 3, 2, 1 }, true },
+    { "longer log", { 2, {} }, { 3, false, 9, 2, 1 }, true },
+    { "shorter log of a newer term", { 2, {} }, { 4, false, 1, 3, 1 }, true },
+    { "shorter log", { 2, {} }, { 3, false, 2, 2, 1 }, false },
+    { "longer log of an older term", { 2, {} }, { 3, false, 9, 1, 1 }, false },
+    { "pre-vote, shorter log", { 2, {} }, { 3, true, 2, 2, 1 }, false },
+    { "pre-vote, log of an older term", { 2, {} }, { 3, true, 9, 1, 1 }, false },
+    { "same term, no vote yet", { 3, {} }, { 3, false, 3, 2, 1 }, true },
+    { "same term, same vote", { 3, second }, { 3, false, 3, 2, 1 }, true },
+    { "same term, other vote", { 3, Member{ kThird, 3 } }, { 3, false, 3, 2, 1 }, false },
+    { "same term, vote for a former incarnation", { 3, former }, { 3, false, 3, 2, 1 }, false },
+    { "older term", { 4, {} }, { 3, false, 3, 2, 1 }, false },
+    { "pre-vote, own term", { 3, {} }, { 3, true, 3, 2, 1 }, false },
+    { "asks a former incarnation", { 2, {} }, { 3, false, 3, 2, 8 }, false },
+    { "pre-vote, asks a former incarnation", { 2, {} }, { 3, true, 3, 2, 8 }, false },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.mName);
+    Start(row.mKnown);
+    Receive(second, row.mAsk);
+    const bool writes = !Effects<Write>().empty();
+    if (writes) {
+      // A vote leaves only after the sync.
+      CHECK(Sent<VoteReply>().empty());
+      Sync();
+    }
+    bool granted = false;
+    for (const VoteReply& it : Sent<VoteReply>()) {
+      granted = granted || it.mGranted;
+    }
+    CHECK(granted == row.mGranted);
+    CHECK((!row.mAsk.mPreVote || !writes));
+  }
+}
+
+// Guards against a returning process that ends the term of a leader that others hear.
+TEST_CASE_METHOD(NodeFixture, "Step, leader heard lately, refuses votes", "[agreement]")
+{
+  Receive({ kThird, 3 }, Append{ 2, 3, 2, 0, 1, {} });
+  for (const bool preVote : { true, false }) {
+    Receive({ kSecond, 2 }, VoteAsk{ 3, preVote, 9, 2, 1 });
+    REQUIRE(Sent<VoteReply>().size() == 1);
+    CHECK_FALSE(Sent<VoteReply>().front().mGranted);
+    CHECK(mNode.mTermVote.mTerm == 2);
+  }
+}
+
+// Guards against a leader elected by processes that are not voters.
+TEST_CASE_METHOD(NodeFixture, "Step, vote of another incarnation, does not count", "[agreement]")
+{
+  Stand();
+  Receive({ kSecond, 9 }, VoteReply{ 3, false, true });
+  Receive({ { "c9" }, 9 }, VoteReply{ 3, false, true });
+  CHECK(mNode.mRole == Role::Candidate);
+  Receive({ kThird, 3 }, VoteReply{ 3, false, true });
+  CHECK(IsLeader(mNode));
+}
+
+TEST_CASE_METHOD(NodeFixture, "Step, acknowledged entries, commits by table", "[agreement]")
+{
+  struct Row
+  {
+    const char* mName;
+    Member mFrom;
+    Index mSynced;
+    Index mCommitted;
+  };
+  const Row rows[] = {
+    { "own term", { kSecond, 2 }, 4, 4 },
+    // Entry 3 is of an older term; another leader might still replace it.
+    { "older term", { kSecond, 2 }, 3, 0 },
+    { "another incarnation", { kSecond, 9 }, 4, 0 },
+    { "unknown process", { { "c9" }, 9 }, 4, 0 },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.mName);
+    Start({ 2, std::nullopt });
+    Lead();
+    Acknowledge(row.mFrom, row.mSynced);
+    CHECK(mNode.mCommitted == row.mCommitted);
+  }
+}
+
+// Guards against an own copy that counts before it is synced.
+TEST_CASE_METHOD(NodeFixture, "Step, leader's write not synced, does not commit", "[agreement]")
+{
+  Lead();
+  Acknowledge({ kSecond, 2 }, 4);
+  Do(Propose{ "c" });
+  Acknowledge({ kSecond, 2 }, 5);
+  CHECK(mNode.mCommitted == 4);
+  Sync();
+  CHECK(Effects<Commit>() == std::vector<Commit>{ { { 5, 3, "c" } } });
+}
+
+// Guards against an acknowledgement of entries that a crash would lose.
+TEST_CASE_METHOD(NodeFixture, "Step, entries received, acknowledges after the sync", "[agreement]")
+{
+  Receive({ kSecond, 2 }, Append{ 3, 3, 2, 0, 7, { { 4, 3, "x" } } });
+  CHECK(Sent<AppendReply>().empty());
+  Sync();
+  CHECK(Sent<AppendReply>() == std::vector<AppendReply>{ { 3, true, 4, 7 } });
+}
+
+// Guards against an entry counted as synced after it was replaced.
+TEST_CASE_METHOD(NodeFixture, "Step, unsynced entries replaced, do not count", "[agreement]")
+{
+  Receive({ kSecond, 2 }, Append{ 3, 3, 2, 0, 7, { { 4, 3, "x" }, { 5, 3, "y" } } });
+  const std::uint64_t first = mNode.mNextWrite - 1;
+  Receive({ kThird, 3 }, Append{ 4, 3, 2, 0, 8, { { 4, 4, "z" }, { 5, 4, "z" } } });
+  Do(Stored{ first });
+  CHECK(mNode.mSynced == 3);
+  Sync();
+  CHECK(mNode.mSynced == 5);
+}
+
+// Guards against two majorities without a common member, and against a returned process that
+// counts before it has the log.
+TEST_CASE_METHOD(NodeFixture,
+                 "Step, disk of a voter lost, removes and then admits it once caught up",
+                 "[agreement]")
+{
+  const Member fresh{ kThird, 9 };
+  Lead();
+  Acknowledge({ kSecond, 2 }, 4);
+  Acknowledge(fresh, 3);
+  NextRound();
+  Acknowledge({ kSecond, 2 }, 4);
+  Acknowledge(fresh, 3);
+  CHECK(mNode.mMembers.mVoters.at(kThird) == 3);
+
+  Acknowledge(fresh, 4);
+  CHECK(mNode.mMembers.mVoters.count(kThird) == 0);
+  Acknowledge(fresh, 5);
+  // One change at a time: the removal is not committed yet.
+  CHECK(mNode.mMembers.mVoters.count(kThird) == 0);
+  Sync();
+  Acknowledge({ kSecond, 2 }, 5);
+  CHECK(mNode.mCommitted == 5);
+  CHECK(mNode.mMembers.mVoters.at(kThird) == 9);
+  Sync();
+  // As a voter it makes the majority together with the leader.
+  Acknowledge(fresh, 6);
+  CHECK(mNode.mCommitted == 6);
+}
+
+// Guards against a late message of a former incarnation that takes the place of the present one.
+TEST_CASE_METHOD(NodeFixture,
+                 "Step, late message of a former incarnation, admits nobody",
+                 "[agreement]")
+{
+  Lead();
+  Acknowledge({ kSecond, 2 }, 4);
+  NextRound();
+  const std::uint64_t old = mNode.mRound - 1;
+  Acknowledge({ kSecond, 2 }, 4);
+  Receive({ kThird, 9 }, AppendReply{ 3, true, 4, old });
+  Receive({ kThird, 9 }, AppendReply{ 3, true, 4, old });
+  CHECK(mNode.mMembers.mVoters.at(kThird) == 3);
+}
+
+// Guards against leases that rest on a majority of a former lead, or on a state machine that is
+// behind.
+TEST_CASE_METHOD(NodeFixture, "QuorumAt, new leader, is unset until it committed", "[agreement]")
+{
+  Lead();
+  Receive({ kSecond, 2 }, AppendReply{ 3, true, 3, mNode.mRound });
+  CHECK(QuorumAt(mNode) == Instant{});
+  Acknowledge({ kSecond, 2 }, 4);
+  CHECK(QuorumAt(mNode) == mNode.mLeaderSince);
+  const Instant first = mNode.mLeaderSince;
+  mNow += kElectionTimeout;
+  Do(Tick{});
+  CHECK_FALSE(IsLeader(mNode));
+  CHECK(QuorumAt(mNode) == Instant{});
+  Lead();
+  Acknowledge({ kSecond, 2 }, 5);
+  CHECK(QuorumAt(mNode) > first);
+}
+
+// Guards against messages of a group that another first process formed.
+TEST_CASE_METHOD(NodeFixture, "Step, message of another group, is ignored", "[agreement]")
+{
+  const Node before = mNode;
+  Do(Received{ kSecond, Message{ 2, 7, Append{ 9, 3, 2, 0, 1, { { 4, 9, "x" } } } } });
+  CHECK(mEffects.empty());
+  CHECK(mNode.mTermVote == before.mTermVote);
+}
+
+// Guards against a process that goes on after its log contradicted what was committed.
+TEST_CASE_METHOD(NodeFixture, "Step, committed entry replaced, halts", "[agreement]")
+{
+  Receive({ kSecond, 2 }, Append{ 3, 3, 2, 3, 1, {} });
+  REQUIRE(mNode.mCommitted == 3);
+  Receive({ kSecond, 2 }, Append{ 3, 2, 1, 3, 2, { { 3, 3, "other" } } });
+  CHECK(mNode.mRole == Role::Halted);
+  REQUIRE(Effects<Record>().size() == 1);
+  CHECK(Effects<Record>().front().mRecord.mChoice == "halted");
+  Do(Propose{ "c" });
+  CHECK(mEffects.empty());
+}
+
+} // namespace
+} // namespace fighold::agreement
