Keep the first renewals, so that a process uses its first grants

Cause: the numbers of sent renewals were trimmed up to the newest number less 16. The subtraction is unsigned, so that for the first 15 renewals it wrapped around and trimmed all of them, the one just sent included. An entry ignored its grants for the first 7.5 s and a follower for the first 3.75 s. Ruled out: slow registration, since the model of one entry without threads showed it too. Change: trim only once more than 16 renewals were sent, in the entry and in the control process. Conclusion: the new test fails on the old code and passes.

--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -15,6 +15,9 @@
 /// look-ups.
 constexpr Millis kRemoveEntryAfter{ 3000 };
 
+/// Renewals whose grants may still arrive.
+constexpr std::uint64_t kAsksKept = 16;
+
 /// Time between two proposals about one entry.
 constexpr Millis kEntryProposalInterval{ 1000 };
 
@@ -105,7 +108,9 @@
   }
   state.mReports.clear();
   state.mAsked[renew.mAsk] = aContext.mNow;
-  state.mAsked.erase(state.mAsked.begin(), state.mAsked.upper_bound(renew.mAsk - 16));
+  if (renew.mAsk > kAsksKept) {
+    state.mAsked.erase(state.mAsked.begin(), state.mAsked.upper_bound(renew.mAsk - kAsksKept));
+  }
   aContext.mEffects.emplace_back(SendControl{ *leader, std::move(renew) });
 }
 
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -15,6 +15,9 @@
 /// before the lease ends.
 constexpr Millis kSwitchControl{ 700 };
 
+/// Renewals whose grants may still arrive; older ones have no use for a lease of four renewals.
+constexpr std::uint64_t kAsksKept = 16;
+
 void
 SendToControl(State& aState,
               std::variant<membership::Renew, membership::ChangeAsk> aBody,
@@ -48,7 +51,9 @@
   renew.mLeaving = aState.mStage == EntryStage::Draining;
   renew.mReports = TakeReports(aState, aNow);
   aState.mAsked[renew.mAsk] = aNow;
-  aState.mAsked.erase(aState.mAsked.begin(), aState.mAsked.upper_bound(renew.mAsk - 16));
+  if (renew.mAsk > kAsksKept) {
+    aState.mAsked.erase(aState.mAsked.begin(), aState.mAsked.upper_bound(renew.mAsk - kAsksKept));
+  }
   SendToControl(aState, std::move(renew), aEffects);
 }
 
--- /dev/null
+++ b/packages/entry/src/lease_keeping_test.cpp
@@ -0,0 +1,70 @@
+#include "fighold/entry/decide.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::entry {
+namespace {
+
+struct LeaseKeepingFixture
+{
+  Instant mNow{ std::chrono::hours(1) };
+  State mState;
+  membership::Configuration mConfiguration;
+
+  LeaseKeepingFixture()
+  {
+    Options options;
+    options.mId = { "e1" };
+    options.mEntry = membership::Entry{ 7, { "127.0.0.1", 80 }, { "attiki" }, { "attiki-a" }, 0 };
+    options.mControls = { { "c1" } };
+    mConfiguration.mVersion = 3;
+    mConfiguration.mEntries[options.mId] = options.mEntry;
+    mState = MakeState(options, LoadCharts(FIGHOLD_CHARTS_DIR));
+  }
+
+  /// @return number of the renewal that this tick sent
+  std::uint64_t Renew()
+  {
+    for (const Effect& it : Step(mState, Tick{}, mNow)) {
+      if (const auto* send = std::get_if<SendControl>(&it)) {
+        return std::get<membership::Renew>(send->mBody).mAsk;
+      }
+    }
+    return 0;
+  }
+
+  void Grant(std::uint64_t aAsk)
+  {
+    Step(
+      mState,
+      GrantReceived{
+        { "c1" }, { aAsk, membership::kConfigurationLease, 3, SharedValue(mConfiguration), {} } },
+      mNow);
+  }
+};
+
+// Guards against an entry that starts late because the numbers of its first renewals were
+// forgotten at once.
+TEST_CASE_METHOD(LeaseKeepingFixture,
+                 "HandleGrant, first grant after the start, is used",
+                 "[entry]")
+{
+  Grant(Renew());
+  CHECK(mState.mStage == EntryStage::Serving);
+}
+
+TEST_CASE_METHOD(LeaseKeepingFixture,
+                 "HandleGrant, answer to none of the kept renewals, is not used",
+                 "[entry]")
+{
+  const std::uint64_t first = Renew();
+  for (int n = 0; n < 16; ++n) {
+    mNow += membership::kRenewInterval;
+    Renew();
+  }
+  Grant(first);
+  CHECK(mState.mStage == EntryStage::Starting);
+}
+
+} // namespace
+} // namespace fighold::entry
