Find a client's region in a table of address ranges

Cause: RegionOfClient searched the sorted blocks once for each prefix length, up to 33 binary searches that miss the cache with millions of blocks. Ruled out: one sorted array of whole range starts with 16-bit owners. It was as fast but took 38.5 MiB at 3.4 million blocks, more than the 32 MB of a node. Change: ClientTable holds disjoint ranges, grouped by the upper 16 bits of the address, 3 bytes each. The entry builds it when the plan changes. RegionOfClient over the blocks stays as the definition that the property test compares with. A sheet with more than 255 regions is refused, since an owner is one byte.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -3,6 +3,7 @@
 #include "fighold/chart/bound_chart.hpp"
 #include "fighold/entry/event.hpp"
 #include "fighold/membership/lease.hpp"
+#include "fighold/plan/client_table.hpp"
 #include "fighold/routing/route.hpp"
 
 #include <cstdint>
@@ -85,6 +86,7 @@
   Charts mCharts;
   SharedValue<membership::Configuration> mConfiguration;
   routing::Table mTable;
+  plan::ClientTable mClients; ///< client blocks of the plan in use
   membership::Lease mLease;
   EntryStage mStage = EntryStage::Starting;
   Instant mDrainStarted{};
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -68,7 +68,7 @@
   } else if (state.mConfiguration->mPlan->mServices.count(aLookup.mService) == 0) {
     answer.mError = "unknown-service";
   } else {
-    const auto fromClient = plan::RegionOfClient(*state.mConfiguration->mPlan, aLookup.mClient);
+    const auto fromClient = plan::RegionOfClient(state.mClients, aLookup.mClient);
     const RegionId region =
       aLookup.mRegion.value_or(fromClient.value_or(state.mOptions.mEntry.mRegion));
     answer.mEntries = EntriesFor(state, region);
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -177,6 +177,11 @@
   }
   const Instant askedAt = asked->second;
   if (grant.mConfiguration && (*grant.mConfiguration)->mVersion > aState.mConfiguration->mVersion) {
+    const plan::Plan& next = *(*grant.mConfiguration)->mPlan;
+    if (aState.mConfiguration->mPlan->mNumber != next.mNumber ||
+        aState.mConfiguration->mPlanDigest != (*grant.mConfiguration)->mPlanDigest) {
+      aState.mClients = plan::BuildClientTable(next);
+    }
     aState.mConfiguration = *grant.mConfiguration;
     DropUnknownServers(aState);
     BuildTable(aState);
--- a/packages/entry/src/request_chart.cpp
+++ b/packages/entry/src/request_chart.cpp
@@ -210,7 +210,7 @@
 {
   const RequestId id = aRequest.mId;
   InFlight& request = aState.mInFlight[id];
-  request.mOrigin = plan::RegionOfClient(*aState.mConfiguration->mPlan, aRequest.mClient)
+  request.mOrigin = plan::RegionOfClient(aState.mClients, aRequest.mClient)
                       .value_or(aState.mOptions.mEntry.mRegion);
   request.mArrived = aNow;
   request.mUntil = DeadlineOf(aState, aRequest, aNow);
--- a/packages/plan/src/sheet.cpp
+++ b/packages/plan/src/sheet.cpp
@@ -1,5 +1,6 @@
 #include "fighold/plan/sheet.hpp"
 
+#include "fighold/plan/client_table.hpp"
 #include "fighold/plan/csv.hpp"
 #include "sheet_rows.hpp"
 
@@ -79,6 +80,11 @@
   missing(aBuilder.mPlan.mMaxEntries == 0, "max_entries");
   missing(aBuilder.mPlan.mRegions.empty(), "region_capacity");
   missing(aBuilder.mPlan.mServices.empty(), "service_class");
+  if (aBuilder.mPlan.mRegions.size() > kMaxClientRegions) {
+    aBuilder.mFindings.push_back(
+      { Place{ aBuilder.mSource, 0, 0 },
+        "names more than " + std::to_string(kMaxClientRegions) + " regions" });
+  }
 }
 
 void
