Encrypt and authenticate messages between daemons with CURVE keys

The message thread answers the authentication questions of ZeroMQ, so that no thread is added; a connection passes only messages of the process that its key belongs to, and messages from a control process must carry that process's name. Ruled out: a list of allowed keys in one file, since one file for each process can be copied as it is made. The demonstration's deployments run with keys.

--- a/packages/control/include/fighold/control/daemon.hpp
+++ b/packages/control/include/fighold/control/daemon.hpp
@@ -3,11 +3,13 @@
 #include "fighold/core/endpoint.hpp"
 #include "fighold/core/id.hpp"
 #include "fighold/net/http_server.hpp"
+#include "fighold/wire/key_file.hpp"
 
 #include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 /// The control role as a running process part.
@@ -23,7 +25,8 @@
   net::ServerOptions mServer;
   std::filesystem::path mData;
   std::filesystem::path mCharts;
-  std::string mToken; ///< operators' token; empty: none is needed
+  std::optional<wire::Keys> mKeys; ///< keys for messages between daemons
+  std::string mToken;              ///< operators' token; empty: none is needed
   std::function<void(const std::string&)>
     mOnFatal; ///< called when storage failed; the process must end
 };
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -21,6 +21,7 @@
       options.mPeers[id.mValue] = endpoint;
     }
   }
+  options.mKeys = aOptions.mKeys;
   return options;
 }
 
--- a/packages/ctl/include/fighold/ctl/command.hpp
+++ b/packages/ctl/include/fighold/ctl/command.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fighold/core/finding.hpp"
 #include "fighold/net/http.hpp"
 
 #include <functional>
@@ -22,8 +23,9 @@
   std::function<std::optional<net::HttpResponse>(const net::HttpRequest&)> mCall;
   std::function<std::optional<std::string>(const std::string&)> mReadFile;
   std::function<std::string()> mNewChangeId;
-  std::function<void(const std::string&)> mPrint; ///< standard output
-  std::function<void(const std::string&)> mError; ///< standard error
+  std::function<Findings(const std::string&)> mNewKeys; ///< makes key files
+  std::function<void(const std::string&)> mPrint;       ///< standard output
+  std::function<void(const std::string&)> mError;       ///< standard error
 };
 
 /// Options that are given as flags.
--- a/packages/ctl/src/command.cpp
+++ b/packages/ctl/src/command.cpp
@@ -244,6 +244,19 @@
   return ReportChange(*response, change, aSession);
 }
 
+int
+NewKeys(const std::vector<std::string>& aArguments, const Session& aSession)
+{
+  const Findings findings = aSession.mEnvironment.mNewKeys(aArguments[0]);
+  if (!findings.empty()) {
+    aSession.mEnvironment.mError(FormatFindings(findings));
+    return kExitFailed;
+  }
+  aSession.mEnvironment.mPrint("wrote " + aArguments[0] + " (keep it on its VM) and " +
+                               aArguments[0] + ".pub (copy it to the other daemons)");
+  return kExitDone;
+}
+
 /// A command with its words and arguments.
 struct Command
 {
@@ -271,6 +284,7 @@
       { "on|off", "backend-server|entry|region", "NAME" },
       "start or end a drain",
       Drain },
+    { { "keys", "new" }, { "FILE" }, "make the keys of a daemon: FILE and FILE.pub", NewKeys },
   };
   return commands;
 }
--- a/packages/ctl/src/figholdctl_main.cpp
+++ b/packages/ctl/src/figholdctl_main.cpp
@@ -1,6 +1,7 @@
 #include "fighold/core/finding.hpp"
 #include "fighold/ctl/command.hpp"
 #include "fighold/net/http_client.hpp"
+#include "fighold/wire/key_file.hpp"
 
 #include <gflags/gflags.h>
 
@@ -110,6 +111,7 @@
   };
   environment.mReadFile = ReadFile;
   environment.mNewChangeId = NewChangeId;
+  environment.mNewKeys = [](const std::string& aFile) { return fighold::wire::NewKeyFiles(aFile); };
   environment.mPrint = [](const std::string& aText) { std::cout << aText << "\n"; };
   environment.mError = [](const std::string& aText) { std::cerr << aText << "\n"; };
   return fighold::ctl::RunCommand(aArguments, options, environment);
--- a/packages/entry/include/fighold/entry/daemon.hpp
+++ b/packages/entry/include/fighold/entry/daemon.hpp
@@ -2,11 +2,13 @@
 
 #include "fighold/entry/state.hpp"
 #include "fighold/net/http_server.hpp"
+#include "fighold/wire/key_file.hpp"
 
 #include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 /// The entry role as a running process part.
 namespace fighold::entry {
@@ -18,6 +20,7 @@
   net::ServerOptions mServer;
   std::map<ControlId, Endpoint> mControls;
   std::filesystem::path mCharts;
+  std::optional<wire::Keys> mKeys; ///< keys for messages between daemons
 };
 
 /// A running entry.
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -17,6 +17,7 @@
   for (const auto& [id, endpoint] : aOptions.mControls) {
     options.mPeers[id.mValue] = endpoint;
   }
+  options.mKeys = aOptions.mKeys;
   return options;
 }
 
--- a/packages/figholdd/include/fighold/figholdd/settings.hpp
+++ b/packages/figholdd/include/fighold/figholdd/settings.hpp
@@ -23,6 +23,9 @@
   std::string mData;
   std::string mCharts;
   std::string mTokenFile;
+  std::string mKeyFile;
+  std::string mPeerKeys; ///< folder of the public keys of the other daemons
+  bool mInsecure = false;
   std::int64_t mLookupTimeToLiveMs = 5000;
   std::int64_t mMaxConnections = 1024;
 };
--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -21,6 +21,9 @@
 DEFINE_string(token_file,
               "",
               "file with the operators' token; without it changes need no token (control)");
+DEFINE_string(key_file, "", "file with the keys of this process, made by figholdctl keys new");
+DEFINE_string(peer_keys, "", "folder with the public keys (NAME.pub) of the other daemons");
+DEFINE_bool(insecure, false, "run without keys between daemons");
 DEFINE_int64(lookup_ttl_ms, 5000, "time for which callers may cache a look-up, in ms (entry)");
 DEFINE_int64(max_connections, 1024, "greatest number of HTTP connections");
 
@@ -34,17 +37,19 @@
 /// first.
 constexpr const char* kEnvironmentFlags =
   "role,id,region,data_centre,listen,message_listen,controls,data,charts,token_file,"
-  "lookup_ttl_ms,max_connections,log_dir,minloglevel,logtostderr";
+  "key_file,peer_keys,insecure,lookup_ttl_ms,max_connections,log_dir,minloglevel,logtostderr";
 
 fighold::figholdd::Settings
 SettingsFromFlags()
 {
-  return { FLAGS_role,          FLAGS_id,
-           FLAGS_region,        FLAGS_data_centre,
-           FLAGS_listen,        FLAGS_message_listen,
-           FLAGS_controls,      FLAGS_data,
-           FLAGS_charts,        FLAGS_token_file,
-           FLAGS_lookup_ttl_ms, FLAGS_max_connections };
+  return { FLAGS_role,           FLAGS_id,
+           FLAGS_region,         FLAGS_data_centre,
+           FLAGS_listen,         FLAGS_message_listen,
+           FLAGS_controls,       FLAGS_data,
+           FLAGS_charts,         FLAGS_token_file,
+           FLAGS_key_file,       FLAGS_peer_keys,
+           FLAGS_insecure,       FLAGS_lookup_ttl_ms,
+           FLAGS_max_connections };
 }
 
 /// Signals are blocked before threads start, so that only WaitForStop receives them.
@@ -112,6 +117,9 @@
     std::cerr << fighold::FormatFindings(checked.mFindings);
     return kExitBadSettings;
   }
+  if (FLAGS_insecure) {
+    LOG(WARNING) << "messages between daemons are neither encrypted nor authenticated (--insecure)";
+  }
   const sigset_t signals = BlockStopSignals();
   try {
     Run(*checked.mValue, signals);
--- a/packages/figholdd/src/settings.cpp
+++ b/packages/figholdd/src/settings.cpp
@@ -68,6 +68,46 @@
     return controls;
   }
 
+  template<typename T>
+  std::optional<T> Take(const std::string& aFlag, fighold::Checked<T> aChecked)
+  {
+    for (const Finding& it : aChecked.mFindings) {
+      Fail(aFlag, it.mPlace.mSource + ": " + it.mMessage);
+    }
+    return std::move(aChecked.mValue);
+  }
+
+  std::optional<wire::Keys> Keys(const Settings& aSettings)
+  {
+    if (aSettings.mInsecure) {
+      if (!aSettings.mKeyFile.empty() || !aSettings.mPeerKeys.empty()) {
+        Fail("insecure", "excludes --key_file and --peer_keys");
+      }
+      return std::nullopt;
+    }
+    if (aSettings.mKeyFile.empty() || aSettings.mPeerKeys.empty()) {
+      Fail("key_file",
+           "must be set together with --peer_keys (make keys with figholdctl keys new), or set "
+           "--insecure to run without keys");
+      return std::nullopt;
+    }
+    auto own = Take("key_file", wire::ReadKeyFile(aSettings.mKeyFile));
+    auto peers = Take("peer_keys", wire::ReadPeerKeys(aSettings.mPeerKeys));
+    return own && peers ? std::optional(wire::Keys{ *own, *peers }) : std::nullopt;
+  }
+
+  /// A process that this one connects to must have a known key.
+  void KnownKeys(const std::optional<wire::Keys>& aKeys,
+                 const std::map<ControlId, Endpoint>& aControls)
+  {
+    for (const auto& [id, endpoint] : aControls) {
+      if (aKeys && aKeys->mPeers.count(id.mValue) == 0) {
+        Fail("peer_keys",
+             "holds no " + id.mValue + ".pub for the control process \"" + id.mValue + "\"");
+      }
+    }
+  }
+
   std::string Token(const std::string& aPath)
   {
     if (aPath.empty()) {
@@ -102,6 +142,8 @@
   options.mServer = ServerOptionsOf(aSettings, aChecker);
   options.mControls = aChecker.Controls(aSettings.mControls);
   options.mCharts = aSettings.mCharts;
+  options.mKeys = aChecker.Keys(aSettings);
+  aChecker.KnownKeys(options.mKeys, options.mControls);
   aChecker.Present("region", aSettings.mRegion);
   aChecker.Present("data_centre", aSettings.mDataCentre);
   aChecker.Range("lookup_ttl_ms", aSettings.mLookupTimeToLiveMs, 1, kMaxTimeToLiveMs);
@@ -131,6 +173,8 @@
   options.mData = aSettings.mData;
   options.mCharts = aSettings.mCharts;
   options.mToken = aChecker.Token(aSettings.mTokenFile);
+  options.mKeys = aChecker.Keys(aSettings);
+  aChecker.KnownKeys(options.mKeys, options.mControls);
   aChecker.Present("data", aSettings.mData);
   if (!options.mControls.empty() && options.mControls.count(options.mSelf) == 0) {
     aChecker.Fail("controls", "does not name this process, \"" + aSettings.mId + "\"");
--- a/packages/figholdd/src/settings_test.cpp
+++ b/packages/figholdd/src/settings_test.cpp
@@ -18,6 +18,7 @@
     mSettings.mListen = "127.0.0.1:0";
     mSettings.mControls = "c1=127.0.0.1:7001,c2=127.0.0.1:7002";
     mSettings.mCharts = "charts";
+    mSettings.mInsecure = true;
   }
 
   std::string Text() const { return FormatFindings(CheckSettings(mSettings, 1).mFindings); }
@@ -58,5 +59,25 @@
   CHECK(Text() == "--controls: does not name this process, \"c3\"\n");
 }
 
+// Guards against a daemon that runs without keys because a flag was forgotten.
+TEST_CASE_METHOD(SettingsFixture,
+                 "CheckSettings, neither keys nor insecure, is refused",
+                 "[figholdd]")
+{
+  mSettings.mInsecure = false;
+  CHECK(Text().find("--key_file: must be set together with --peer_keys") == 0);
+  mSettings.mKeyFile = "/nonexistent/key";
+  mSettings.mPeerKeys = "/nonexistent";
+  const std::string text = Text();
+  CHECK(text.find("--key_file: /nonexistent/key: cannot be read") != std::string::npos);
+  CHECK(text.find("--peer_keys: /nonexistent: cannot be read") != std::string::npos);
+}
+
+TEST_CASE_METHOD(SettingsFixture, "CheckSettings, insecure with keys, is refused", "[figholdd]")
+{
+  mSettings.mKeyFile = "key";
+  CHECK(Text() == "--insecure: excludes --key_file and --peer_keys\n");
+}
+
 } // namespace
 } // namespace fighold::figholdd
--- a/packages/wire/include/fighold/wire/message_thread.hpp
+++ b/packages/wire/include/fighold/wire/message_thread.hpp
@@ -3,10 +3,12 @@
 #include "fighold/core/endpoint.hpp"
 #include "fighold/ring/bounded_ring.hpp"
 #include "fighold/wire/body.hpp"
+#include "fighold/wire/key_file.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 /// The duty thread for messages between daemons, over ZeroMQ.
@@ -29,6 +31,7 @@
   Incarnation mIncarnation = 0;
   std::optional<Endpoint> mBind;          ///< where other processes connect; port 0: any free port
   std::map<std::string, Endpoint> mPeers; ///< processes to connect to
+  std::optional<Keys> mKeys;              ///< nothing: messages are neither encrypted nor checked
 };
 
 /// Sockets of a process. Opened before the thread starts, so that errors are seen at start.
@@ -37,7 +40,8 @@
 public:
   /// @param aOptions settings
   /// @param aOut messages to send; writers may start once this constructor has returned
-  /// @throws std::runtime_error when an address cannot be bound
+  /// @throws std::runtime_error when an address cannot be bound, or there is no key of a process to
+  /// connect to
   MessageSockets(MessageOptions aOptions, OutboundRing& aOut);
   ~MessageSockets();
   MessageSockets(const MessageSockets&) = delete;
--- a/packages/wire/src/message_thread.cpp
+++ b/packages/wire/src/message_thread.cpp
@@ -1,5 +1,6 @@
 #include "fighold/wire/message_thread.hpp"
 
+#include "authentication.hpp"
 #include "fighold/wire/codec.hpp"
 
 #include <zmq.hpp>
@@ -85,6 +86,7 @@
   MessageOptions mOptions;
   OutboundRing& mOut;
   zmq::context_t mContext{ 1 };
+  std::optional<zmq::socket_t> mAuthenticator;
   std::optional<zmq::socket_t> mRouter;
   std::map<std::string, zmq::socket_t> mDealers;
   WakeupDescriptor mWakeup;
@@ -95,6 +97,10 @@
     SetCommonOptions(*mRouter);
     // A restarted process connects again under its old identity before the old connection is gone.
     mRouter->set(zmq::sockopt::router_handover, 1);
+    if (mOptions.mKeys) {
+      mAuthenticator.emplace(detail::OpenAuthenticator(mContext));
+      detail::SetServerKeys(*mRouter, *mOptions.mKeys);
+    }
     try {
       mRouter->bind("tcp://" + ToText(*mOptions.mBind));
     } catch (const zmq::error_t& error) {
@@ -112,6 +118,9 @@
     dealer.set(zmq::sockopt::immediate, 1);
     dealer.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     dealer.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+    if (mOptions.mKeys) {
+      detail::SetClientKeys(dealer, *mOptions.mKeys, aId);
+    }
     dealer.connect("tcp://" + ToText(aEndpoint));
     mDealers.emplace(aId, std::move(dealer));
   }
@@ -139,31 +148,56 @@
     }
   }
 
-  /// @param aIdentity true for the router, whose messages begin with the sender's identity
-  static void ReceiveAll(zmq::socket_t& aSocket,
-                         bool aIdentity,
-                         const std::function<void(Envelope)>& aDeliver)
+  /// @return true when the message came over a connection of that process's key, or no keys are
+  /// used
+  bool IsFromKeyOf(zmq::message_t& aPart, const std::string& aSender) const
+  {
+    if (!mOptions.mKeys) {
+      return true;
+    }
+    const char* user = ::zmq_msg_gets(aPart.handle(), "User-Id");
+    return user != nullptr && aSender == user;
+  }
+
+  void ReceiveFromRouter(const std::function<void(Envelope)>& aDeliver)
   {
     while (true) {
-      std::string identity;
       zmq::message_t part;
-      if (!aSocket.recv(part, zmq::recv_flags::dontwait)) {
+      if (!mRouter->recv(part, zmq::recv_flags::dontwait)) {
         return;
       }
-      if (aIdentity) {
-        identity = part.to_string();
-        if (!part.more() || !aSocket.recv(part, zmq::recv_flags::dontwait)) {
-          continue;
-        }
-      }
-      auto envelope = DecodeEnvelope(part.to_string_view());
-      while (part.more() && aSocket.recv(part, zmq::recv_flags::dontwait)) {
-        envelope.reset();
-      }
-      // A sender may not speak for another one.
-      if (envelope && (!aIdentity || envelope->mFrom == identity)) {
-        aDeliver(std::move(*envelope));
+      // Messages begin with the sender's identity.
+      const std::string identity = part.to_string();
+      if (!part.more() || !mRouter->recv(part, zmq::recv_flags::dontwait)) {
+        continue;
       }
+      const bool own = IsFromKeyOf(part, identity);
+      Receive(*mRouter, part, own ? identity : std::string(), aDeliver);
+    }
+  }
+
+  static void ReceiveFromDealer(const std::string& aId,
+                                zmq::socket_t& aSocket,
+                                const std::function<void(Envelope)>& aDeliver)
+  {
+    zmq::message_t part;
+    while (aSocket.recv(part, zmq::recv_flags::dontwait)) {
+      Receive(aSocket, part, aId, aDeliver);
+    }
+  }
+
+  /// Takes the rest of a message and delivers it. A sender may not speak for another one.
+  static void Receive(zmq::socket_t& aSocket,
+                      zmq::message_t& aPart,
+                      const std::string& aSender,
+                      const std::function<void(Envelope)>& aDeliver)
+  {
+    auto envelope = DecodeEnvelope(aPart.to_string_view());
+    while (aPart.more() && aSocket.recv(aPart, zmq::recv_flags::dontwait)) {
+      envelope.reset();
+    }
+    if (envelope && !aSender.empty() && envelope->mFrom == aSender) {
+      aDeliver(std::move(*envelope));
     }
   }
 };
@@ -199,15 +233,21 @@
   for (auto& [id, dealer] : mState->mDealers) {
     items.push_back({ dealer.handle(), 0, ZMQ_POLLIN, 0 });
   }
+  if (mState->mAuthenticator) {
+    items.push_back({ mState->mAuthenticator->handle(), 0, ZMQ_POLLIN, 0 });
+  }
   mState->SendAll();
   while (!mState->mOut.Finished()) {
     zmq::poll(items.data(), items.size(), std::chrono::milliseconds(-1));
     mState->mWakeup.Clear();
+    if (mState->mAuthenticator) {
+      detail::AnswerAuthentications(*mState->mAuthenticator, mState->mOptions.mKeys->mPeers);
+    }
     if (mState->mRouter) {
-      State::ReceiveAll(*mState->mRouter, true, aDeliver);
+      mState->ReceiveFromRouter(aDeliver);
     }
     for (auto& [id, dealer] : mState->mDealers) {
-      State::ReceiveAll(dealer, false, aDeliver);
+      State::ReceiveFromDealer(id, dealer, aDeliver);
     }
     mState->SendAll();
   }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -28,8 +28,19 @@
   return 1
 }
 
+# Keys of all daemons that the deployment may start, made before the control processes read them.
+prepare_keys() {
+  local n
+  mkdir -p "$RUN_DIR/keys"
+  for n in $(seq 1 "$CONTROLS"); do "$CTL" keys new "$RUN_DIR/keys/c$n" >/dev/null; done
+  for n in $(seq 1 $(( $(wc -w <<<"$REGIONS") * ENTRIES_PER_REGION + 3 ))); do
+    "$CTL" keys new "$RUN_DIR/keys/e$n" >/dev/null
+  done
+}
+
 prepare_addresses() {
   local n
+  prepare_keys
   for n in $(seq 1 "$CONTROLS"); do
     CONTROL_LIST="$CONTROL_LIST${CONTROL_LIST:+,}c$n=$SUBNET.$n:7100"
     CONTROL_HTTP="$CONTROL_HTTP${CONTROL_HTTP:+,}$SUBNET.$n:7000"
@@ -40,6 +51,7 @@
   local n=$1
   "$DAEMON" --role=control --id="c$n" --listen="$SUBNET.$n:7000" --message_listen="$SUBNET.$n:7100" \
     --controls="$CONTROL_LIST" --data="$RUN_DIR/c$n" --charts="$ROOT/charts" --logtostderr \
+    --key_file="$RUN_DIR/keys/c$n" --peer_keys="$RUN_DIR/keys" \
     >>"$RUN_DIR/c$n.out" 2>>"$RUN_DIR/c$n.log" &
   CONTROL_PIDS[n - 1]=$!
 }
@@ -48,6 +60,7 @@
   local n=$1 region=$2
   "$DAEMON" --role=entry --id="e$n" --region="$region" --data_centre="$region-$(( n % 2 ))" \
     --listen="$SUBNET.$((100 + n)):8080" --controls="$CONTROL_LIST" --charts="$ROOT/charts" --logtostderr \
+    --key_file="$RUN_DIR/keys/e$n" --peer_keys="$RUN_DIR/keys" \
     --lookup_ttl_ms="${LOOKUP_TTL_MS:-2000}" >>"$RUN_DIR/e$n.out" 2>>"$RUN_DIR/e$n.log" &
   ENTRY_PIDS[n - 1]=$!
 }
