--- /dev/null
+++ b/packages/control/src/front_codec_test.cpp
@@ -0,0 +1,106 @@
+#include "front_codec.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <fstream>
+#include <iterator>
+
+namespace fighold::control {
+namespace {
+
+struct ControlFrontCodecFixture
+{
+  std::string mSheet;
+  std::vector<net::HttpRequest> mRequests;
+
+  ControlFrontCodecFixture()
+  {
+    std::ifstream file(FIGHOLD_EXAMPLES_DIR "/lykavittos/sheet.csv");
+    mSheet = { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    mRequests = {
+      { "POST", "/v1/plan?change=c1&base=", {}, mSheet, {} },
+      { "POST", "/v1/plan/check", {}, mSheet, {} },
+      { "POST", "/v1/drains?change=c2&kind=region&name=kriti&state=on", {}, "", {} },
+      { "GET", "/v1/status", {}, "", {} },
+    };
+  }
+
+  static unsigned StatusOf(const Parsed& aParsed)
+  {
+    const auto* response = std::get_if<net::HttpResponse>(&aParsed);
+    return response == nullptr ? 0 : response->mStatus;
+  }
+};
+
+std::string
+Damaged(std::string aText)
+{
+  const auto place = *rc::gen::inRange<std::size_t>(0, aText.size() + 1);
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      aText.resize(place);
+      break;
+    case 1:
+      aText.insert(place, *rc::gen::arbitrary<std::string>());
+      break;
+    case 2:
+      if (place < aText.size()) {
+        aText[place] = *rc::gen::arbitrary<char>();
+      }
+      break;
+    default:
+      break;
+  }
+  return aText;
+}
+
+// Guards against a control process that dies from a malformed call or sheet.
+TEST_CASE_METHOD(ControlFrontCodecFixture,
+                 "ParseRequest, cut or changed call, gives an event or an answer",
+                 "[control]")
+{
+  rc::prop("never throws", [this]() {
+    net::HttpRequest request = mRequests[*rc::gen::inRange<std::size_t>(0, mRequests.size())];
+    request.mTarget = Damaged(request.mTarget);
+    request.mBody = Damaged(request.mBody);
+    const Parsed parsed = ParseRequest(1, request, "");
+    if (const auto* response = std::get_if<net::HttpResponse>(&parsed)) {
+      const bool checked = response->mStatus == 200;
+      RC_ASSERT(checked || (response->mStatus >= 400U && response->mStatus < 500U));
+    }
+  });
+}
+
+// Guards against a change that passes with a token that is only similar.
+TEST_CASE_METHOD(ControlFrontCodecFixture,
+                 "ParseRequest, change with a missing or wrong token, is refused",
+                 "[control]")
+{
+  for (const std::string token : { "", "Bearer ", "Bearer secre", "Bearer secrets", "secret" }) {
+    for (net::HttpRequest it : { mRequests[0], mRequests[2] }) {
+      it.mHeaders = { { "Authorization", token } };
+      CHECK(StatusOf(ParseRequest(1, it, "secret")) == 401);
+      it.mHeaders = { { "Authorization", "Bearer secret" } };
+      CHECK(std::holds_alternative<Event>(ParseRequest(1, it, "secret")));
+    }
+  }
+}
+
+TEST_CASE_METHOD(ControlFrontCodecFixture,
+                 "ParseRequest, change without an identifier, is refused",
+                 "[control]")
+{
+  const std::string longId(129, 'x');
+  for (const std::string& id : { std::string(), longId }) {
+    const net::HttpRequest submit{ "POST", "/v1/plan?change=" + id, {}, mSheet, {} };
+    const net::HttpRequest drain{
+      "POST", "/v1/drains?kind=region&name=kriti&change=" + id, {}, "", {}
+    };
+    CHECK(StatusOf(ParseRequest(1, submit, "")) == 400);
+    CHECK(StatusOf(ParseRequest(1, drain, "")) == 400);
+  }
+}
+
+} // namespace
+} // namespace fighold::control
--- /dev/null
+++ b/packages/entry/src/front_codec_test.cpp
@@ -0,0 +1,116 @@
+#include "front_codec.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace fighold::entry {
+namespace {
+
+struct EntryFrontCodecFixture
+{
+  std::string mRenewal =
+    R"({"incarnation":5,"service":"vardia","region":"attiki","data_centre":"attiki-a",)"
+    R"("address":"10.0.0.1:8080","slots":6,"connections":330,"in_flight":2})";
+  std::vector<net::HttpRequest> mRequests{
+    { "GET", "/v1/lookup?service=vardia&client=10.10.0.1", {}, "", { "10.10.0.9", 1 } },
+    { "PUT", "/v1/backend-servers/s1", {}, mRenewal, {} },
+    { "DELETE", "/v1/backend-servers/s1?incarnation=5", {}, "", {} },
+    { "POST",
+      "/s/vardia/item/1?x=%20",
+      { { "Idempotency-Key", "k" }, { "Fighold-Deadline-Ms", "500" } },
+      "body",
+      { "10.10.0.9", 1 } },
+    { "GET", "/readyz", {}, "", {} },
+  };
+
+  static unsigned StatusOf(const Parsed& aParsed)
+  {
+    const auto* response = std::get_if<net::HttpResponse>(&aParsed);
+    return response == nullptr ? 0 : response->mStatus;
+  }
+};
+
+/// Cuts a text, changes a byte of it, or puts bytes in.
+std::string
+Damaged(std::string aText)
+{
+  const auto place = *rc::gen::inRange<std::size_t>(0, aText.size() + 1);
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      aText.resize(place);
+      break;
+    case 1:
+      aText.insert(place, *rc::gen::arbitrary<std::string>());
+      break;
+    case 2:
+      if (place < aText.size()) {
+        aText[place] = *rc::gen::arbitrary<char>();
+      }
+      break;
+    default:
+      break;
+  }
+  return aText;
+}
+
+TEST_CASE_METHOD(EntryFrontCodecFixture, "ParseRequest, whole requests, gives events", "[entry]")
+{
+  for (const net::HttpRequest& it : mRequests) {
+    CHECK(std::holds_alternative<Event>(ParseRequest(1, it)));
+  }
+}
+
+// Guards against a process that dies from a caller's or a backend server's malformed request.
+TEST_CASE_METHOD(EntryFrontCodecFixture,
+                 "ParseRequest, cut or changed request, gives an event or a 4xx that says not run",
+                 "[entry]")
+{
+  rc::prop("never throws", [this]() {
+    net::HttpRequest request = mRequests[*rc::gen::inRange<std::size_t>(0, mRequests.size())];
+    request.mTarget = Damaged(request.mTarget);
+    request.mBody = Damaged(request.mBody);
+    request.mMethod = *rc::gen::element<std::string>("GET", "PUT", "DELETE", "POST", "");
+    for (net::Header& it : request.mHeaders) {
+      it.mValue = Damaged(it.mValue);
+    }
+    const Parsed parsed = ParseRequest(1, request);
+    if (const auto* response = std::get_if<net::HttpResponse>(&parsed)) {
+      RC_ASSERT(response->mStatus >= 400U);
+      RC_ASSERT(response->mStatus < 500U);
+      RC_ASSERT(net::FindHeader(response->mHeaders, "Fighold-Outcome") == "not-run");
+    }
+  });
+}
+
+// Guards against values that do not fit being taken as others.
+TEST_CASE_METHOD(EntryFrontCodecFixture,
+                 "ParseRequest, renewal with a member out of range, is refused with its name",
+                 "[entry]")
+{
+  const std::vector<std::pair<std::string, std::string>> table{
+    { "\"slots\":6", "\"slots\":0" },
+    { "\"slots\":6", "\"slots\":4294967302" },
+    { "\"slots\":6", "\"slots\":-1" },
+    { "\"slots\":6", "\"slots\":6.5" },
+    { "\"incarnation\":5", "\"incarnation\":18446744073709551616" },
+    { "\"connections\":330", "\"connections\":\"330\"" },
+    { "\"in_flight\":2", "\"in_flight\":4294967296" },
+    { "10.0.0.1:8080", "10.0.0.1" },
+    { "\"vardia\"", "[]" },
+  };
+  for (const auto& [from, to] : table) {
+    std::string body = mRenewal;
+    body.replace(body.find(from), from.size(), to);
+    CHECK(StatusOf(ParseRequest(1, { "PUT", "/v1/backend-servers/s1", {}, body, {} })) == 400);
+  }
+}
+
+// Guards against a body that exhausts the stack.
+TEST_CASE_METHOD(EntryFrontCodecFixture, "ParseRequest, deeply nested body, is refused", "[entry]")
+{
+  const std::string body(100'000, '[');
+  CHECK(StatusOf(ParseRequest(1, { "PUT", "/v1/backend-servers/s1", {}, body, {} })) == 400);
+}
+
+} // namespace
+} // namespace fighold::entry
