Claim messages and claim holding in control processes

Cause: the claims package had no holders in the running system.

Change: ClaimAsk, ClaimReply, ClaimResult, ClaimCopyAsk and ClaimCopyPage in messages.proto; a control process answers them in claim_holding. It grants nothing before its log holds a synced entry, so that an empty log at start proves that there are no forgotten grants and a new deployment need not wait for the retention to pass. A page from a process that is no holder is ignored.

Ruled out: letting every start abstain. Three control processes that start together would answer every keyed request with "not run" for 10 minutes.

Checked: wire_test, claims_test.

--- a/packages/claims/src/holder.cpp
+++ b/packages/claims/src/holder.cpp
@@ -224,6 +224,10 @@
 std::optional<CopyAsk>
 TakePage(Holder& aHolder, const ControlId& aFrom, const CopyPage& aPage, Instant aNow)
 {
+  const auto& holders = aHolder.mOptions.mHolders;
+  if (std::find(holders.begin(), holders.end(), aFrom) == holders.end()) {
+    return std::nullopt;
+  }
   // A page asked for by an earlier start of this process is too old to be relied on.
   if (aHolder.mStage != HolderStage::Copying || aPage.mStart != aHolder.mOptions.mStart) {
     return std::nullopt;
--- a/packages/control/include/fighold/control/event.hpp
+++ b/packages/control/include/fighold/control/event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/agreement/node.hpp"
+#include "fighold/claims/message.hpp"
 #include "fighold/core/decision_record.hpp"
 #include "fighold/core/time.hpp"
 #include "fighold/membership/protocol.hpp"
@@ -39,7 +40,7 @@
 struct FromEntry
 {
   EntryId mFrom;
-  std::variant<membership::Renew, membership::ChangeAsk> mBody;
+  std::variant<membership::Renew, membership::ChangeAsk, claims::Ask, claims::Result> mBody;
 
   friend bool operator==(const FromEntry&, const FromEntry&) = default;
 };
@@ -48,7 +49,12 @@
 struct FromControl
 {
   ControlId mFrom;
-  std::variant<agreement::Message, membership::ControlRenew, membership::ControlGrant> mBody;
+  std::variant<agreement::Message,
+               membership::ControlRenew,
+               membership::ControlGrant,
+               claims::CopyAsk,
+               claims::CopyPage>
+    mBody;
 
   friend auto operator<=>(const FromControl&, const FromControl&) = default;
 };
@@ -132,7 +138,12 @@
 struct SendControl
 {
   ControlId mTo;
-  std::variant<agreement::Message, membership::ControlRenew, membership::ControlGrant> mBody;
+  std::variant<agreement::Message,
+               membership::ControlRenew,
+               membership::ControlGrant,
+               claims::CopyAsk,
+               claims::CopyPage>
+    mBody;
 
   friend auto operator<=>(const SendControl&, const SendControl&) = default;
 };
@@ -141,7 +152,7 @@
 struct SendEntry
 {
   EntryId mTo;
-  std::variant<membership::Grant, membership::ChangeDone> mBody;
+  std::variant<membership::Grant, membership::ChangeDone, claims::Reply> mBody;
 
   friend bool operator==(const SendEntry&, const SendEntry&) = default;
 };
--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -2,6 +2,7 @@
 
 #include "fighold/agreement/node.hpp"
 #include "fighold/chart/bound_chart.hpp"
+#include "fighold/claims/holder.hpp"
 #include "fighold/control/event.hpp"
 
 #include <filesystem>
@@ -84,6 +85,7 @@
   agreement::Node mNode;
   Codec mCodec;
   chart::BoundChart<CallScope> mCallChart;
+  claims::Holder mClaims;
   SharedValue<membership::Configuration> mConfiguration;
   std::map<EntryId, EntryView> mEntries;
   std::map<BackendServerId, BackendView> mBackends;
--- /dev/null
+++ b/packages/control/src/claim_holding.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "context.hpp"
+
+/// Claims that this process holds for the entries.
+namespace fighold::control {
+
+/// Handles a message of an entry when it is about claims.
+/// @return false when it is about something else
+bool
+HandleClaimMessage(Context& aContext, const FromEntry& aMessage);
+
+/// Handles a message of another holder when it is about claims.
+/// @return false when it is about something else
+bool
+HandleClaimMessage(Context& aContext, const FromControl& aMessage);
+
+/// Forgets old claims and continues the recovery after a restart.
+void
+TickClaims(Context& aContext);
+
+} // namespace fighold::control
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -39,6 +39,14 @@
     push(FromControl{ { aEnvelope.mFrom }, std::move(*controlRenew) });
   } else if (auto* controlGrant = std::get_if<membership::ControlGrant>(&aEnvelope.mBody)) {
     push(FromControl{ { aEnvelope.mFrom }, std::move(*controlGrant) });
+  } else if (auto* claimAsk = std::get_if<claims::Ask>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*claimAsk) });
+  } else if (auto* claimResult = std::get_if<claims::Result>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*claimResult) });
+  } else if (auto* copyAsk = std::get_if<claims::CopyAsk>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*copyAsk) });
+  } else if (auto* copyPage = std::get_if<claims::CopyPage>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*copyPage) });
   }
 }
 
@@ -71,9 +79,15 @@
     auto chart = LoadCallChart(aOptions.mCharts);
     std::vector<agreement::LogEntry> entries;
     auto log = agreement::OpenLog(aOptions.mData, agreement::PosixFileOps(), entries);
+    const claims::HolderOptions holder{ aOptions.mSelf,
+                                        AgreementOptionsOf(aOptions).mVoters,
+                                        aOptions.mIncarnation };
+    // A holder grants nothing before its log holds an entry, so an empty log means no grants.
+    const bool mayHaveGranted = !entries.empty();
     auto state = MakeState(agreement::MakeNode(AgreementOptionsOf(aOptions), std::move(entries)),
                            WireCodec(),
                            std::move(chart));
+    state.mClaims = claims::MakeHolder(holder, mayHaveGranted);
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -1,6 +1,7 @@
 #include "fighold/control/decide.hpp"
 
 #include "calls.hpp"
+#include "claim_holding.hpp"
 #include "leases.hpp"
 
 namespace fighold::control {
@@ -58,6 +59,9 @@
 void
 Handle(const FromEntry& aMessage, Context& aContext)
 {
+  if (HandleClaimMessage(aContext, aMessage)) {
+    return;
+  }
   if (const auto* renew = std::get_if<membership::Renew>(&aMessage.mBody)) {
     HandleRenew(aContext, aMessage.mFrom, *renew);
   } else {
@@ -68,6 +72,9 @@
 void
 Handle(const FromControl& aMessage, Context& aContext)
 {
+  if (HandleClaimMessage(aContext, aMessage)) {
+    return;
+  }
   if (const auto* message = std::get_if<agreement::Message>(&aMessage.mBody)) {
     Agree(aContext, agreement::Received{ aMessage.mFrom, *message });
   } else if (const auto* renew = std::get_if<membership::ControlRenew>(&aMessage.mBody)) {
@@ -89,6 +96,7 @@
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
   TickCalls(aContext);
+  TickClaims(aContext);
 }
 
 } // namespace
--- a/packages/wire/include/fighold/wire/body.hpp
+++ b/packages/wire/include/fighold/wire/body.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/agreement/message.hpp"
+#include "fighold/claims/message.hpp"
 #include "fighold/membership/protocol.hpp"
 
 #include <string>
@@ -15,7 +16,12 @@
                           membership::ChangeDone,
                           membership::ControlRenew,
                           membership::ControlGrant,
-                          agreement::Message>;
+                          agreement::Message,
+                          claims::Ask,
+                          claims::Reply,
+                          claims::Result,
+                          claims::CopyAsk,
+                          claims::CopyPage>;
 
 /// A message with its sender.
 struct Envelope
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -1,5 +1,6 @@
 #include "fighold/wire/codec.hpp"
 
+#include "claim_codec.hpp"
 #include "convert.hpp"
 
 namespace fighold::wire {
@@ -193,6 +194,13 @@
   return grant;
 }
 
+template<typename ClaimBody>
+void
+PutBody(const ClaimBody& aBody, pb::Envelope& aOut)
+{
+  detail::PutClaim(aBody, aOut);
+}
+
 void
 PutMessage(const agreement::Append& aAppend, pb::Envelope& aOut)
 {
@@ -278,6 +286,12 @@
       return GetBody(aEnvelope.append_reply());
     case pb::Envelope::kForward:
       return GetBody(aEnvelope.forward());
+    case pb::Envelope::kClaimAsk:
+    case pb::Envelope::kClaimReply:
+    case pb::Envelope::kClaimResult:
+    case pb::Envelope::kClaimCopyAsk:
+    case pb::Envelope::kClaimCopyPage:
+      return detail::GetClaim(aEnvelope);
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -66,6 +66,22 @@
       { "c1", 1, agreement::Message(agreement::Append{ 1, 2, 1, 2, 7, { { 3, 1, "payload" } } }) },
       { "c2", 1, agreement::Message(agreement::AppendReply{ 1, true, 3, 7 }) },
       { "c2", 1, agreement::Message(agreement::Forward{ "payload" }) },
+      { "e1", 3, claims::Ask{ "vardia/k", "digest", { { "e1" }, 3, 9 } } },
+      { "c1",
+        1,
+        claims::Reply{ { { "e1" }, 3, 9 },
+                       claims::Verdict::Answered,
+                       { { "e2" }, 4, 1 },
+                       claims::KeptAnswer{ 201, { { "X", "y" } }, std::string("a\0\xff", 3) } } },
+      { "e1", 3, claims::Result{ "vardia/k", { { "e1" }, 3, 9 }, true, std::nullopt } },
+      { "c1", 1, claims::CopyAsk{ 7, "vardia/k" } },
+      { "c2",
+        1,
+        claims::CopyPage{ 7,
+                          "vardia/k",
+                          true,
+                          { { "l", "digest", claims::Attempt{ { "e1" }, 3, 9 }, Millis(5) },
+                            { "m", "digest", std::nullopt, Millis(6) } } } },
     };
   }
 };
