--- a/packages/claims/include/fighold/claims/asker.hpp
+++ b/packages/claims/include/fighold/claims/asker.hpp
@@ -128,6 +128,10 @@
 std::vector<AskerEffect>
 Step(Asker& aAsker, const AskerEvent& aEvent, Instant aNow);
 
+/// @return true when no more keys can be claimed for now
+bool
+IsFull(const Asker& aAsker);
+
 /// @return time by which the next AskerTick is due, or nothing when none is
 std::optional<Instant>
 NextAskerTick(const Asker& aAsker);
--- a/packages/claims/src/asker.cpp
+++ b/packages/claims/src/asker.cpp
@@ -163,7 +163,7 @@
 Handle(const Begin& aBegin, Context& aContext)
 {
   Asker& asker = aContext.mAsker;
-  if (asker.mPending.size() + asker.mGivenBack.size() >= asker.mOptions.mMaxPending) {
+  if (IsFull(asker)) {
     aContext.mEffects.emplace_back(
       Judged{ aBegin.mNumber, Judgement::NotDecided, {}, std::nullopt });
     return;
@@ -275,6 +275,12 @@
   return std::move(context.mEffects);
 }
 
+bool
+IsFull(const Asker& aAsker)
+{
+  return aAsker.mPending.size() + aAsker.mGivenBack.size() >= aAsker.mOptions.mMaxPending;
+}
+
 std::optional<Instant>
 NextAskerTick(const Asker& aAsker)
 {
--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fighold/claims/message.hpp"
 #include "fighold/core/decision_record.hpp"
 #include "fighold/core/id.hpp"
 #include "fighold/core/outcome.hpp"
@@ -100,6 +101,23 @@
   friend auto operator<=>(const ChangeDoneReceived&, const ChangeDoneReceived&) = default;
 };
 
+/// A claim holder replied.
+struct ClaimReplyReceived
+{
+  ControlId mFrom;
+  claims::Reply mReply;
+
+  friend auto operator<=>(const ClaimReplyReceived&, const ClaimReplyReceived&) = default;
+};
+
+/// The caller closed its connection before its request was answered.
+struct CallerGone
+{
+  RequestId mId = 0;
+
+  friend auto operator<=>(const CallerGone&, const CallerGone&) = default;
+};
+
 /// Time passed.
 struct Tick
 {
@@ -120,6 +138,8 @@
                            DispatchDone,
                            GrantReceived,
                            ChangeDoneReceived,
+                           ClaimReplyReceived,
+                           CallerGone,
                            Tick,
                            Stop>;
 
@@ -127,7 +147,8 @@
 struct CallerAnswer
 {
   Outcome mOutcome = Outcome::NotRun;
-  std::string mReason;         ///< why the request was not run or its outcome is unknown
+  std::string mReason;    ///< why the request was not run or its outcome is unknown
+  unsigned mStatus = 503; ///< status code when mOutcome is NotRun; a 4xx: the request is at fault
   net::HttpResponse mResponse; ///< the backend server's whole answer when mOutcome is Run
   ServiceId mService;
   BackendServerId mServer; ///< backend server of the last dispatch
@@ -193,6 +214,7 @@
 {
   RequestId mId = 0;
   Answer mAnswer;
+  bool mClose = false; ///< the entry is stopping: the caller shall use another one
 
   friend auto operator<=>(const Reply&, const Reply&) = default;
 };
@@ -205,15 +227,26 @@
   routing::Candidate mServer;
   SharedValue<net::HttpRequest> mPayload;
   Instant mUntil{};
+  Instant mFirstByteUntil{};            ///< without a byte by then, the connection is silent
+  Instant mSendBefore = Instant::max(); ///< end of the claim that the dispatch rests on
+  std::uint32_t mConnectionShare = 1;   ///< connections that this entry may have to the server
 
   friend bool operator==(const Dispatch&, const Dispatch&) = default;
 };
 
+/// Give up a dispatch: its connection is closed, and no DispatchDone follows.
+struct CancelDispatch
+{
+  std::uint64_t mDispatch = 0;
+
+  friend auto operator<=>(const CancelDispatch&, const CancelDispatch&) = default;
+};
+
 /// Send a message to a control process.
 struct SendControl
 {
   ControlId mTo;
-  std::variant<membership::Renew, membership::ChangeAsk> mBody;
+  std::variant<membership::Renew, membership::ChangeAsk, claims::Ask, claims::Result> mBody;
 
   friend bool operator==(const SendControl&, const SendControl&) = default;
 };
@@ -232,6 +265,6 @@
   friend auto operator<=>(const Stopped&, const Stopped&) = default;
 };
 
-using Effect = std::variant<Reply, Dispatch, SendControl, LogRecord, Stopped>;
+using Effect = std::variant<Reply, Dispatch, CancelDispatch, SendControl, LogRecord, Stopped>;
 
 } // namespace fighold::entry
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/chart/bound_chart.hpp"
+#include "fighold/claims/asker.hpp"
 #include "fighold/entry/event.hpp"
 #include "fighold/membership/lease.hpp"
 #include "fighold/routing/route.hpp"
@@ -18,6 +19,7 @@
 enum class RequestState : std::uint8_t
 {
   Received,
+  Claiming,
   Dispatched,
   Answered,
   NotRun,
@@ -58,6 +60,7 @@
   std::uint64_t mDispatch = 0;
   BackendServerId mServer;
   Instant mDispatchedAt{};
+  Instant mClaimUntil = Instant::max(); ///< end of the claim, for a request that needs one
 };
 
 /// A change asked of the control group on behalf of a backend server.
@@ -101,6 +104,7 @@
   Instant mLastGrant{};
   std::size_t mControl = 0; ///< index of the control process in use
   std::uint64_t mRandom = 1;
+  claims::Asker mAsker;
 };
 
 /// Loads the charts of an entry.
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -9,35 +9,48 @@
 #include <algorithm>
 #include <map>
 #include <stdexcept>
-#include <vector>
 
 namespace fighold::entry {
 namespace {
 
-/// Idle connections kept for each backend server address.
-constexpr std::size_t kMaxIdle = 16;
+/// Time between two probes of idle connections.
+constexpr Millis kSweepInterval{ 1000 };
+
+/// A dispatch that was started and has not ended.
+struct Running
+{
+  bool mCancelled = false;
+  std::shared_ptr<PooledConnection> mConnection; ///< null before one was taken
+};
 
 } // namespace
 
 struct Backend::State
 {
-  explicit State(Wiring& aWiring)
+  State(Wiring& aWiring, chart::BoundChart<ConnectionScope> aChart)
     : mWiring(aWiring)
   {
+    mPool.mChart = std::move(aChart);
+    mPool.mMake = [this](const Endpoint& aPath) {
+      return std::make_unique<net::HttpConnection>(mLoop, aPath);
+    };
     mWiring.mDispatches.SetWakeup([this] { mLoop.Post([this] { mChanged.notify_all(); }); });
   }
 
   Wiring& mWiring;
   net::FiberLoop mLoop;
-  std::map<Endpoint, std::vector<std::unique_ptr<net::HttpConnection>>> mIdle;
-  std::size_t mRunning = 0;
+  ConnectionPool mPool;
+  std::map<std::uint64_t, Running> mRunning;
+  Instant mNextSweep{};
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
 
-  std::unique_ptr<net::HttpConnection> TakeConnection(const Endpoint& aEndpoint);
-  void KeepConnection(const Endpoint& aEndpoint, std::unique_ptr<net::HttpConnection> aConnection);
+  net::ExchangeResult Exchange(const Dispatch& aDispatch);
   void RunDispatch(const Dispatch& aDispatch);
-  void StartDispatches();
+  void Start(Dispatch aDispatch);
+  void Cancel(const CancelDispatch& aCancel);
+  void TakeOrders();
+  void Wait(std::unique_lock<boost::fibers::mutex>& aLock);
 };
 
 namespace {
@@ -61,59 +74,99 @@
 
 } // namespace
 
-std::unique_ptr<net::HttpConnection>
-Backend::State::TakeConnection(const Endpoint& aEndpoint)
+net::ExchangeResult
+Backend::State::Exchange(const Dispatch& aDispatch)
 {
-  auto& idle = mIdle[aEndpoint];
-  while (!idle.empty()) {
-    auto connection = std::move(idle.back());
-    idle.pop_back();
-    if (connection->Reusable()) {
-      return connection;
+  Running& running = mRunning.at(aDispatch.mDispatch);
+  if (running.mCancelled) {
+    return { net::ExchangeStage::NotSent, {}, "cancelled" };
+  }
+  const auto now = [] { return std::chrono::steady_clock::now(); };
+  const auto connection =
+    TakeConnection(mPool, aDispatch.mServer.mAddress, aDispatch.mConnectionShare, now());
+  if (!connection) {
+    return { net::ExchangeStage::NotSent, {}, "connection share used up" };
+  }
+  running.mConnection = connection;
+  if (connection->mState == ConnectionState::Connecting) {
+    const std::string error = connection->mHttp->Connect(aDispatch.mUntil);
+    if (!error.empty() || running.mCancelled) {
+      FireConnection(mPool, connection, ConnectionEvent::Failed, now());
+      return { net::ExchangeStage::NotSent, {}, error };
     }
+    FireConnection(mPool, connection, ConnectionEvent::Connected, now());
   }
-  return std::make_unique<net::HttpConnection>(mLoop, aEndpoint);
+  const net::ExchangeLimits limits{ aDispatch.mUntil,
+                                    aDispatch.mFirstByteUntil,
+                                    aDispatch.mSendBefore };
+  auto result = connection->mHttp->Exchange(WithHeaders(aDispatch), limits);
+  EndExchange(mPool, connection, result, now());
+  return result;
 }
 
 void
-Backend::State::KeepConnection(const Endpoint& aEndpoint,
-                               std::unique_ptr<net::HttpConnection> aConnection)
+Backend::State::RunDispatch(const Dispatch& aDispatch)
 {
-  auto& idle = mIdle[aEndpoint];
-  if (idle.size() < kMaxIdle && aConnection->Reusable()) {
-    idle.push_back(std::move(aConnection));
+  DispatchDone done{ aDispatch.mId, aDispatch.mDispatch, Exchange(aDispatch) };
+  const bool cancelled = mRunning.at(aDispatch.mDispatch).mCancelled;
+  mRunning.erase(aDispatch.mDispatch);
+  if (!cancelled && !mWiring.mInbox.TryPush(std::move(done))) {
+    throw std::logic_error("the inbox has no place for the result of a dispatch");
   }
+  mChanged.notify_all();
 }
 
 void
-Backend::State::RunDispatch(const Dispatch& aDispatch)
+Backend::State::Start(Dispatch aDispatch)
 {
-  const Endpoint& address = aDispatch.mServer.mAddress;
-  auto connection = TakeConnection(address);
-  DispatchDone done{ aDispatch.mId,
-                     aDispatch.mDispatch,
-                     connection->Exchange(WithHeaders(aDispatch), aDispatch.mUntil) };
-  KeepConnection(address, std::move(connection));
-  if (!mWiring.mInbox.TryPush(std::move(done))) {
-    throw std::logic_error("the inbox has no place for the result of a dispatch");
+  mRunning[aDispatch.mDispatch] = {};
+  boost::fibers::fiber([this, dispatch = std::move(aDispatch)] { RunDispatch(dispatch); }).detach();
+}
+
+void
+Backend::State::Cancel(const CancelDispatch& aCancel)
+{
+  const auto it = mRunning.find(aCancel.mDispatch);
+  if (it == mRunning.end()) {
+    return;
+  }
+  it->second.mCancelled = true;
+  if (it->second.mConnection) {
+    FireConnection(
+      mPool, it->second.mConnection, ConnectionEvent::Cancelled, std::chrono::steady_clock::now());
   }
-  --mRunning;
-  mChanged.notify_all();
 }
 
 void
-Backend::State::StartDispatches()
+Backend::State::TakeOrders()
 {
-  while (auto dispatch = mWiring.mDispatches.TryPop()) {
-    ++mRunning;
-    boost::fibers::fiber([this, dispatch = std::move(*dispatch)] {
-      RunDispatch(dispatch);
-    }).detach();
+  while (auto order = mWiring.mDispatches.TryPop()) {
+    if (auto* dispatch = std::get_if<Dispatch>(&*order)) {
+      Start(std::move(*dispatch));
+    } else {
+      Cancel(std::get<CancelDispatch>(*order));
+    }
+  }
+}
+
+/// Waits for orders; while connections are idle, only until their next probe.
+void
+Backend::State::Wait(std::unique_lock<boost::fibers::mutex>& aLock)
+{
+  if (CountIdle(mPool) == 0) {
+    mChanged.wait(aLock);
+    return;
+  }
+  mChanged.wait_until(aLock, mNextSweep);
+  const Instant now = std::chrono::steady_clock::now();
+  if (now >= mNextSweep) {
+    SweepIdle(mPool, now);
+    mNextSweep = now + kSweepInterval;
   }
 }
 
-Backend::Backend(Wiring& aWiring)
-  : mState(std::make_unique<State>(aWiring))
+Backend::Backend(Wiring& aWiring, chart::BoundChart<ConnectionScope> aChart)
+  : mState(std::make_unique<State>(aWiring, std::move(aChart)))
 {
 }
 
@@ -124,11 +177,11 @@
 {
   mState->mLoop.Run([this] {
     std::unique_lock lock(mState->mMutex);
-    while (!mState->mWiring.mDispatches.Finished() || mState->mRunning > 0) {
-      mState->StartDispatches();
-      mState->mChanged.wait(lock);
+    while (!mState->mWiring.mDispatches.Finished() || !mState->mRunning.empty()) {
+      mState->TakeOrders();
+      mState->Wait(lock);
     }
-    mState->mIdle.clear();
+    mState->mPool.mPaths.clear();
   });
 }
 
--- /dev/null
+++ b/packages/entry/src/connection_pool.cpp
@@ -0,0 +1,179 @@
+#include "connection_pool.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace fighold::entry {
+namespace {
+
+/// Longest time that a connection stays idle. A middlebox may forget it without a word.
+constexpr Millis kMaxIdle{ 15'000 };
+
+bool
+NotProvenSince(const ConnectionScope& aScope)
+{
+  return aScope.mConnection.mProvenAt < aScope.mSilentSince;
+}
+
+void
+CloseConnection(ConnectionScope& aScope)
+{
+  aScope.mConnection.mHttp->Close();
+}
+
+void
+NoteProof(ConnectionScope& aScope)
+{
+  aScope.mConnection.mProvenAt = aScope.mNow;
+}
+
+void
+Fire(ConnectionScope& aScope, ConnectionEvent aEvent)
+{
+  ConnectionState& state = aScope.mConnection.mState;
+  state = chart::Fire(aScope.mPool.mChart, state, aEvent, aScope).mState;
+}
+
+/// Connections of the path that have shown no life since the silent exchange began are distrusted.
+void
+DistrustPath(ConnectionScope& aScope)
+{
+  for (const auto& it : aScope.mPool.mPaths[aScope.mConnection.mPath]) {
+    if (it.get() != &aScope.mConnection) {
+      ConnectionScope other{ aScope.mPool, *it, aScope.mNow, aScope.mConnection.mBusySince };
+      Fire(other, ConnectionEvent::PathSilent);
+    }
+  }
+}
+
+chart::Registry<ConnectionScope>
+ConnectionRegistry()
+{
+  return {
+    { "connecting", "idle", "busy", "distrusted", "closed" },
+    { "connected", "taken", "answered", "failed", "silent", "cancelled", "aged", "path_silent" },
+    { { "not_proven_since", NotProvenSince } },
+    { { "close", CloseConnection }, { "note_proof", NoteProof }, { "distrust_path", DistrustPath } }
+  };
+}
+
+void
+DropClosed(ConnectionPool& aPool, const Endpoint& aPath)
+{
+  const auto it = aPool.mPaths.find(aPath);
+  if (it == aPool.mPaths.end()) {
+    return;
+  }
+  it->second.remove_if([](const auto& aItem) { return aItem->mState == ConnectionState::Closed; });
+  if (it->second.empty()) {
+    aPool.mPaths.erase(it);
+  }
+}
+
+std::shared_ptr<PooledConnection>
+TakeIdle(ConnectionPool& aPool, const Endpoint& aPath, Instant aNow)
+{
+  const auto idle = [&aPool, &aPath]() -> std::shared_ptr<PooledConnection> {
+    for (const auto& it : aPool.mPaths[aPath]) {
+      if (it->mState == ConnectionState::Idle) {
+        return it;
+      }
+    }
+    return nullptr;
+  };
+  while (auto found = idle()) {
+    if (found->mHttp->Reusable()) {
+      FireConnection(aPool, found, ConnectionEvent::Taken, aNow);
+      return found;
+    }
+    FireConnection(aPool, found, ConnectionEvent::Failed, aNow);
+  }
+  return nullptr;
+}
+
+} // namespace
+
+chart::BoundChart<ConnectionScope>
+LoadConnectionChart(const std::filesystem::path& aFolder)
+{
+  return chart::LoadBound(aFolder / "connection.scxml", ConnectionRegistry());
+}
+
+std::shared_ptr<PooledConnection>
+TakeConnection(ConnectionPool& aPool, const Endpoint& aPath, std::size_t aShare, Instant aNow)
+{
+  auto connection = TakeIdle(aPool, aPath, aNow);
+  if (!connection) {
+    auto& all = aPool.mPaths[aPath];
+    if (all.size() >= std::max<std::size_t>(1, aShare)) {
+      return nullptr;
+    }
+    connection = std::make_shared<PooledConnection>();
+    connection->mPath = aPath;
+    connection->mHttp = aPool.mMake(aPath);
+    connection->mProvenAt = aNow;
+    all.push_front(connection);
+  }
+  connection->mBusySince = aNow;
+  return connection;
+}
+
+void
+FireConnection(ConnectionPool& aPool,
+               const std::shared_ptr<PooledConnection>& aConnection,
+               ConnectionEvent aEvent,
+               Instant aNow)
+{
+  ConnectionScope scope{ aPool, *aConnection, aNow };
+  Fire(scope, aEvent);
+  DropClosed(aPool, aConnection->mPath);
+}
+
+void
+EndExchange(ConnectionPool& aPool,
+            const std::shared_ptr<PooledConnection>& aConnection,
+            const net::ExchangeResult& aResult,
+            Instant aNow)
+{
+  ConnectionEvent event = ConnectionEvent::Failed;
+  if (aResult.mSilent) {
+    event = ConnectionEvent::Silent;
+  } else if (aResult.mStage == net::ExchangeStage::Answered && aConnection->mHttp->Reusable()) {
+    event = ConnectionEvent::Answered;
+  }
+  FireConnection(aPool, aConnection, event, aNow);
+}
+
+void
+SweepIdle(ConnectionPool& aPool, Instant aNow)
+{
+  std::vector<std::shared_ptr<PooledConnection>> idle;
+  for (const auto& [path, connections] : aPool.mPaths) {
+    std::copy_if(connections.begin(),
+                 connections.end(),
+                 std::back_inserter(idle),
+                 [](const auto& aItem) { return aItem->mState == ConnectionState::Idle; });
+  }
+  for (const auto& it : idle) {
+    if (!it->mHttp->Reusable()) {
+      FireConnection(aPool, it, ConnectionEvent::Failed, aNow);
+    } else if (aNow >= it->mProvenAt + kMaxIdle) {
+      FireConnection(aPool, it, ConnectionEvent::Aged, aNow);
+    }
+  }
+}
+
+std::size_t
+CountIdle(const ConnectionPool& aPool)
+{
+  std::size_t count = 0;
+  for (const auto& [path, connections] : aPool.mPaths) {
+    count += static_cast<std::size_t>(
+      std::count_if(connections.begin(), connections.end(), [](const auto& aItem) {
+        return aItem->mState == ConnectionState::Idle;
+      }));
+  }
+  return count;
+}
+
+} // namespace fighold::entry
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -29,6 +29,9 @@
     aWiring.mInbox.TryPush(GrantReceived{ { aEnvelope.mFrom }, std::move(*grant) }, kInboxReserve);
   } else if (auto* done = std::get_if<membership::ChangeDone>(&aEnvelope.mBody)) {
     aWiring.mInbox.TryPush(ChangeDoneReceived{ std::move(*done) }, kInboxReserve);
+  } else if (auto* reply = std::get_if<claims::Reply>(&aEnvelope.mBody)) {
+    aWiring.mInbox.TryPush(ClaimReplyReceived{ { aEnvelope.mFrom }, std::move(*reply) },
+                           kInboxReserve);
   }
 }
 
@@ -39,7 +42,7 @@
   explicit State(DaemonOptions aOptions)
     : mSockets(MessageOptionsOf(aOptions), mWiring.mControlOut)
     , mFront(mWiring, aOptions.mServer)
-    , mBackend(mWiring)
+    , mBackend(mWiring, LoadConnectionChart(aOptions.mCharts))
   {
     if (aOptions.mDecide.mEntry.mAddress.mPort == 0) {
       aOptions.mDecide.mEntry.mAddress = mFront.Address();
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -1,5 +1,6 @@
 #include "fighold/entry/decide.hpp"
 
+#include "claiming.hpp"
 #include "lease_keeping.hpp"
 #include "request_chart.hpp"
 #include "stage_chart.hpp"
@@ -122,9 +123,25 @@
   HandleChangeDone(aContext.mState, aDone.mDone, aContext.mEffects);
 }
 
+void
+Handle(const ClaimReplyReceived& aReply, Context& aContext)
+{
+  StepClaims(aContext.mState,
+             claims::Replied{ aReply.mFrom, aReply.mReply },
+             aContext.mEffects,
+             aContext.mNow);
+}
+
+void
+Handle(const CallerGone& aGone, Context& aContext)
+{
+  HandleCallerGone(aContext.mState, aGone.mId, aContext.mEffects, aContext.mNow);
+}
+
 void
 Handle(const Tick& /*aTick*/, Context& aContext)
 {
+  StepClaims(aContext.mState, claims::AskerTick{}, aContext.mEffects, aContext.mNow);
   KeepLease(aContext.mState, aContext.mEffects, aContext.mNow);
   FireStage(aContext.mState, StageEvent::Tick, aContext.mEffects, aContext.mNow);
 }
@@ -136,6 +153,17 @@
   KeepLease(aContext.mState, aContext.mEffects, aContext.mNow);
 }
 
+/// Callers move to other entries while this one still answers.
+void
+MarkRepliesLast(std::vector<Effect>& aEffects)
+{
+  for (Effect& it : aEffects) {
+    if (auto* reply = std::get_if<Reply>(&it)) {
+      reply->mClose = true;
+    }
+  }
+}
+
 } // namespace
 
 std::vector<Effect>
@@ -146,6 +174,9 @@
     FireStage(aState, StageEvent::LeaseLost, context.mEffects, aNow);
   }
   std::visit([&](auto& aBody) { Handle(std::move(aBody), context); }, aEvent);
+  if (aState.mStage == EntryStage::Draining || aState.mStage == EntryStage::Stopped) {
+    MarkRepliesLast(context.mEffects);
+  }
   return std::move(context.mEffects);
 }
 
@@ -153,7 +184,9 @@
 NextTick(const State& aState, Instant aNow)
 {
   const bool draining = aState.mStage == EntryStage::Draining;
-  return draining ? std::min(aState.mNextRenew, aNow + kDrainCheck) : aState.mNextRenew;
+  const Instant next =
+    draining ? std::min(aState.mNextRenew, aNow + kDrainCheck) : aState.mNextRenew;
+  return std::min(next, claims::NextAskerTick(aState.mAsker).value_or(next));
 }
 
 } // namespace fighold::entry
--- a/packages/entry/src/decide_thread.cpp
+++ b/packages/entry/src/decide_thread.cpp
@@ -38,11 +38,19 @@
     const DispatchDone unsent{ aDispatch.mId,
                                aDispatch.mDispatch,
                                { net::ExchangeStage::NotSent, {}, "dispatch-ring-full" } };
-    if (!mWiring.mDispatches.TryPush(std::move(aDispatch))) {
+    if (!mWiring.mDispatches.TryPush(BackendOrder(std::move(aDispatch)))) {
       Perform(Step(mState, unsent, std::chrono::steady_clock::now()));
     }
   }
 
+  void Do(CancelDispatch& aCancel)
+  {
+    // Without room the request runs on and its result is ignored.
+    if (!mWiring.mDispatches.TryPush(BackendOrder(aCancel))) {
+      mWiring.mMetrics.Count("cancellations_dropped_total");
+    }
+  }
+
   void Do(SendControl& aSend)
   {
     wire::Body body =
@@ -74,6 +82,8 @@
       performer.Perform(Step(aState, Tick{}, now));
       nextTick = NextTick(aState, now);
     }
+    // An event may have started a claim whose asks are due for repetition before the next tick.
+    nextTick = std::min(nextTick, claims::NextAskerTick(aState.mAsker).value_or(nextTick));
   }
 }
 
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -18,14 +18,17 @@
 {
   State(Wiring& aWiring, net::ServerOptions aOptions)
     : mWiring(aWiring)
-    , mServer(mLoop, std::move(aOptions), [this](const net::HttpRequest& aRequest) {
-      return Handle(aRequest);
-    })
+    , mServer(
+        mLoop,
+        std::move(aOptions),
+        net::WatchedHandler([this](const net::HttpRequest& aRequest, net::CallerWatch& aWatch) {
+          return Handle(aRequest, aWatch);
+        }))
   {
     mWiring.mReplies.SetWakeup([this] { mLoop.Post([this] { DeliverReplies(); }); });
   }
 
-  net::HttpResponse Handle(const net::HttpRequest& aRequest)
+  net::HttpResponse Handle(const net::HttpRequest& aRequest, net::CallerWatch& aWatch)
   {
     if (aRequest.mTarget == "/healthz") {
       return { 200, { { "Content-Type", "text/plain" } }, "alive\n" };
@@ -38,7 +41,7 @@
     if (auto* response = std::get_if<net::HttpResponse>(&parsed)) {
       return std::move(*response);
     }
-    boost::fibers::promise<Answer> promise;
+    boost::fibers::promise<Reply> promise;
     auto future = promise.get_future();
     mWaiting[id] = &promise;
     if (!mWiring.mInbox.TryPush(std::move(std::get<Event>(parsed)), kInboxReserve)) {
@@ -46,7 +49,15 @@
       mWiring.mMetrics.Count("inbox_full_total");
       return NotRunResponse("inbox-full");
     }
-    return ToResponse(id, future.get());
+    // Without room in the inbox the request runs on and its answer is dropped.
+    aWatch.mOnGone = [this, id] { mWiring.mInbox.TryPush(CallerGone{ id }, kInboxReserve); };
+    const Reply reply = future.get();
+    aWatch.mOnGone = nullptr;
+    auto response = ToResponse(id, reply.mAnswer);
+    if (reply.mClose) {
+      response.mHeaders.push_back({ "Connection", "close" });
+    }
+    return response;
   }
 
   void DeliverReplies()
@@ -54,7 +65,7 @@
     while (auto reply = mWiring.mReplies.TryPop()) {
       const auto it = mWaiting.find(reply->mId);
       if (it != mWaiting.end()) {
-        it->second->set_value(std::move(reply->mAnswer));
+        it->second->set_value(std::move(*reply));
         mWaiting.erase(it);
       }
     }
@@ -63,7 +74,7 @@
   Wiring& mWiring;
   net::FiberLoop mLoop;
   net::HttpServer mServer;
-  std::map<RequestId, boost::fibers::promise<Answer>*> mWaiting;
+  std::map<RequestId, boost::fibers::promise<Reply>*> mWaiting;
   RequestId mNextId = 1;
   boost::fibers::promise<void> mDrain;
 };
--- a/packages/entry/src/front_codec.cpp
+++ b/packages/entry/src/front_codec.cpp
@@ -208,7 +208,7 @@
       response = aAnswer.mResponse;
       break;
     case Outcome::NotRun:
-      response = NotRunResponse(aAnswer.mReason);
+      response = NotRunResponse(aAnswer.mReason, aAnswer.mStatus);
       break;
     case Outcome::Unknown:
       response = net::JsonResponse(
@@ -306,12 +306,14 @@
 }
 
 net::HttpResponse
-NotRunResponse(const std::string& aReason)
+NotRunResponse(const std::string& aReason, unsigned aStatus)
 {
   auto response = net::JsonResponse(
-    503, json::serialize(json::object{ { "outcome", "not-run" }, { "reason", aReason } }));
+    aStatus, json::serialize(json::object{ { "outcome", "not-run" }, { "reason", aReason } }));
   response.mHeaders.push_back({ "Fighold-Outcome", "not-run" });
-  response.mHeaders.push_back({ "Retry-After", "1" });
+  if (aStatus == 503) {
+    response.mHeaders.push_back({ "Retry-After", "1" });
+  }
   return response;
 }
 
--- a/packages/entry/src/front_codec.hpp
+++ b/packages/entry/src/front_codec.hpp
@@ -23,8 +23,9 @@
 ToResponse(RequestId aId, const Answer& aAnswer);
 
 /// @param aReason why the request was not run
-/// @return 503 with the outcome "not-run"
+/// @param aStatus 503, or a 4xx when the request is at fault
+/// @return response with the outcome "not-run"
 net::HttpResponse
-NotRunResponse(const std::string& aReason);
+NotRunResponse(const std::string& aReason, unsigned aStatus = 503);
 
 } // namespace fighold::entry
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -16,9 +16,7 @@
 constexpr Millis kSwitchControl{ 700 };
 
 void
-SendToControl(State& aState,
-              std::variant<membership::Renew, membership::ChangeAsk> aBody,
-              std::vector<Effect>& aEffects)
+SendToControl(State& aState, decltype(SendControl::mBody) aBody, std::vector<Effect>& aEffects)
 {
   const ControlId& to =
     aState.mOptions.mControls[aState.mControl % aState.mOptions.mControls.size()];
--- a/packages/entry/src/request_chart.cpp
+++ b/packages/entry/src/request_chart.cpp
@@ -1,5 +1,7 @@
 #include "request_chart.hpp"
 
+#include "claiming.hpp"
+
 #include <algorithm>
 
 namespace fighold::entry {
@@ -8,18 +10,6 @@
 /// Dispatches of one request, the first one included.
 constexpr std::uint32_t kMaxAttempts = 3;
 
-/// Weight of the newest latency in the decayed mean, as a divisor.
-constexpr int kLatencyDecay = 8;
-
-bool
-IsRepeatable(const RequestScope& aScope)
-{
-  const auto& services = aScope.mState.mConfiguration->mPlan->mServices;
-  const auto service = services.find(aScope.mRequest.mRequest.mService);
-  const bool always = service != services.end() && service->second.mRepeatable;
-  return aScope.mRequest.mRequest.mSafe || always;
-}
-
 bool
 NoLease(const RequestScope& aScope)
 {
@@ -41,8 +31,27 @@
 bool
 MayTryAgain(const RequestScope& aScope)
 {
-  return !NoLease(aScope) && !NoRoute(aScope) && aScope.mRequest.mAttempts < kMaxAttempts &&
-         aScope.mNow < aScope.mRequest.mUntil;
+  // A claim may be too old for another dispatch.
+  return !NoLease(aScope) && !NoRoute(aScope) && aScope.mNow < aScope.mRequest.mClaimUntil &&
+         aScope.mRequest.mAttempts < kMaxAttempts && aScope.mNow < aScope.mRequest.mUntil;
+}
+
+bool
+NeedsClaim(const RequestScope& aScope)
+{
+  return !IsRepeatable(aScope);
+}
+
+bool
+KeyMissing(const RequestScope& aScope)
+{
+  return NeedsClaim(aScope) && aScope.mRequest.mRequest.mKey.empty();
+}
+
+bool
+ClaimsFull(const RequestScope& aScope)
+{
+  return NeedsClaim(aScope) && claims::IsFull(aScope.mState.mAsker);
 }
 
 bool
@@ -52,10 +61,14 @@
 }
 
 void
-ReplyWith(RequestScope& aScope, Outcome aOutcome, const std::string& aReason)
+ReplyWith(RequestScope& aScope,
+          Outcome aOutcome,
+          const std::string& aReason,
+          unsigned aStatus = 503)
 {
   CallerAnswer answer{ aOutcome,
                        aReason,
+                       aStatus,
                        {},
                        aScope.mRequest.mRequest.mService,
                        aScope.mRequest.mServer,
@@ -95,93 +108,76 @@
 }
 
 void
-AnswerUnknown(RequestScope& aScope)
+AnswerKeyMissing(RequestScope& aScope)
 {
-  ReplyWith(aScope, Outcome::Unknown, aScope.mResult.mError);
+  constexpr unsigned kBadRequest = 400;
+  ReplyWith(aScope, Outcome::NotRun, "idempotency-key-missing", kBadRequest);
 }
 
 void
-AnswerWhole(RequestScope& aScope)
+AnswerMismatch(RequestScope& aScope)
 {
-  ReplyWith(aScope, Outcome::Run, "");
+  constexpr unsigned kUnprocessable = 422;
+  ReplyWith(aScope, Outcome::NotRun, "idempotency-key-of-another-request", kUnprocessable);
 }
 
 void
-DispatchRequest(RequestScope& aScope)
+AnswerUndecided(RequestScope& aScope)
 {
-  InFlight& request = aScope.mRequest;
-  const routing::Candidate& server = *aScope.mRoute.mCandidate;
-  request.mDispatch = aScope.mState.mNextDispatch++;
-  request.mServer = server.mId;
-  request.mTried.insert(server.mId);
-  request.mDispatchedAt = aScope.mNow;
-  ++request.mAttempts;
-  ++aScope.mState.mServers[server.mId].mOutstanding;
-  aScope.mEffects.emplace_back(LogRecord{ aScope.mRoute.mRecord });
-  aScope.mEffects.emplace_back(Dispatch{
-    request.mRequest.mId, request.mDispatch, server, request.mRequest.mPayload, request.mUntil });
+  ReplyWith(aScope, Outcome::NotRun, "claim-not-decided");
 }
 
-routing::RouteDecision
-RouteNow(State& aState, const InFlight& aRequest, Instant aNow)
+void
+AnswerDispatched(RequestScope& aScope)
 {
-  const routing::RouteRequest request{
-    aRequest.mRequest.mId, aRequest.mRequest.mService, aRequest.mOrigin, aRequest.mTried
-  };
-  const routing::Draws draws{ Draw(aState), Draw(aState), Draw(aState) };
-  return routing::Route(
-    *aState.mConfiguration, aState.mTable, aState.mServers, request, draws, aNow);
+  ReplyWith(aScope, Outcome::Unknown, "already-dispatched");
 }
 
-/// Fires one event and forgets the request when its chart has ended.
 void
-FireRequest(RequestScope& aScope, RequestEvent aEvent)
+AnswerFirst(RequestScope& aScope)
 {
-  aScope.mRequest.mState =
-    chart::Fire(aScope.mState.mCharts.mRequest, aScope.mRequest.mState, aEvent, aScope).mState;
-  const bool ended = aScope.mRequest.mState != RequestState::Dispatched;
-  if (ended) {
-    aScope.mState.mInFlight.erase(aScope.mRequest.mRequest.mId);
-  }
+  ReplyWith(aScope, Outcome::Run, "");
 }
 
-Instant
-DeadlineOf(const State& aState, const CallerRequest& aRequest, Instant aNow)
+/// Nobody reads these answers; the front needs one to end the request.
+void
+AnswerGoneNotRun(RequestScope& aScope)
 {
-  const auto& services = aState.mConfiguration->mPlan->mServices;
-  const auto service = services.find(aRequest.mService);
-  const Millis limit =
-    service == services.end() ? plan::Service{}.mDeadline : service->second.mDeadline;
-  return aNow + std::min(limit, aRequest.mDeadline.value_or(limit));
+  ReplyWith(aScope, Outcome::NotRun, "caller-gone");
 }
 
-/// The backend server says itself that it did not run the request, such as when it sheds load.
-bool
-SaysNotRun(const net::HttpResponse& aResponse)
+void
+AnswerGoneUnknown(RequestScope& aScope)
 {
-  return net::FindHeader(aResponse.mHeaders, "Fighold-Outcome") == "not-run";
+  ReplyWith(aScope, Outcome::Unknown, "caller-gone");
 }
 
-RequestEvent
-EventOf(const net::ExchangeResult& aResult)
+void
+AnswerUnknown(RequestScope& aScope)
 {
-  switch (aResult.mStage) {
-    case net::ExchangeStage::NotSent:
-      return RequestEvent::Unsent;
-    case net::ExchangeStage::NoAnswer:
-      return RequestEvent::Lost;
-    case net::ExchangeStage::Answered:
-      break;
-  }
-  return SaysNotRun(aResult.mResponse) ? RequestEvent::Refused : RequestEvent::Answered;
+  ReplyWith(aScope, Outcome::Unknown, aScope.mResult.mError);
 }
 
 void
-RecordLatency(routing::ServerState& aServer, Duration aLatency)
+AnswerWhole(RequestScope& aScope)
+{
+  FinishClaim(aScope.mState,
+              aScope.mRequest.mRequest.mId,
+              true,
+              &aScope.mResult.mResponse,
+              aScope.mEffects,
+              aScope.mNow);
+  ReplyWith(aScope, Outcome::Run, "");
+}
+
+Instant
+DeadlineOf(const State& aState, const CallerRequest& aRequest, Instant aNow)
 {
-  const bool first = aServer.mLatency == Duration::zero();
-  aServer.mLatency =
-    first ? aLatency : aServer.mLatency + (aLatency - aServer.mLatency) / kLatencyDecay;
+  const auto& services = aState.mConfiguration->mPlan->mServices;
+  const auto service = services.find(aRequest.mService);
+  const Millis limit =
+    service == services.end() ? plan::Service{}.mDeadline : service->second.mDeadline;
+  return aNow + std::min(limit, aRequest.mDeadline.value_or(limit));
 }
 
 } // namespace
@@ -189,11 +185,24 @@
 chart::Registry<RequestScope>
 RequestRegistry()
 {
-  return { { "received", "dispatched", "answered", "not_run", "unknown" },
-           { "arrived", "answered", "refused", "unsent", "lost" },
+  return { { "received", "claiming", "dispatched", "answered", "not_run", "unknown" },
+           { "arrived",
+             "claim_granted",
+             "claim_answered",
+             "claim_dispatched",
+             "claim_mismatch",
+             "claim_undecided",
+             "answered",
+             "refused",
+             "unsent",
+             "lost",
+             "caller_gone" },
            { { "no_lease", NoLease },
              { "not_admitted", NotAdmitted },
              { "no_route", NoRoute },
+             { "key_missing", KeyMissing },
+             { "claims_full", ClaimsFull },
+             { "needs_claim", NeedsClaim },
              { "may_try_again", MayTryAgain },
              { "may_repeat", MayRepeat } },
            { { "answer_no_lease", AnswerNoLease },
@@ -202,9 +211,42 @@
              { "answer_refused", AnswerRefused },
              { "answer_unknown", AnswerUnknown },
              { "answer_whole", AnswerWhole },
+             { "answer_key_missing", AnswerKeyMissing },
+             { "answer_mismatch", AnswerMismatch },
+             { "answer_undecided", AnswerUndecided },
+             { "answer_dispatched", AnswerDispatched },
+             { "answer_first", AnswerFirst },
+             { "answer_gone_not_run", AnswerGoneNotRun },
+             { "answer_gone_unknown", AnswerGoneUnknown },
+             { "cancel_dispatch", CancelRunning },
+             { "ask_claim", BeginClaim },
              { "dispatch", DispatchRequest } } };
 }
 
+bool
+IsRepeatable(const RequestScope& aScope)
+{
+  const auto& services = aScope.mState.mConfiguration->mPlan->mServices;
+  const auto service = services.find(aScope.mRequest.mRequest.mService);
+  const bool always = service != services.end() && service->second.mRepeatable;
+  return aScope.mRequest.mRequest.mSafe || always;
+}
+
+void
+FireRequest(RequestScope& aScope, RequestEvent aEvent)
+{
+  const RequestId id = aScope.mRequest.mRequest.mId;
+  const RequestState state =
+    chart::Fire(aScope.mState.mCharts.mRequest, aScope.mRequest.mState, aEvent, aScope).mState;
+  aScope.mRequest.mState = state;
+  if (state == RequestState::Claiming || state == RequestState::Dispatched) {
+    return;
+  }
+  aScope.mState.mInFlight.erase(id);
+  const bool run = state != RequestState::NotRun;
+  FinishClaim(aScope.mState, id, run, nullptr, aScope.mEffects, aScope.mNow);
+}
+
 void
 HandleArrival(State& aState, CallerRequest aRequest, std::vector<Effect>& aEffects, Instant aNow)
 {
@@ -220,22 +262,13 @@
 }
 
 void
-HandleDispatchDone(State& aState, DispatchDone aDone, std::vector<Effect>& aEffects, Instant aNow)
+HandleCallerGone(State& aState, RequestId aId, std::vector<Effect>& aEffects, Instant aNow)
 {
-  const auto it = aState.mInFlight.find(aDone.mId);
-  if (it == aState.mInFlight.end() || it->second.mDispatch != aDone.mDispatch) {
-    return;
-  }
-  InFlight& request = it->second;
-  routing::ServerState& server = aState.mServers[request.mServer];
-  server.mOutstanding -= std::min(server.mOutstanding, 1U);
-  RecordLatency(server, aNow - request.mDispatchedAt);
-  const RequestEvent event = EventOf(aDone.mResult);
-  RequestScope scope{ aState, request, aEffects, aNow, {}, std::move(aDone.mResult) };
-  if (event != RequestEvent::Answered) {
-    scope.mRoute = RouteNow(aState, request, aNow);
+  const auto it = aState.mInFlight.find(aId);
+  if (it != aState.mInFlight.end()) {
+    RequestScope scope{ aState, it->second, aEffects, aNow, {}, {} };
+    FireRequest(scope, RequestEvent::CallerGone);
   }
-  FireRequest(scope, event);
 }
 
 } // namespace fighold::entry
--- a/packages/entry/src/request_chart.hpp
+++ b/packages/entry/src/request_chart.hpp
@@ -9,10 +9,16 @@
 enum class RequestEvent : std::uint8_t
 {
   Arrived,
+  ClaimGranted,
+  ClaimAnswered,
+  ClaimDispatched,
+  ClaimMismatch,
+  ClaimUndecided,
   Answered,
   Refused,
   Unsent,
   Lost,
+  CallerGone,
 };
 
 /// Working copy of one step of one request.
@@ -29,6 +35,30 @@
 chart::Registry<RequestScope>
 RequestRegistry();
 
+/// Fires one event and forgets the request when its chart has ended; aScope.mRequest is gone then.
+void
+FireRequest(RequestScope& aScope, RequestEvent aEvent);
+
+/// @return true when the request may be sent more than once
+bool
+IsRepeatable(const RequestScope& aScope);
+
+/// @return where a request would be sent now
+routing::RouteDecision
+RouteNow(State& aState, const InFlight& aRequest, Instant aNow);
+
+/// Sends the request to the server that scope.mRoute names.
+void
+DispatchRequest(RequestScope& aScope);
+
+/// Gives the running dispatch up.
+void
+CancelRunning(RequestScope& aScope);
+
+/// Handles the end of a caller's connection.
+void
+HandleCallerGone(State& aState, RequestId aId, std::vector<Effect>& aEffects, Instant aNow);
+
 /// Handles the arrival of a request.
 void
 HandleArrival(State& aState, CallerRequest aRequest, std::vector<Effect>& aEffects, Instant aNow);
--- /dev/null
+++ b/packages/entry/src/request_dispatch.cpp
@@ -0,0 +1,151 @@
+#include "request_chart.hpp"
+
+#include <algorithm>
+
+namespace fighold::entry {
+namespace {
+
+/// Weight of the newest latency in the decayed mean, as a divisor.
+constexpr int kLatencyDecay = 8;
+
+/// Part of the time left that a repeatable request waits for the first byte, so that time remains
+/// for a new connection. Urgent requests are short and give up first.
+constexpr int
+FirstBytePercent(RequestClass aClass)
+{
+  switch (aClass) {
+    case RequestClass::Urgent:
+      return 60;
+    case RequestClass::Standard:
+      return 75;
+    case RequestClass::Deferred:
+      break;
+  }
+  return 90;
+}
+
+/// A request that may not be repeated gains nothing from an early end of the wait.
+Instant
+FirstByteUntil(const RequestScope& aScope)
+{
+  const Instant until = aScope.mRequest.mUntil;
+  if (!IsRepeatable(aScope)) {
+    return until;
+  }
+  const auto& services = aScope.mState.mConfiguration->mPlan->mServices;
+  const auto service = services.find(aScope.mRequest.mRequest.mService);
+  const RequestClass requestClass =
+    service == services.end() ? RequestClass::Standard : service->second.mClass;
+  return aScope.mNow + (until - aScope.mNow) * FirstBytePercent(requestClass) / 100;
+}
+
+/// Part of a backend server's connections that this entry may use. The greatest number of entries
+/// divides it, so that a new entry never has to wait for another one to close connections.
+std::uint32_t
+ConnectionShare(const State& aState, const routing::Candidate& aServer)
+{
+  const std::uint32_t entries = std::max(1U, aState.mConfiguration->mPlan->mMaxEntries);
+  return std::max(1U, aServer.mConnections / entries);
+}
+
+/// The backend server says itself that it did not run the request, such as when it sheds load.
+bool
+SaysNotRun(const net::HttpResponse& aResponse)
+{
+  return net::FindHeader(aResponse.mHeaders, "Fighold-Outcome") == "not-run";
+}
+
+RequestEvent
+EventOf(const net::ExchangeResult& aResult)
+{
+  switch (aResult.mStage) {
+    case net::ExchangeStage::NotSent:
+      return RequestEvent::Unsent;
+    case net::ExchangeStage::NoAnswer:
+      return RequestEvent::Lost;
+    case net::ExchangeStage::Answered:
+      break;
+  }
+  return SaysNotRun(aResult.mResponse) ? RequestEvent::Refused : RequestEvent::Answered;
+}
+
+void
+RecordLatency(routing::ServerState& aServer, Duration aLatency)
+{
+  const bool first = aServer.mLatency == Duration::zero();
+  aServer.mLatency =
+    first ? aLatency : aServer.mLatency + (aLatency - aServer.mLatency) / kLatencyDecay;
+}
+
+routing::ServerState&
+ReleaseServer(State& aState, const InFlight& aRequest)
+{
+  routing::ServerState& server = aState.mServers[aRequest.mServer];
+  server.mOutstanding -= std::min(server.mOutstanding, 1U);
+  return server;
+}
+
+} // namespace
+
+routing::RouteDecision
+RouteNow(State& aState, const InFlight& aRequest, Instant aNow)
+{
+  const routing::RouteRequest request{
+    aRequest.mRequest.mId, aRequest.mRequest.mService, aRequest.mOrigin, aRequest.mTried
+  };
+  const routing::Draws draws{ Draw(aState), Draw(aState), Draw(aState) };
+  return routing::Route(
+    *aState.mConfiguration, aState.mTable, aState.mServers, request, draws, aNow);
+}
+
+void
+DispatchRequest(RequestScope& aScope)
+{
+  InFlight& request = aScope.mRequest;
+  const routing::Candidate& server = *aScope.mRoute.mCandidate;
+  request.mDispatch = aScope.mState.mNextDispatch++;
+  request.mServer = server.mId;
+  request.mTried.insert(server.mId);
+  request.mDispatchedAt = aScope.mNow;
+  ++request.mAttempts;
+  ++aScope.mState.mServers[server.mId].mOutstanding;
+  aScope.mEffects.emplace_back(LogRecord{ aScope.mRoute.mRecord });
+  aScope.mEffects.emplace_back(Dispatch{ request.mRequest.mId,
+                                         request.mDispatch,
+                                         server,
+                                         request.mRequest.mPayload,
+                                         request.mUntil,
+                                         FirstByteUntil(aScope),
+                                         request.mClaimUntil,
+                                         ConnectionShare(aScope.mState, server) });
+}
+
+void
+CancelRunning(RequestScope& aScope)
+{
+  ReleaseServer(aScope.mState, aScope.mRequest);
+  aScope.mEffects.emplace_back(CancelDispatch{ aScope.mRequest.mDispatch });
+}
+
+void
+HandleDispatchDone(State& aState, DispatchDone aDone, std::vector<Effect>& aEffects, Instant aNow)
+{
+  const auto it = aState.mInFlight.find(aDone.mId);
+  if (it == aState.mInFlight.end() || it->second.mDispatch != aDone.mDispatch) {
+    return;
+  }
+  InFlight& request = it->second;
+  RecordLatency(ReleaseServer(aState, request), aNow - request.mDispatchedAt);
+  if (aDone.mResult.mSilent && aDone.mResult.mReused) {
+    // The connection was at fault, perhaps not the server: it may get the request on a new one.
+    request.mTried.erase(request.mServer);
+  }
+  const RequestEvent event = EventOf(aDone.mResult);
+  RequestScope scope{ aState, request, aEffects, aNow, {}, std::move(aDone.mResult) };
+  if (event != RequestEvent::Answered) {
+    scope.mRoute = RouteNow(aState, request, aNow);
+  }
+  FireRequest(scope, event);
+}
+
+} // namespace fighold::entry
--- a/packages/entry/src/state.cpp
+++ b/packages/entry/src/state.cpp
@@ -17,6 +17,7 @@
 {
   State state;
   state.mRandom = aOptions.mSeed;
+  state.mAsker.mOptions = { aOptions.mId, aOptions.mEntry.mIncarnation, aOptions.mControls };
   state.mOptions = std::move(aOptions);
   state.mCharts = std::move(aCharts);
   return state;
--- a/packages/entry/src/threads.hpp
+++ b/packages/entry/src/threads.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_pool.hpp"
 #include "fighold/entry/daemon.hpp"
 #include "fighold/entry/event.hpp"
 #include "fighold/net/fiber_loop.hpp"
@@ -18,11 +19,14 @@
 /// messages.
 constexpr std::size_t kInboxReserve = 2048;
 
+/// What the backend thread is told.
+using BackendOrder = std::variant<Dispatch, CancelDispatch>;
+
 /// Rings and shared sinks of one entry process.
 struct Wiring
 {
   ring::BoundedRing<Event> mInbox{ 8192 };
-  ring::BoundedRing<Dispatch> mDispatches{ 2048 };
+  ring::BoundedRing<BackendOrder> mDispatches{ 2048 };
   ring::BoundedRing<Reply> mReplies{ 4096 };
   wire::OutboundRing mControlOut{ 1024 };
   telemetry::LogQueue mLog;
@@ -58,7 +62,7 @@
 class Backend
 {
 public:
-  explicit Backend(Wiring& aWiring);
+  Backend(Wiring& aWiring, chart::BoundChart<ConnectionScope> aChart);
   ~Backend();
   Backend(const Backend&) = delete;
   Backend& operator=(const Backend&) = delete;
--- a/packages/net/include/fighold/net/http_client.hpp
+++ b/packages/net/include/fighold/net/http_client.hpp
@@ -25,6 +25,8 @@
   ExchangeStage mStage = ExchangeStage::NotSent;
   HttpResponse mResponse; ///< whole answer when Answered
   std::string mError;     ///< cause when not Answered
+  bool mSilent = false;   ///< NoAnswer because no byte of the answer arrived in time
+  bool mReused = false;   ///< the connection had carried an exchange before
 
   friend auto operator<=>(const ExchangeResult&, const ExchangeResult&) = default;
 };
@@ -36,6 +38,16 @@
   std::size_t mMaxBodyBytes = 64U << 20U;
 };
 
+/// Time limits of an exchange.
+struct ExchangeLimits
+{
+  Instant mUntil{};                         ///< the whole answer must have arrived
+  Instant mFirstByteUntil = Instant::max(); ///< the answer must have begun
+  Instant mSendBefore = Instant::max();     ///< later, nothing may be sent any more
+
+  friend auto operator<=>(const ExchangeLimits&, const ExchangeLimits&) = default;
+};
+
 /// A connection to one endpoint. All functions run on the loop's thread, in a fiber.
 class HttpConnection
 {
@@ -45,6 +57,17 @@
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
+  /// Connects, unless connected.
+  /// @param aUntil time limit
+  /// @return empty, or the error
+  std::string Connect(Instant aUntil);
+
+  /// Sends a request and reads its answer, connecting first when needed.
+  /// @param aRequest request
+  /// @param aLimits time limits
+  /// @return result; the connection is closed unless a whole answer arrived and both sides keep it
+  ExchangeResult Exchange(const HttpRequest& aRequest, const ExchangeLimits& aLimits);
+
   /// Sends a request and reads its answer, connecting first when needed.
   /// @param aRequest request
   /// @param aUntil deadline; an answer that is not whole by then counts as NoAnswer
--- a/packages/net/include/fighold/net/http_server.hpp
+++ b/packages/net/include/fighold/net/http_server.hpp
@@ -25,6 +25,16 @@
 /// Handles a request; runs in the connection's fiber and may suspend it.
 using Handler = std::function<HttpResponse(const HttpRequest&)>;
 
+/// Tells a handler that its caller has gone away. Used on the loop's thread only.
+struct CallerWatch
+{
+  std::function<void()> mOnGone; ///< set by the handler; called once, must not suspend the fiber
+  bool mGone = false;
+};
+
+/// As Handler, with a watch that lives as long as the call.
+using WatchedHandler = std::function<HttpResponse(const HttpRequest&, CallerWatch&)>;
+
 /// A listening server. All functions but the constructor's options run on the loop's thread.
 class HttpServer
 {
@@ -32,6 +42,9 @@
   /// Binds and listens.
   /// @throws std::runtime_error when the address cannot be bound
   HttpServer(FiberLoop& aLoop, ServerOptions aOptions, Handler aHandler);
+
+  /// As above, with handlers that learn when their caller goes away.
+  HttpServer(FiberLoop& aLoop, ServerOptions aOptions, WatchedHandler aHandler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/packages/net/src/beast_convert.cpp
+++ b/packages/net/src/beast_convert.cpp
@@ -47,6 +47,14 @@
   }
 }
 
+bool
+HasAmbiguousLength(const http::fields& aFields)
+{
+  const auto encodings = aFields.count(http::field::transfer_encoding);
+  const auto lengths = aFields.count(http::field::content_length);
+  return lengths > 1 || encodings > 1 || (encodings > 0 && lengths > 0);
+}
+
 std::string
 ToString(boost::beast::string_view aText)
 {
--- a/packages/net/src/beast_convert.hpp
+++ b/packages/net/src/beast_convert.hpp
@@ -20,6 +20,10 @@
 void
 SetHeaders(const Headers& aHeaders, boost::beast::http::fields& aFields);
 
+/// @return true for headers whose doubling makes two readers disagree about where a message ends
+bool
+HasAmbiguousLength(const boost::beast::http::fields& aFields);
+
 std::string
 ToString(boost::beast::string_view aText);
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -20,6 +20,8 @@
 using detail::Await;
 using Tcp = asio::ip::tcp;
 
+constexpr std::size_t kReadSize = 16U << 10U;
+
 /// An answer without a length ends with the connection, so a cut answer would look whole.
 bool
 HasEnd(const http::response<http::string_body>& aAnswer, bool aHead)
@@ -59,6 +61,7 @@
   Endpoint mEndpoint;
   ClientOptions mOptions;
   bool mConnected = false;
+  bool mUsed = false; ///< carried an exchange
 };
 
 HttpConnection::HttpConnection(FiberLoop& aLoop, Endpoint aEndpoint, ClientOptions aOptions)
@@ -68,31 +71,67 @@
 
 HttpConnection::~HttpConnection() = default;
 
+std::string
+HttpConnection::Connect(Instant aUntil)
+{
+  State& state = *mState;
+  if (state.mConnected) {
+    return {};
+  }
+  state.mStream.expires_at(aUntil);
+  const Tcp::endpoint endpoint(asio::ip::make_address_v4(state.mEndpoint.mHost),
+                               state.mEndpoint.mPort);
+  const auto connected =
+    Await([&](auto aHandler) { state.mStream.async_connect(endpoint, std::move(aHandler)); });
+  if (connected.mError) {
+    Close();
+    return "connect: " + connected.mError.message();
+  }
+  beast::error_code ec;
+  state.mStream.socket().set_option(Tcp::no_delay(true), ec);
+  state.mConnected = true;
+  return {};
+}
+
 ExchangeResult
 HttpConnection::Exchange(const HttpRequest& aRequest, Instant aUntil)
+{
+  return Exchange(aRequest, ExchangeLimits{ aUntil, Instant::max(), Instant::max() });
+}
+
+ExchangeResult
+HttpConnection::Exchange(const HttpRequest& aRequest, const ExchangeLimits& aLimits)
 {
   State& state = *mState;
-  state.mStream.expires_at(aUntil);
-  if (!state.mConnected) {
-    const Tcp::endpoint endpoint(asio::ip::make_address_v4(state.mEndpoint.mHost),
-                                 state.mEndpoint.mPort);
-    const auto connected =
-      Await([&](auto aHandler) { state.mStream.async_connect(endpoint, std::move(aHandler)); });
-    if (connected.mError) {
-      Close();
-      return { ExchangeStage::NotSent, {}, "connect: " + connected.mError.message() };
-    }
-    beast::error_code ec;
-    state.mStream.socket().set_option(Tcp::no_delay(true), ec);
-    state.mConnected = true;
+  const std::string error = Connect(aLimits.mUntil);
+  if (!error.empty()) {
+    return { ExchangeStage::NotSent, {}, error };
   }
+  const bool reused = state.mUsed;
+  state.mUsed = true;
+  const auto lost = [&](const std::string& aError, bool aSilent) {
+    Close();
+    return ExchangeResult{ ExchangeStage::NoAnswer, {}, aError, aSilent, reused };
+  };
   auto message = ToMessage(aRequest, state.mEndpoint);
+  // The process may have been frozen since the request was decided.
+  if (std::chrono::steady_clock::now() >= std::min(aLimits.mSendBefore, aLimits.mUntil)) {
+    return { ExchangeStage::NotSent, {}, "too late to send", false, reused };
+  }
+  state.mStream.expires_at(std::min(aLimits.mFirstByteUntil, aLimits.mUntil));
   const auto written =
     Await([&](auto aHandler) { http::async_write(state.mStream, message, std::move(aHandler)); });
   if (written.mError) {
-    Close();
-    return { ExchangeStage::NoAnswer, {}, "write: " + written.mError.message() };
+    return lost("write: " + written.mError.message(), written.mError == beast::error::timeout);
   }
+  const auto first = Await([&](auto aHandler) {
+    state.mStream.async_read_some(state.mBuffer.prepare(kReadSize), std::move(aHandler));
+  });
+  if (first.mError) {
+    return lost("read: " + first.mError.message(), first.mError == beast::error::timeout);
+  }
+  state.mBuffer.commit(first.mSize);
+  state.mStream.expires_at(aLimits.mUntil);
   http::response_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(state.mOptions.mMaxHeaderBytes));
   parser.body_limit(state.mOptions.mMaxBodyBytes);
@@ -100,13 +139,17 @@
   const auto read = Await([&](auto aHandler) {
     http::async_read(state.mStream, state.mBuffer, parser, std::move(aHandler));
   });
-  if (read.mError || !HasEnd(parser.get(), aRequest.mMethod == "HEAD")) {
-    Close();
-    const std::string cause = read.mError ? read.mError.message() : "answer without a length";
-    return { ExchangeStage::NoAnswer, {}, "read: " + cause };
+  if (read.mError) {
+    return lost("read: " + read.mError.message(), false);
   }
   auto& answer = parser.get();
-  ExchangeResult result{ ExchangeStage::Answered, {}, {} };
+  if (!HasEnd(answer, aRequest.mMethod == "HEAD")) {
+    return lost("read: answer without a length", false);
+  }
+  if (detail::HasAmbiguousLength(answer.base())) {
+    return lost("read: answer with conflicting lengths", false);
+  }
+  ExchangeResult result{ ExchangeStage::Answered, {}, {}, false, reused };
   result.mResponse.mStatus = answer.result_int();
   result.mResponse.mHeaders = detail::CopyHeaders(answer.base());
   result.mResponse.mBody = std::move(answer.body());
@@ -138,6 +181,7 @@
 HttpConnection::Close()
 {
   mState->mConnected = false;
+  mState->mUsed = false;
   mState->mBuffer.clear();
   mState->mStream.close();
 }
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "await.hpp"
 #include "beast_convert.hpp"
+#include "end_watch.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -30,6 +31,8 @@
 /// Time between two attempts to accept after an error such as too many open files.
 constexpr Millis kAcceptPause{ 50 };
 
+constexpr std::size_t kReadSize = 4096;
+
 struct Connection
 {
   explicit Connection(Tcp::socket aSocket)
@@ -54,21 +57,11 @@
   return { asio::ip::make_address_v4(aEndpoint.mHost), aEndpoint.mPort };
 }
 
-/// Headers whose doubling makes two readers disagree about where a request ends.
-bool
-HasAmbiguousLength(const http::fields& aFields)
-{
-  const bool chunked = aFields.count(http::field::transfer_encoding) > 0;
-  const auto lengths = aFields.count(http::field::content_length);
-  return lengths > 1 || (chunked && lengths > 0) ||
-         aFields.count(http::field::transfer_encoding) > 1;
-}
-
 } // namespace
 
 struct HttpServer::State
 {
-  State(FiberLoop& aLoop, ServerOptions aOptions, Handler aHandler)
+  State(FiberLoop& aLoop, ServerOptions aOptions, WatchedHandler aHandler)
     : mOptions(std::move(aOptions))
     , mHandler(std::move(aHandler))
     , mAcceptor(aLoop.Context())
@@ -76,7 +69,7 @@
   }
 
   ServerOptions mOptions;
-  Handler mHandler;
+  WatchedHandler mHandler;
   Tcp::acceptor mAcceptor;
   std::set<Connection*> mConnections;
   boost::fibers::mutex mMutex;
@@ -86,24 +79,44 @@
 
 namespace {
 
+/// Waits for a request. A stop ends the wait, but bytes that arrived before it are still read, so
+/// that their request is answered and not cut off.
+bool
+ReadFirstBytes(Connection& aConnection, bool aStopping)
+{
+  beast::error_code ec;
+  if (aStopping && aConnection.mStream.socket().available(ec) == 0) {
+    return false;
+  }
+  const auto read = [&aConnection] {
+    return Await([&](auto aHandler) {
+      aConnection.mStream.async_read_some(aConnection.mBuffer.prepare(kReadSize),
+                                          std::move(aHandler));
+    });
+  };
+  auto first = read();
+  if (first.mError == asio::error::operation_aborted &&
+      aConnection.mStream.socket().available(ec) > 0) {
+    first = read();
+  }
+  aConnection.mBuffer.commit(first.mError ? 0 : first.mSize);
+  return !first.mError;
+}
+
 /// Reads one request.
 /// @return request, or the status with which it is refused; 0 when the connection ended
 template<typename Options>
 std::pair<unsigned, HttpRequest>
-ReadRequest(Connection& aConnection, const Options& aOptions, bool& aKeepAlive)
+ReadRequest(Connection& aConnection, const Options& aOptions, bool aStopping, bool& aKeepAlive)
 {
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(aOptions.mMaxHeaderBytes));
   parser.body_limit(aOptions.mMaxBodyBytes);
   aConnection.mStream.expires_after(aOptions.mIdleTimeout);
   if (aConnection.mBuffer.size() == 0) {
-    const auto first = Await([&](auto aHandler) {
-      aConnection.mStream.async_read_some(aConnection.mBuffer.prepare(4096), std::move(aHandler));
-    });
-    if (first.mError) {
+    if (!ReadFirstBytes(aConnection, aStopping)) {
       return { 0, {} };
     }
-    aConnection.mBuffer.commit(first.mSize);
   }
   aConnection.mBusy = true;
   aConnection.mStream.expires_after(aOptions.mReadTimeout);
@@ -119,7 +132,7 @@
   if (read.mError == http::error::end_of_stream || read.mError == beast::error::timeout) {
     return { 0, {} };
   }
-  if (read.mError || HasAmbiguousLength(parser.get().base())) {
+  if (read.mError || detail::HasAmbiguousLength(parser.get().base())) {
     return { 400, {} };
   }
   const auto& message = parser.get();
@@ -159,6 +172,20 @@
   return !written.mError;
 }
 
+template<typename State>
+HttpResponse
+HandleWatched(State& aState, Connection& aConnection, const HttpRequest& aRequest)
+{
+  CallerWatch watch;
+  const detail::EndWatch end(aConnection.mStream.socket(), [&watch] {
+    watch.mGone = true;
+    if (watch.mOnGone) {
+      watch.mOnGone();
+    }
+  });
+  return aState.mHandler(aRequest, watch);
+}
+
 template<typename State>
 void
 ServeConnection(const std::shared_ptr<State>& aState, Connection& aConnection)
@@ -167,9 +194,10 @@
   const Endpoint peer = ToEndpoint(aConnection.mStream.socket().remote_endpoint(ec));
   aConnection.mStream.socket().set_option(Tcp::no_delay(true), ec);
   bool keepAlive = true;
-  while (keepAlive && !aState->mStopping) {
+  while (keepAlive) {
     aConnection.mBusy = false;
-    auto [status, request] = ReadRequest(aConnection, aState->mOptions, keepAlive);
+    auto [status, request] =
+      ReadRequest(aConnection, aState->mOptions, aState->mStopping, keepAlive);
     if (status == 0) {
       break;
     }
@@ -177,11 +205,12 @@
     if (status == 200) {
       request.mPeer = peer;
       aConnection.mStream.expires_never();
-      response = aState->mHandler(request);
+      response = HandleWatched(*aState, aConnection, request);
     } else {
       keepAlive = false;
     }
-    keepAlive = keepAlive && !aState->mStopping;
+    const bool lastAnswer = FindHeader(response.mHeaders, "Connection") == "close";
+    keepAlive = keepAlive && !aState->mStopping && !lastAnswer;
     const bool head = request.mMethod == "HEAD";
     if (!WriteResponse(
           aConnection, std::move(response), keepAlive, head, aState->mOptions.mWriteTimeout)) {
@@ -206,6 +235,16 @@
 } // namespace
 
 HttpServer::HttpServer(FiberLoop& aLoop, ServerOptions aOptions, Handler aHandler)
+  : HttpServer(aLoop,
+               std::move(aOptions),
+               WatchedHandler([handler = std::move(aHandler)](const HttpRequest& aRequest,
+                                                              CallerWatch& /*aWatch*/) {
+                 return handler(aRequest);
+               }))
+{
+}
+
+HttpServer::HttpServer(FiberLoop& aLoop, ServerOptions aOptions, WatchedHandler aHandler)
   : mState(std::make_shared<State>(aLoop, std::move(aOptions), std::move(aHandler)))
 {
   const Tcp::endpoint bind = FromEndpoint(mState->mOptions.mBind);
