--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -2,6 +2,7 @@
 
 #include "fighold/agreement/node.hpp"
 #include "fighold/chart/bound_chart.hpp"
+#include "fighold/claims/holder.hpp"
 #include "fighold/control/event.hpp"
 
 #include <filesystem>
@@ -87,6 +88,8 @@
   agreement::Node mNode;
   Codec mCodec;
   chart::BoundChart<CallScope> mCallChart;
+  claims::Holder mClaims;
+  bool mStartedEmpty = false; ///< no state was found at start
   SharedValue<membership::Configuration> mConfiguration;
   std::map<EntryId, EntryView> mEntries;
   std::map<BackendServerId, BackendView> mBackends;
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -1,6 +1,7 @@
 #include "fighold/control/decide.hpp"
 
 #include "calls.hpp"
+#include "claim_holding.hpp"
 #include "leases.hpp"
 
 namespace fighold::control {
@@ -70,6 +71,9 @@
 void
 Handle(const FromEntry& aMessage, Context& aContext)
 {
+  if (HandleClaimMessage(aContext, aMessage)) {
+    return;
+  }
   if (const auto* renew = std::get_if<membership::Renew>(&aMessage.mBody)) {
     HandleRenew(aContext, aMessage.mFrom, *renew);
   } else {
@@ -80,6 +84,9 @@
 void
 Handle(const FromControl& aMessage, Context& aContext)
 {
+  if (HandleClaimMessage(aContext, aMessage)) {
+    return;
+  }
   if (const auto* message = std::get_if<agreement::Message>(&aMessage.mBody)) {
     Agree(aContext, agreement::Received{ aMessage.mFrom, *message });
   } else if (const auto* renew = std::get_if<membership::ControlRenew>(&aMessage.mBody)) {
@@ -101,6 +108,7 @@
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
   TickCalls(aContext);
+  TickClaims(aContext);
 }
 
 } // namespace
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -19,9 +19,7 @@
 constexpr std::uint64_t kAsksKept = 16;
 
 void
-SendToControl(State& aState,
-              std::variant<membership::Renew, membership::ChangeAsk> aBody,
-              std::vector<Effect>& aEffects)
+SendToControl(State& aState, decltype(SendControl::mBody) aBody, std::vector<Effect>& aEffects)
 {
   const ControlId& to =
     aState.mOptions.mControls[aState.mControl % aState.mOptions.mControls.size()];
