--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -2,6 +2,7 @@
 
 #include "fighold/agreement/node.hpp"
 #include "fighold/chart/bound_chart.hpp"
+#include "fighold/claims/holder.hpp"
 #include "fighold/control/event.hpp"
 #include "fighold/routing/shift.hpp"
 
@@ -104,11 +105,14 @@
   bool mLeads = false; ///< led at the last tick
 };
 
-/// Encoding of changes, so that decisions do not depend on the message format.
+/// Encoding of changes and of the state machine, so that decisions do not depend on the message
+/// format.
 struct Codec
 {
   std::function<std::string(const membership::Change&)> mEncode;
   std::function<std::optional<membership::Change>(const std::string&)> mDecode;
+  std::function<std::string(const membership::Configuration&)> mEncodeState;
+  std::function<std::optional<membership::Configuration>(const std::string&)> mDecodeState;
 };
 
 /// The whole state.
@@ -117,6 +121,8 @@
   agreement::Node mNode;
   Codec mCodec;
   chart::BoundChart<CallScope> mCallChart;
+  claims::Holder mClaims;
+  bool mStartedEmpty = false; ///< no state was found at start
   SharedValue<membership::Configuration> mConfiguration;
   std::map<EntryId, EntryView> mEntries;
   std::map<BackendServerId, BackendView> mBackends;
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -21,6 +21,7 @@
       options.mPeers[id.mValue] = endpoint;
     }
   }
+  options.mKeys = aOptions.mKeys;
   return options;
 }
 
@@ -39,6 +40,14 @@
     push(FromControl{ { aEnvelope.mFrom }, std::move(*controlRenew) });
   } else if (auto* controlGrant = std::get_if<membership::ControlGrant>(&aEnvelope.mBody)) {
     push(FromControl{ { aEnvelope.mFrom }, std::move(*controlGrant) });
+  } else if (auto* claimAsk = std::get_if<claims::Ask>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*claimAsk) });
+  } else if (auto* claimResult = std::get_if<claims::Result>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*claimResult) });
+  } else if (auto* copyAsk = std::get_if<claims::CopyAsk>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*copyAsk) });
+  } else if (auto* copyPage = std::get_if<claims::CopyPage>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*copyPage) });
   }
 }
 
@@ -47,17 +56,31 @@
 {
   agreement::Options options;
   options.mSelf = aOptions.mSelf;
+  options.mSeed = aOptions.mIncarnation;
+  options.mChart = agreement::LoadRoleChart(aOptions.mCharts);
   for (const auto& [id, endpoint] : aOptions.mControls) {
-    options.mVoters.push_back(id);
+    options.mConfigured.insert(id);
   }
   return options;
 }
 
+std::vector<ControlId>
+HoldersOf(const DaemonOptions& aOptions)
+{
+  std::vector<ControlId> holders;
+  for (const auto& [id, endpoint] : aOptions.mControls) {
+    holders.push_back(id);
+  }
+  return holders;
+}
+
 Codec
 WireCodec()
 {
   return { wire::EncodeChange,
-           [](const std::string& aBytes) { return wire::DecodeChange(aBytes); } };
+           [](const std::string& aBytes) { return wire::DecodeChange(aBytes); },
+           wire::EncodeConfiguration,
+           [](const std::string& aBytes) { return wire::DecodeConfiguration(aBytes); } };
 }
 
 } // namespace
@@ -69,19 +92,28 @@
     , mFront(mWiring, aOptions.mServer, aOptions.mToken)
   {
     auto chart = LoadCallChart(aOptions.mCharts);
-    std::vector<agreement::LogEntry> entries;
-    auto log = agreement::OpenLog(aOptions.mData, agreement::PosixFileOps(), entries);
-    auto state = MakeState(agreement::MakeNode(AgreementOptionsOf(aOptions), std::move(entries)),
-                           WireCodec(),
-                           std::move(chart));
+    auto options = AgreementOptionsOf(aOptions);
+    agreement::Recovered recovered;
+    auto storage = agreement::OpenStorage(
+      aOptions.mData, agreement::PosixFileOps(), aOptions.mIncarnation, recovered);
+    const bool startedEmpty = recovered.mLog.empty() && recovered.mSnapshot->mIndex == 0;
+    auto state = MakeState(
+      agreement::MakeNode(std::move(options), std::move(recovered)), WireCodec(), std::move(chart));
+    // A process that finds no state may still have granted claims before it lost its disk; only the
+    // founding of the group shows that there are none.
+    const claims::HolderOptions holder{ aOptions.mSelf,
+                                        HoldersOf(aOptions),
+                                        aOptions.mIncarnation };
+    state.mClaims = claims::MakeHolder(holder, true);
+    state.mStartedEmpty = startedEmpty;
     state.mShifts.mChart = LoadShiftChart(aOptions.mCharts);
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
     });
     mStorageThread =
-      std::thread([this, log = std::move(log), onFatal = aOptions.mOnFatal]() mutable {
-        StorageThread(mWiring, std::move(log), onFatal);
+      std::thread([this, storage = std::move(storage), onFatal = aOptions.mOnFatal]() mutable {
+        StorageThread(mWiring, std::move(storage), onFatal);
       });
     mDecideThread = std::thread(
       [this, state = std::move(state)]() mutable { DecideThread(mWiring, std::move(state)); });
--- a/packages/control/src/shifts_test.cpp
+++ b/packages/control/src/shifts_test.cpp
@@ -15,13 +15,13 @@
 {
   State mState;
   Instant mNow{ std::chrono::hours(1) };
-  std::vector<agreement::LogEntry> mLog;
+  agreement::Recovered mDisk;
   std::set<RegionId> mLiving{ { "attiki" }, { "kriti" } };
 
   LeaderFixture()
   {
+    mDisk.mIncarnation = 1;
     Start();
-    Tick();
     plan::Plan plan;
     plan.mNumber = 1;
     plan.mShiftCap = 2500;
@@ -46,12 +46,27 @@
   {
     agreement::Options options;
     options.mSelf = { "c1" };
-    options.mVoters = { { "c1" } };
-    const auto decode = [](const std::string& aBytes) { return wire::DecodeChange(aBytes); };
-    mState = MakeState(agreement::MakeNode(options, mLog),
-                       Codec{ wire::EncodeChange, decode },
-                       LoadCallChart(FIGHOLD_CHARTS_DIR));
+    options.mConfigured = { { "c1" } };
+    options.mChart = agreement::LoadRoleChart(FIGHOLD_CHARTS_DIR);
+    Codec codec;
+    codec.mEncode = wire::EncodeChange;
+    codec.mDecode = [](const std::string& aBytes) { return wire::DecodeChange(aBytes); };
+    mState = MakeState(
+      agreement::MakeNode(options, mDisk), std::move(codec), LoadCallChart(FIGHOLD_CHARTS_DIR));
     mState.mShifts.mChart = LoadShiftChart(FIGHOLD_CHARTS_DIR);
+    for (int n = 0; n < 400 && !mState.mShifts.mLeads; ++n) {
+      Tick();
+    }
+    REQUIRE(mState.mShifts.mLeads);
+  }
+
+  void Write(const agreement::Write& aWrite)
+  {
+    mDisk.mTermVote = aWrite.mTermVote.value_or(mDisk.mTermVote);
+    if (!aWrite.mEntries.empty()) {
+      mDisk.mLog.resize(aWrite.mEntries.front().mIndex - 1);
+    }
+    mDisk.mLog.insert(mDisk.mLog.end(), aWrite.mEntries.begin(), aWrite.mEntries.end());
   }
 
   void Do(const Event& aEvent)
@@ -62,7 +77,7 @@
       events.pop_back();
       for (const Effect& it : Step(mState, event, mNow)) {
         if (const auto* store = std::get_if<Store>(&it)) {
-          mLog.insert(mLog.end(), store->mWrite.mEntries.begin(), store->mWrite.mEntries.end());
+          Write(store->mWrite);
           events.emplace_back(Stored{ store->mWrite.mWrite });
         }
       }
@@ -132,7 +147,6 @@
   const auto before = RunFor(Millis(4000));
   REQUIRE(before.size() == 1);
   Start();
-  Tick();
   const Instant started = mNow;
   const auto times = RunFor(3 * kInterval);
   REQUIRE_FALSE(times.empty());
