--- a/packages/routing/bench/measure_main.cpp
+++ b/packages/routing/bench/measure_main.cpp
@@ -1,4 +1,5 @@
 #include "fighold/plan/sheet.hpp"
+#include "fighold/routing/share.hpp"
 #include "scenario.hpp"
 
 #include <algorithm>
@@ -125,9 +126,51 @@
   PrintRun(name + ".full", Run(aDeployment, full));
 }
 
+/// How much of a region its own three entries can use when only they are called.
+void
+MeasureUse(const Deployment& aDeployment)
+{
+  const Instant start{ std::chrono::hours(1) };
+  const auto& [region, capacity] = *aDeployment.mPlan.mRegions.begin();
+  const routing::LimitKey key{ routing::LimitKind::Region, region, {}, {} };
+  routing::AllocatorState state;
+  routing::SetLimits(state, aDeployment.mPlan, 9, start);
+  routing::StartAllocating(state, 1, true, start);
+  std::map<routing::Holder, routing::ShareState> holders;
+  std::set<routing::Holder> registered;
+  for (std::uint64_t n = 0; n < 9; ++n) {
+    const routing::Holder holder{ { "e" + std::to_string(n) }, 1 };
+    registered.insert(holder);
+    routing::TakeLimits(holders[holder], aDeployment.mPlan, 9);
+  }
+  std::uint64_t usable = 0;
+  for (int round = 0; round < 20; ++round) {
+    const Instant now = start + Millis(500) * round;
+    std::map<routing::Holder, routing::ShareDemand> demands;
+    for (auto& [holder, shares] : holders) {
+      demands[holder] = routing::ReportDemand(shares, now);
+      demands[holder].mWants[key].mWanted =
+        std::distance(holders.begin(), holders.find(holder)) < 3 ? capacity : 0;
+    }
+    const auto grants = routing::Allocate(state, registered, demands, now);
+    usable = 0;
+    for (auto& [holder, shares] : holders) {
+      routing::TakeShares(shares, grants.at(holder), now);
+      usable +=
+        demands[holder].mWants[key].mWanted > 0 ? routing::UsableShare(shares, key, now) : 0;
+    }
+  }
+  const double percent = 100.0 / capacity;
+  Print(aDeployment.mName + ".use.three_busy_entries_percent",
+        percent * static_cast<double>(usable));
+  Print(aDeployment.mName + ".use.fixed_equal_shares_percent",
+        percent * 3 * (capacity / aDeployment.mPlan.mMaxEntries));
+}
+
 void
 Measure(const Deployment& aDeployment)
 {
+  MeasureUse(aDeployment);
   for (const Policy it : { Policy::Fighold, Policy::RoundRobin, Policy::LeastOutstanding }) {
     MeasurePolicy(aDeployment, it);
   }
