Learn load and failures of backend servers at the entry

Cause: the entry used routing::ServerState for its own counts and a mean latency only. Load that backend servers report was dropped, and a server that failed was never ejected.

Change: packages/entry/src/admission.* takes reported loads from grants, with their age, and records how each dispatch ended.

--- /dev/null
+++ b/packages/entry/src/admission.cpp
@@ -0,0 +1,40 @@
+#include "admission.hpp"
+
+#include <algorithm>
+
+namespace fighold::entry {
+namespace {
+
+routing::Result
+ResultOf(RequestEvent aEvent)
+{
+  switch (aEvent) {
+    case RequestEvent::Answered:
+      return routing::Result::Answered;
+    case RequestEvent::Refused:
+      return routing::Result::Refused;
+    default:
+      return routing::Result::Failed;
+  }
+}
+
+} // namespace
+
+void
+TakeLoad(routing::ServerState& aServer, const membership::BackendLease& aLease, Instant aAskedAt)
+{
+  // The lease began with the report, so what is left of it tells the age.
+  const Instant reported = aAskedAt + aLease.mLeft - membership::kBackendServerLease;
+  if (reported > aServer.mReportedAt) {
+    aServer.mReported = aLease.mInFlight;
+    aServer.mReportedAt = reported;
+  }
+}
+
+void
+RecordEnd(routing::ServerState& aServer, RequestEvent aEvent, Duration aLatency, Instant aNow)
+{
+  aServer = routing::RecordResult(aServer, ResultOf(aEvent), aLatency, aNow);
+}
+
+} // namespace fighold::entry
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -1,5 +1,6 @@
 #include "lease_keeping.hpp"
 
+#include "admission.hpp"
 #include "stage_chart.hpp"
 
 #include <algorithm>
@@ -134,6 +135,7 @@
     const auto server = aState.mConfiguration->mBackendServers.find(it.mId);
     if (server != aState.mConfiguration->mBackendServers.end() &&
         server->second.mIncarnation == it.mIncarnation) {
+      TakeLoad(aState.mServers[it.mId], it, aAskedAt);
       Instant& until = aState.mServers[it.mId].mAliveUntil;
       until = std::max(until, membership::LeaseEnd(aAskedAt, it.mLeft));
     }
--- a/packages/entry/src/request_dispatch.cpp
+++ b/packages/entry/src/request_dispatch.cpp
@@ -1,3 +1,4 @@
+#include "admission.hpp"
 #include "request_chart.hpp"
 
 #include <algorithm>
@@ -5,9 +6,6 @@
 namespace fighold::entry {
 namespace {
 
-/// Weight of the newest latency in the decayed mean, as a divisor.
-constexpr int kLatencyDecay = 8;
-
 /// Part of the time left that a repeatable request waits for the first byte, so that time remains
 /// for a new connection. Urgent requests are short and give up first.
 constexpr int
@@ -69,14 +67,6 @@
   return SaysNotRun(aResult.mResponse) ? RequestEvent::Refused : RequestEvent::Answered;
 }
 
-void
-RecordLatency(routing::ServerState& aServer, Duration aLatency)
-{
-  const bool first = aServer.mLatency == Duration::zero();
-  aServer.mLatency =
-    first ? aLatency : aServer.mLatency + (aLatency - aServer.mLatency) / kLatencyDecay;
-}
-
 routing::ServerState&
 ReleaseServer(State& aState, const InFlight& aRequest)
 {
@@ -135,12 +125,12 @@
     return;
   }
   InFlight& request = it->second;
-  RecordLatency(ReleaseServer(aState, request), aNow - request.mDispatchedAt);
+  const RequestEvent event = EventOf(aDone.mResult);
+  RecordEnd(ReleaseServer(aState, request), event, aNow - request.mDispatchedAt, aNow);
   if (aDone.mResult.mSilent && aDone.mResult.mReused) {
     // The connection was at fault, perhaps not the server: it may get the request on a new one.
     request.mTried.erase(request.mServer);
   }
-  const RequestEvent event = EventOf(aDone.mResult);
   RequestScope scope{ aState, request, aEffects, aNow, {}, std::move(aDone.mResult) };
   if (event != RequestEvent::Answered) {
     scope.mRoute = RouteNow(aState, request, aNow);
--- a/packages/routing/bench/measure_main.cpp
+++ b/packages/routing/bench/measure_main.cpp
@@ -161,10 +161,10 @@
     }
   }
   const double percent = 100.0 / capacity;
+  const std::uint32_t fixed = 3 * (capacity / aDeployment.mPlan.mMaxEntries);
   Print(aDeployment.mName + ".use.three_busy_entries_percent",
         percent * static_cast<double>(usable));
-  Print(aDeployment.mName + ".use.fixed_equal_shares_percent",
-        percent * 3 * (capacity / aDeployment.mPlan.mMaxEntries));
+  Print(aDeployment.mName + ".use.fixed_equal_shares_percent", percent * fixed);
 }
 
 void
