--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -3,6 +3,7 @@
 #include "calls.hpp"
 #include "claim_holding.hpp"
 #include "leases.hpp"
+#include "shifts.hpp"
 
 namespace fighold::control {
 namespace {
@@ -107,6 +108,7 @@
 {
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
+  TickShifts(aContext);
   TickCalls(aContext);
   TickClaims(aContext);
 }
