--- a/packages/control/include/fighold/control/decide.hpp
+++ b/packages/control/include/fighold/control/decide.hpp
@@ -9,10 +9,10 @@
 
 /// @param aNode log of this process as recovered from storage
 /// @param aCodec encoding of changes
-/// @param aChart bound charts/plan_change.scxml
+/// @param aCharts bound charts
 /// @return state at start
 State
-MakeState(agreement::Node aNode, Codec aCodec, chart::BoundChart<CallScope> aChart);
+MakeState(agreement::Node aNode, Codec aCodec, Charts aCharts);
 
 /// Handles one event.
 /// @param aState state, changed in place
--- a/packages/control/include/fighold/control/event.hpp
+++ b/packages/control/include/fighold/control/event.hpp
@@ -88,6 +88,8 @@
   membership::Entry mEntry;
   Version mHeld = 0;
   bool mCurrent = false; ///< renewed within its lease, with a version at or after its registration
+  bool mDraining = false;
+  std::uint32_t mInFlight = 0; ///< requests of callers
 
   friend auto operator<=>(const EntryLine&, const EntryLine&) = default;
 };
@@ -99,6 +101,8 @@
   membership::BackendServer mServer;
   bool mAlive = false;
   std::uint32_t mInFlight = 0;
+  std::string mStage; ///< state of charts/backend_lease.scxml
+  bool mDraining = false;
 
   friend auto operator<=>(const BackendLine&, const BackendLine&) = default;
 };
--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -3,7 +3,9 @@
 #include "fighold/agreement/node.hpp"
 #include "fighold/chart/bound_chart.hpp"
 #include "fighold/control/event.hpp"
+#include "fighold/membership/backend_life.hpp"
 
+#include <deque>
 #include <filesystem>
 #include <functional>
 #include <map>
@@ -29,7 +31,6 @@
   CallStage mStage = CallStage::Proposed;
   Instant mUntil{};
   Instant mNextProposal{};
-  Instant mAppliedAt{};
   membership::ChangeAnswer mAnswer;
 };
 
@@ -38,6 +39,7 @@
 {
   EntryId mFrom;
   std::uint64_t mAsk = 0;
+  Instant mUntil{}; ///< the entry gives up before
 };
 
 /// What is known of an entry.
@@ -46,18 +48,9 @@
   Incarnation mIncarnation = 0;
   Version mHeld = 0;
   Instant mHeardAt{};
-
-  friend auto operator<=>(const EntryView&, const EntryView&) = default;
-};
-
-/// What is known of a backend server.
-struct BackendView
-{
-  Incarnation mIncarnation = 0;
-  Instant mAliveUntil{};
   std::uint32_t mInFlight = 0;
 
-  friend auto operator<=>(const BackendView&, const BackendView&) = default;
+  friend auto operator<=>(const EntryView&, const EntryView&) = default;
 };
 
 /// What is known of another control process: the version up to which it has applied the log.
@@ -71,6 +64,16 @@
 
 struct CallScope;
 
+/// The charts of a control process.
+struct Charts
+{
+  chart::BoundChart<CallScope> mCall;
+  membership::BackendChart mBackend;
+};
+
+/// One incarnation of a backend server.
+using BackendKey = std::pair<BackendServerId, Incarnation>;
+
 /// Encoding of changes, so that decisions do not depend on the message format.
 struct Codec
 {
@@ -83,10 +86,10 @@
 {
   agreement::Node mNode;
   Codec mCodec;
-  chart::BoundChart<CallScope> mCallChart;
+  Charts mCharts;
   SharedValue<membership::Configuration> mConfiguration;
   std::map<EntryId, EntryView> mEntries;
-  std::map<BackendServerId, BackendView> mBackends;
+  std::map<BackendServerId, membership::BackendLife> mBackends;
   std::map<BackendServerId, std::pair<membership::BackendReport, Instant>>
     mReports; ///< not yet passed on
   std::map<ControlId, ControlView> mControls;
@@ -100,11 +103,20 @@
   Instant mNextRenew{};
   Version mInForce = 0; ///< version that is in force everywhere, as far as known here
   std::map<EntryId, Instant> mNextEntryProposal; ///< limits repeated proposals about one entry
+  std::map<BackendKey, Instant> mNextRemoval;    ///< the same for removals
+  std::map<BackendKey, Instant> mDepartedSince;  ///< when a departed incarnation was first seen
+  std::map<std::string, Instant> mProposed;      ///< payloads that a leader proposed, until when
+  std::deque<std::pair<Version, Instant>> mAppliedAt; ///< versions that may not be in force yet
+  std::optional<Instant> mStartedAt;                  ///< time of the first event
+  agreement::Index mLeaderNeeds = 0; ///< end of the log when this process began to lead
+  std::uint64_t mStamp = 0;          ///< last one of the leader
+  ControlId mStampFrom;
+  Instant mStampAt{};
 };
 
 /// Loads the charts of a control process.
 /// @throws FindingsError with every finding
-chart::BoundChart<CallScope>
-LoadCallChart(const std::filesystem::path& aFolder);
+Charts
+LoadCharts(const std::filesystem::path& aFolder);
 
 } // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/backend_servers.cpp
@@ -0,0 +1,193 @@
+#include "backend_servers.hpp"
+
+namespace fighold::control {
+namespace {
+
+using membership::kBackendServerLease;
+
+/// Time between two proposals to remove or forget one backend server.
+constexpr Millis kRemovalInterval{ 1000 };
+
+/// Time for which what is known of a backend server outside the configuration is kept; its
+/// announcement may still be on its way.
+constexpr Millis kKeepUnknown{ 10'000 };
+
+Incarnation
+RegisteredIncarnation(const State& aState, const BackendServerId& aId)
+{
+  const auto it = aState.mConfiguration->mBackendServers.find(aId);
+  return it == aState.mConfiguration->mBackendServers.end() ? 0 : it->second.mIncarnation;
+}
+
+/// @param aUntil end of the lease that was reported
+void
+TakeLease(Context& aContext,
+          const BackendServerId& aId,
+          Incarnation aIncarnation,
+          Instant aUntil,
+          std::uint32_t aInFlight)
+{
+  State& state = aContext.mState;
+  if (HasDeparted(*state.mConfiguration, aId, aIncarnation)) {
+    return;
+  }
+  const auto known = state.mBackends.find(aId);
+  if (known == state.mBackends.end()) {
+    state.mBackends[aId] = membership::StartLife(aIncarnation, aContext.mNow);
+  } else if (known->second.mIncarnation != aIncarnation) {
+    if (known->second.mIncarnation == RegisteredIncarnation(state, aId)) {
+      return;
+    }
+    known->second = membership::StartLife(aIncarnation, aContext.mNow);
+  }
+  membership::BackendLife& life = state.mBackends[aId];
+  life = membership::Renewed(state.mCharts.mBackend, life, aUntil, aInFlight, aContext.mNow);
+}
+
+/// Brings what is known in line with the configuration.
+void
+FollowConfiguration(Context& aContext)
+{
+  State& state = aContext.mState;
+  for (const auto& [id, server] : state.mConfiguration->mBackendServers) {
+    membership::BackendLife& life = state.mBackends[id];
+    if (life.mIncarnation != server.mIncarnation) {
+      life = membership::StartLife(server.mIncarnation, aContext.mNow);
+    }
+    if (server.mLeaving && life.mStage != membership::BackendStage::Gone) {
+      life = membership::Departed(state.mCharts.mBackend, life, aContext.mNow);
+    }
+  }
+  for (auto it = state.mBackends.begin(); it != state.mBackends.end();) {
+    const bool unknown = RegisteredIncarnation(state, it->first) != it->second.mIncarnation;
+    const bool old = aContext.mNow >= it->second.mAliveUntil + kKeepUnknown;
+    it = unknown && old ? state.mBackends.erase(it) : std::next(it);
+  }
+}
+
+void
+ProposeRemoval(Context& aContext, const membership::ChangeBody& aBody, Instant& aNext)
+{
+  if (aContext.mNow >= aNext) {
+    aNext = aContext.mNow + kRemovalInterval;
+    Propose(aContext, membership::Change{ {}, aBody });
+  }
+}
+
+void
+RemoveGone(Context& aContext)
+{
+  State& state = aContext.mState;
+  std::vector<std::pair<BackendServerId, Incarnation>> gone;
+  for (const auto& [id, life] : state.mBackends) {
+    if (life.mStage == membership::BackendStage::Gone &&
+        RegisteredIncarnation(state, id) == life.mIncarnation) {
+      gone.emplace_back(id, life.mIncarnation);
+    }
+  }
+  for (const auto& [id, incarnation] : gone) {
+    ProposeRemoval(aContext,
+                   membership::RemoveBackendServer{ id, incarnation },
+                   state.mNextRemoval[{ id, incarnation }]);
+  }
+}
+
+/// Notes since when each departed incarnation is known here; a new leader waits the whole time
+/// again.
+void
+NoteDeparted(Context& aContext)
+{
+  State& state = aContext.mState;
+  for (const auto& [id, incarnations] : state.mConfiguration->mDeparted) {
+    for (const Incarnation it : incarnations) {
+      state.mDepartedSince.try_emplace({ id, it }, aContext.mNow);
+    }
+  }
+  for (auto it = state.mDepartedSince.begin(); it != state.mDepartedSince.end();) {
+    const auto& [id, incarnation] = it->first;
+    it = HasDeparted(*state.mConfiguration, id, incarnation) ? std::next(it)
+                                                             : state.mDepartedSince.erase(it);
+  }
+}
+
+void
+ForgetDeparted(Context& aContext)
+{
+  State& state = aContext.mState;
+  std::vector<std::pair<BackendServerId, Incarnation>> over;
+  for (const auto& [key, since] : state.mDepartedSince) {
+    if (aContext.mNow >= since + membership::kRefuseDepartedFor &&
+        RegisteredIncarnation(state, key.first) != key.second) {
+      over.push_back(key);
+    }
+  }
+  for (const auto& key : over) {
+    ProposeRemoval(
+      aContext, membership::ForgetDeparted{ key.first, key.second }, state.mNextRemoval[key]);
+  }
+}
+
+} // namespace
+
+void
+TakeReports(Context& aContext,
+            const std::vector<membership::BackendReport>& aReports,
+            Instant aSent)
+{
+  State& state = aContext.mState;
+  for (const membership::BackendReport& it : aReports) {
+    // The reporter's clock may run slow by the allowance.
+    const Instant renewed = aSent - it.mAge - it.mAge / membership::kClockRateParts;
+    TakeLease(aContext, it.mId, it.mIncarnation, renewed + kBackendServerLease, it.mInFlight);
+    if (!agreement::IsLeader(state.mNode)) {
+      auto& kept = state.mReports[it.mId];
+      if (renewed > kept.second) {
+        kept = { it, renewed };
+      }
+    }
+  }
+}
+
+void
+TakeLeases(Context& aContext,
+           const std::vector<membership::BackendLease>& aLeases,
+           Instant aAskedAt)
+{
+  for (const membership::BackendLease& it : aLeases) {
+    TakeLease(
+      aContext, it.mId, it.mIncarnation, membership::LeaseEnd(aAskedAt, it.mLeft), it.mInFlight);
+  }
+}
+
+std::vector<membership::BackendLease>
+LivingBackends(const State& aState, Instant aNow)
+{
+  std::vector<membership::BackendLease> leases;
+  for (const auto& [id, life] : aState.mBackends) {
+    const auto left = std::chrono::duration_cast<Millis>(life.mAliveUntil - aNow);
+    if (IsAlive(life, aNow) && left > Millis(0)) {
+      leases.push_back({ id, life.mIncarnation, left, life.mInFlight });
+    }
+  }
+  return leases;
+}
+
+void
+TickBackends(Context& aContext)
+{
+  State& state = aContext.mState;
+  FollowConfiguration(aContext);
+  for (auto& [id, life] : state.mBackends) {
+    life = membership::Aged(state.mCharts.mBackend, life, aContext.mNow);
+  }
+  NoteDeparted(aContext);
+  if (agreement::IsLeader(state.mNode) && GrantRight(state, aContext.mNow)) {
+    RemoveGone(aContext);
+    ForgetDeparted(aContext);
+  }
+  for (auto it = state.mNextRemoval.begin(); it != state.mNextRemoval.end();) {
+    it = aContext.mNow >= it->second ? state.mNextRemoval.erase(it) : std::next(it);
+  }
+}
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/backend_servers.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "context.hpp"
+
+/// Leases of backend servers, as a control process keeps them.
+namespace fighold::control {
+
+/// Takes over what an entry or a follower reported.
+/// @param aReports reports with their ages
+/// @param aSent a time not later than the one at which the message was sent: ages count from it, so
+/// that a message that travelled for a long time extends no lease
+void
+TakeReports(Context& aContext,
+            const std::vector<membership::BackendReport>& aReports,
+            Instant aSent);
+
+/// Takes over the leases that the leader knows.
+/// @param aAskedAt time at which the follower asked
+void
+TakeLeases(Context& aContext,
+           const std::vector<membership::BackendLease>& aLeases,
+           Instant aAskedAt);
+
+/// @return leases of the backend servers that may receive work
+std::vector<membership::BackendLease>
+LivingBackends(const State& aState, Instant aNow);
+
+/// Lets time pass: leases end; the leader removes backend servers that are gone, and forgets
+/// departed incarnations after their time.
+void
+TickBackends(Context& aContext);
+
+} // namespace fighold::control
--- a/packages/control/src/calls.cpp
+++ b/packages/control/src/calls.cpp
@@ -26,15 +26,10 @@
   return aScope.mContext.mNow >= aScope.mCall.mNextProposal;
 }
 
-/// Every lease that was granted before this process applied the change has run out, or all holders
-/// have confirmed.
 bool
 IsInForce(const CallScope& aScope)
 {
-  const Duration lease = membership::kConfigurationLease;
-  const Instant expired = aScope.mCall.mAppliedAt + lease + lease / membership::kClockRateParts;
-  return aScope.mContext.mNow >= expired ||
-         aScope.mContext.mState.mInForce >= aScope.mCall.mAnswer.mVersion;
+  return aScope.mContext.mState.mInForce >= aScope.mCall.mAnswer.mVersion;
 }
 
 void
@@ -78,7 +73,7 @@
 FireCall(Context& aContext, PendingCall& aCall, CallEvent aEvent)
 {
   CallScope scope{ aContext, aCall };
-  aCall.mStage = chart::Fire(aContext.mState.mCallChart, aCall.mStage, aEvent, scope).mState;
+  aCall.mStage = chart::Fire(aContext.mState.mCharts.mCall, aCall.mStage, aEvent, scope).mState;
   return aCall.mStage == CallStage::Answered;
 }
 
@@ -86,7 +81,6 @@
 Apply(Context& aContext, PendingCall& aCall, const membership::ChangeAnswer& aAnswer)
 {
   aCall.mAnswer = aAnswer;
-  aCall.mAppliedAt = aContext.mNow;
   if (FireCall(aContext, aCall, CallEvent::Applied)) {
     aContext.mState.mCalls.erase(aCall.mCall.mId);
   }
@@ -166,14 +160,20 @@
       view != state.mEntries.end() && view->second.mIncarnation == entry.mIncarnation;
     const bool current = known && view->second.mHeld >= entry.mRegisteredAt &&
                          aContext.mNow < view->second.mHeardAt + membership::kConfigurationLease;
-    answer.mEntries.push_back({ id, entry, known ? view->second.mHeld : 0, current });
+    EntryLine line{ id, entry, known ? view->second.mHeld : 0, current, false, 0 };
+    line.mDraining = IsDrained(*state.mConfiguration, id);
+    line.mInFlight = known ? view->second.mInFlight : 0;
+    answer.mEntries.push_back(std::move(line));
   }
   for (const auto& [id, server] : state.mConfiguration->mBackendServers) {
     const auto view = state.mBackends.find(id);
     const bool known =
       view != state.mBackends.end() && view->second.mIncarnation == server.mIncarnation;
-    const bool alive = known && aContext.mNow < view->second.mAliveUntil;
-    answer.mBackends.push_back({ id, server, alive, known ? view->second.mInFlight : 0 });
+    const bool alive = known && IsAlive(view->second, aContext.mNow);
+    BackendLine line{ id, server, alive, known ? view->second.mInFlight : 0, "unknown", false };
+    line.mStage = known ? membership::StageName(view->second.mStage) : "unknown";
+    line.mDraining = IsDrained(*state.mConfiguration, id);
+    answer.mBackends.push_back(std::move(line));
   }
   aContext.mEffects.emplace_back(AnswerCall{ aCall.mId, std::move(answer) });
 }
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -68,12 +68,12 @@
     : mSockets(MessageOptionsOf(aOptions), mWiring.mMessagesOut)
     , mFront(mWiring, aOptions.mServer, aOptions.mToken)
   {
-    auto chart = LoadCallChart(aOptions.mCharts);
+    auto charts = LoadCharts(aOptions.mCharts);
     std::vector<agreement::LogEntry> entries;
     auto log = agreement::OpenLog(aOptions.mData, agreement::PosixFileOps(), entries);
     auto state = MakeState(agreement::MakeNode(AgreementOptionsOf(aOptions), std::move(entries)),
                            WireCodec(),
-                           std::move(chart));
+                           std::move(charts));
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -1,11 +1,18 @@
 #include "fighold/control/decide.hpp"
 
+#include "backend_servers.hpp"
 #include "calls.hpp"
 #include "leases.hpp"
 
 namespace fighold::control {
 namespace {
 
+/// Time for which a leader does not propose the same change again while it is not committed.
+constexpr Millis kProposedFor{ 2000 };
+
+/// Time for which an entry's change waits for its answer; the entry gives up after 3 s.
+constexpr Millis kKeepAsk{ 4000 };
+
 void
 ApplyCommitted(Context& aContext, const agreement::LogEntry& aEntry)
 {
@@ -16,7 +23,11 @@
   }
   const membership::Applied applied =
     membership::Apply(*state.mConfiguration, *change, aEntry.mIndex);
+  if (applied.mConfiguration->mVersion > state.mConfiguration->mVersion) {
+    state.mAppliedAt.emplace_back(applied.mConfiguration->mVersion, aContext.mNow);
+  }
   state.mConfiguration = applied.mConfiguration;
+  state.mProposed.erase(aEntry.mPayload);
   const auto [first, last] = state.mAsks.equal_range(aEntry.mPayload);
   for (auto it = first; it != last; ++it) {
     aContext.mEffects.emplace_back(
@@ -28,9 +39,48 @@
   }
 }
 
+void
+ProposePayload(Context& aContext, const std::string& aPayload, const membership::Change& aChange)
+{
+  State& state = aContext.mState;
+  if (agreement::IsLeader(state.mNode) && GrantRight(state, aContext.mNow)) {
+    Instant& until = state.mProposed[aPayload];
+    if (aContext.mNow < until ||
+        membership::AnswerIfSettled(*state.mConfiguration, aChange).has_value()) {
+      return;
+    }
+    until = aContext.mNow + kProposedFor;
+  }
+  Agree(aContext, agreement::Propose{ aPayload });
+}
+
+void
+HandleForward(Context& aContext, const agreement::Forward& aForward)
+{
+  const auto change = aContext.mState.mCodec.mDecode(aForward.mPayload);
+  if (change && agreement::IsLeader(aContext.mState.mNode)) {
+    ProposePayload(aContext, aForward.mPayload, *change);
+  }
+}
+
+template<typename T>
+void
+DropWhere(T& aItems, const std::function<bool(const typename T::value_type&)>& aIsOver)
+{
+  for (auto it = aItems.begin(); it != aItems.end();) {
+    it = aIsOver(*it) ? aItems.erase(it) : std::next(it);
+  }
+}
+
 void
 HandleAsk(Context& aContext, const EntryId& aFrom, const membership::ChangeAsk& aAsk)
 {
+  const auto settled = membership::AnswerIfSettled(*aContext.mState.mConfiguration, aAsk.mChange);
+  if (settled && GrantRight(aContext.mState, aContext.mNow)) {
+    aContext.mEffects.emplace_back(
+      SendEntry{ aFrom, membership::ChangeDone{ aAsk.mAsk, *settled } });
+    return;
+  }
   const std::string payload = aContext.mState.mCodec.mEncode(aAsk.mChange);
   auto& asks = aContext.mState.mAsks;
   const auto [first, last] = asks.equal_range(payload);
@@ -38,9 +88,9 @@
     return aItem.second.mFrom == aFrom && aItem.second.mAsk == aAsk.mAsk;
   });
   if (!waiting) {
-    asks.emplace(payload, PendingAsk{ aFrom, aAsk.mAsk });
+    asks.emplace(payload, PendingAsk{ aFrom, aAsk.mAsk, aContext.mNow + kKeepAsk });
   }
-  Agree(aContext, agreement::Propose{ payload });
+  ProposePayload(aContext, payload, aAsk.mChange);
 }
 
 void
@@ -69,11 +119,16 @@
 Handle(const FromControl& aMessage, Context& aContext)
 {
   if (const auto* message = std::get_if<agreement::Message>(&aMessage.mBody)) {
+    if (const auto* forward = std::get_if<agreement::Forward>(message)) {
+      HandleForward(aContext, *forward);
+      return;
+    }
     Agree(aContext, agreement::Received{ aMessage.mFrom, *message });
   } else if (const auto* renew = std::get_if<membership::ControlRenew>(&aMessage.mBody)) {
     HandleControlRenew(aContext, aMessage.mFrom, *renew);
   } else {
-    HandleControlGrant(aContext, std::get<membership::ControlGrant>(aMessage.mBody));
+    HandleControlGrant(
+      aContext, aMessage.mFrom, std::get<membership::ControlGrant>(aMessage.mBody));
   }
 }
 
@@ -88,7 +143,11 @@
 {
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
+  TickBackends(aContext);
   TickCalls(aContext);
+  const Instant now = aContext.mNow;
+  DropWhere(aContext.mState.mProposed, [now](const auto& aItem) { return now >= aItem.second; });
+  DropWhere(aContext.mState.mAsks, [now](const auto& aItem) { return now >= aItem.second.mUntil; });
 }
 
 } // namespace
@@ -110,16 +169,16 @@
 void
 Propose(Context& aContext, const membership::Change& aChange)
 {
-  Agree(aContext, agreement::Propose{ aContext.mState.mCodec.mEncode(aChange) });
+  ProposePayload(aContext, aContext.mState.mCodec.mEncode(aChange), aChange);
 }
 
 State
-MakeState(agreement::Node aNode, Codec aCodec, chart::BoundChart<CallScope> aChart)
+MakeState(agreement::Node aNode, Codec aCodec, Charts aCharts)
 {
   State state;
   state.mNode = std::move(aNode);
   state.mCodec = std::move(aCodec);
-  state.mCallChart = std::move(aChart);
+  state.mCharts = std::move(aCharts);
   return state;
 }
 
@@ -127,14 +186,18 @@
 Step(State& aState, Event aEvent, Instant aNow)
 {
   Context context{ aState, aNow, {} };
+  if (!aState.mStartedAt) {
+    aState.mStartedAt = aNow;
+  }
   std::visit([&](const auto& aBody) { Handle(aBody, context); }, aEvent);
   return std::move(context.mEffects);
 }
 
-chart::BoundChart<CallScope>
-LoadCallChart(const std::filesystem::path& aFolder)
+Charts
+LoadCharts(const std::filesystem::path& aFolder)
 {
-  return chart::LoadBound(aFolder / "plan_change.scxml", CallRegistry());
+  return { chart::LoadBound(aFolder / "plan_change.scxml", CallRegistry()),
+           membership::LoadBackendChart(aFolder) };
 }
 
 } // namespace fighold::control
--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -1,11 +1,12 @@
 #include "leases.hpp"
 
+#include "backend_servers.hpp"
+
 #include <algorithm>
 
 namespace fighold::control {
 namespace {
 
-using membership::kBackendServerLease;
 using membership::kConfigurationLease;
 
 /// Time between two renewals of a follower; four fit into its lease.
@@ -44,43 +45,6 @@
   }
 }
 
-void
-TakeReport(Context& aContext, const membership::BackendReport& aReport)
-{
-  const Instant until = aContext.mNow - aReport.mAge + kBackendServerLease;
-  BackendView& view = aContext.mState.mBackends[aReport.mId];
-  if (view.mIncarnation != aReport.mIncarnation) {
-    view = BackendView{ aReport.mIncarnation, until, aReport.mInFlight };
-  } else if (until > view.mAliveUntil) {
-    view.mAliveUntil = until;
-    view.mInFlight = aReport.mInFlight;
-  }
-}
-
-void
-TakeReports(Context& aContext, const std::vector<membership::BackendReport>& aReports)
-{
-  for (const membership::BackendReport& it : aReports) {
-    TakeReport(aContext, it);
-    if (!agreement::IsLeader(aContext.mState.mNode)) {
-      aContext.mState.mReports[it.mId] = { it, aContext.mNow - it.mAge };
-    }
-  }
-}
-
-std::vector<membership::BackendLease>
-LivingBackends(const State& aState, Instant aNow)
-{
-  std::vector<membership::BackendLease> leases;
-  for (const auto& [id, view] : aState.mBackends) {
-    const auto left = std::chrono::duration_cast<Millis>(view.mAliveUntil - aNow);
-    if (left > Millis(0)) {
-      leases.push_back({ id, view.mIncarnation, left, view.mInFlight });
-    }
-  }
-  return leases;
-}
-
 void
 SendFollowerRenewal(Context& aContext)
 {
@@ -92,18 +56,26 @@
   }
   membership::ControlRenew renew;
   renew.mAsk = state.mNextAsk++;
-  renew.mHeld = state.mConfiguration->mVersion;
+  // A process that started less than a lease ago does not know which leases it granted before.
+  if (aContext.mNow >= *state.mStartedAt + LongestLease()) {
+    renew.mHeld = state.mConfiguration->mVersion;
+  }
   for (const auto& [id, view] : state.mEntries) {
     const auto age = std::chrono::duration_cast<Millis>(aContext.mNow - view.mHeardAt);
     if (age < 2 * kConfigurationLease) {
-      renew.mEntries[id] = { view.mIncarnation, view.mHeld, age };
+      renew.mEntries[id] = { view.mIncarnation, view.mHeld, age, view.mInFlight };
     }
   }
-  for (auto& [id, report] : state.mReports) {
-    report.first.mAge = std::chrono::duration_cast<Millis>(aContext.mNow - report.second);
-    renew.mReports.push_back(report.first);
+  // Without a stamp the leader cannot tell how old the reports are; they wait for the next renewal.
+  if (state.mStampFrom == *leader) {
+    const auto since = std::chrono::duration_cast<Millis>(aContext.mNow - state.mStampAt);
+    renew.mStamp = { state.mStamp, since };
+    for (auto& [id, report] : state.mReports) {
+      report.first.mAge = std::chrono::ceil<Millis>(aContext.mNow - report.second);
+      renew.mReports.push_back(report.first);
+    }
+    state.mReports.clear();
   }
-  state.mReports.clear();
   state.mAsked[renew.mAsk] = aContext.mNow;
   state.mAsked.erase(state.mAsked.begin(), state.mAsked.upper_bound(renew.mAsk - 16));
   aContext.mEffects.emplace_back(SendControl{ *leader, std::move(renew) });
@@ -136,10 +108,18 @@
   return oldest;
 }
 
+/// Oldest version with which an entry may still serve, as far as renewals show.
 Version
 OldestHeld(const State& aState, Instant aNow)
 {
   Version oldest = aState.mConfiguration->mVersion;
+  // An entry that is out of the configuration may hold a lease that a follower granted before it
+  // applied the removal.
+  for (const auto& [id, view] : aState.mEntries) {
+    if (aNow < view.mHeardAt + LongestLease()) {
+      oldest = std::min(oldest, view.mHeld);
+    }
+  }
   for (const auto& [id, entry] : aState.mConfiguration->mEntries) {
     const auto it = aState.mEntries.find(id);
     const bool known = it != aState.mEntries.end() && it->second.mIncarnation == entry.mIncarnation;
@@ -150,6 +130,31 @@
   return oldest;
 }
 
+/// Every lease that was granted before this process applied a version has run out a lease later: a
+/// leader grants with what it has committed, and a follower's right rests on the leader's version.
+Version
+InForceByTime(State& aState, Instant aNow)
+{
+  Version version = 0;
+  while (!aState.mAppliedAt.empty() && aNow >= aState.mAppliedAt.front().second + LongestLease()) {
+    version = aState.mAppliedAt.front().first;
+    aState.mAppliedAt.pop_front();
+  }
+  return version;
+}
+
+void
+NoteLeadership(Context& aContext)
+{
+  State& state = aContext.mState;
+  const bool leader = agreement::IsLeader(state.mNode);
+  if (leader && !state.mWasLeader) {
+    state.mLeaderSince = aContext.mNow;
+    state.mLeaderNeeds = state.mNode.mLog.size();
+  }
+  state.mWasLeader = leader;
+}
+
 void
 RemoveLostEntries(Context& aContext)
 {
@@ -170,9 +175,14 @@
 std::optional<Instant>
 GrantRight(const State& aState, Instant aNow)
 {
-  const Instant began = agreement::IsLeader(aState.mNode)
-                          ? agreement::QuorumAt(aState.mNode)
-                          : aState.mGrantUntil - kConfigurationLease;
+  const bool leader = agreement::IsLeader(aState.mNode);
+  // A new leader may lack changes that its predecessor reported as in force until it has committed
+  // what its log held.
+  if (leader && (!aState.mWasLeader || aState.mNode.mCommitted < aState.mLeaderNeeds)) {
+    return std::nullopt;
+  }
+  const Instant began =
+    leader ? agreement::QuorumAt(aState.mNode) : aState.mGrantUntil - kConfigurationLease;
   return membership::GrantableLength(began, aNow) ? std::optional<Instant>(began) : std::nullopt;
 }
 
@@ -183,8 +193,11 @@
   if (aRenew.mId != aFrom) {
     return;
   }
-  state.mEntries[aFrom] = EntryView{ aRenew.mEntry.mIncarnation, aRenew.mHeld, aContext.mNow };
-  TakeReports(aContext, aRenew.mReports);
+  state.mEntries[aFrom] =
+    EntryView{ aRenew.mEntry.mIncarnation, aRenew.mHeld, aContext.mNow, aRenew.mInFlight };
+  if (const auto sent = membership::SentNotBefore(aRenew.mStamp, aContext.mNow)) {
+    TakeReports(aContext, aRenew.mReports, *sent);
+  }
   const auto right = GrantRight(state, aContext.mNow);
   // An entry with a newer version than this process shows that this process is behind; it may not
   // grant.
@@ -192,11 +205,12 @@
     return;
   }
   const bool registered = IsRegistered(state, aFrom, aRenew.mEntry.mIncarnation);
-  if (!registered && !aRenew.mLeaving) {
-    ProposeAboutEntry(aContext, aFrom, membership::RegisterEntry{ aFrom, aRenew.mEntry });
-  } else if (registered && aRenew.mLeaving) {
-    ProposeAboutEntry(
-      aContext, aFrom, membership::RemoveEntry{ aFrom, aRenew.mEntry.mIncarnation });
+  // A leaving entry stays registered until its lease has run out, because it still serves.
+  const bool marked = registered && state.mConfiguration->mEntries.at(aFrom).mLeaving;
+  if (registered ? aRenew.mLeaving && !marked : !aRenew.mLeaving) {
+    membership::Entry entry = aRenew.mEntry;
+    entry.mLeaving = aRenew.mLeaving;
+    ProposeAboutEntry(aContext, aFrom, membership::RegisterEntry{ aFrom, entry });
   }
   membership::Grant grant;
   grant.mAsk = aRenew.mAsk;
@@ -207,6 +221,7 @@
     grant.mConfiguration = state.mConfiguration;
   }
   grant.mBackendLeases = LivingBackends(state, aContext.mNow);
+  grant.mStamp = membership::GiveStamp(aContext.mNow);
   aContext.mEffects.emplace_back(SendEntry{ aFrom, std::move(grant) });
 }
 
@@ -225,10 +240,12 @@
     EntryView& view = state.mEntries[id];
     const Instant heard = aContext.mNow - status.mAge;
     if (heard > view.mHeardAt) {
-      view = EntryView{ status.mIncarnation, status.mHeld, heard };
+      view = EntryView{ status.mIncarnation, status.mHeld, heard, status.mInFlight };
     }
   }
-  TakeReports(aContext, aRenew.mReports);
+  if (const auto sent = membership::SentNotBefore(aRenew.mStamp, aContext.mNow)) {
+    TakeReports(aContext, aRenew.mReports, *sent);
+  }
   membership::ControlGrant grant;
   grant.mAsk = aRenew.mAsk;
   grant.mLength =
@@ -236,37 +253,39 @@
   grant.mVersion = state.mConfiguration->mVersion;
   grant.mInForce = state.mInForce;
   grant.mBackendLeases = LivingBackends(state, aContext.mNow);
+  grant.mStamp = membership::GiveStamp(aContext.mNow);
   aContext.mEffects.emplace_back(SendControl{ aFrom, std::move(grant) });
 }
 
 void
-HandleControlGrant(Context& aContext, const membership::ControlGrant& aGrant)
+HandleControlGrant(Context& aContext,
+                   const ControlId& aFrom,
+                   const membership::ControlGrant& aGrant)
 {
   State& state = aContext.mState;
   const auto asked = state.mAsked.find(aGrant.mAsk);
-  if (asked == state.mAsked.end() || state.mConfiguration->mVersion < aGrant.mVersion) {
+  if (asked == state.mAsked.end()) {
+    return;
+  }
+  state.mStamp = aGrant.mStamp;
+  state.mStampFrom = aFrom;
+  state.mStampAt = aContext.mNow;
+  if (state.mConfiguration->mVersion < aGrant.mVersion) {
     return;
   }
   state.mGrantUntil =
     std::max(state.mGrantUntil, membership::LeaseEnd(asked->second, aGrant.mLength));
   state.mInForce = std::max(state.mInForce, aGrant.mInForce);
-  for (const membership::BackendLease& it : aGrant.mBackendLeases) {
-    const Millis age = std::chrono::duration_cast<Millis>(aContext.mNow - asked->second) +
-                       kBackendServerLease - it.mLeft;
-    TakeReport(aContext, { it.mId, it.mIncarnation, age, it.mInFlight });
-  }
+  TakeLeases(aContext, aGrant.mBackendLeases, asked->second);
 }
 
 void
 TickLeases(Context& aContext)
 {
   State& state = aContext.mState;
-  const bool leader = agreement::IsLeader(state.mNode);
-  if (leader && !state.mWasLeader) {
-    state.mLeaderSince = aContext.mNow;
-  }
-  state.mWasLeader = leader;
-  if (!leader) {
+  NoteLeadership(aContext);
+  state.mInForce = std::max(state.mInForce, InForceByTime(state, aContext.mNow));
+  if (!agreement::IsLeader(state.mNode)) {
     if (aContext.mNow >= state.mNextRenew) {
       SendFollowerRenewal(aContext);
     }
@@ -286,7 +305,9 @@
   std::vector<EntryId> behind;
   for (const auto& [id, entry] : aState.mConfiguration->mEntries) {
     const auto it = aState.mEntries.find(id);
-    const bool confirmed = it != aState.mEntries.end() && it->second.mHeld >= aVersion;
+    const bool confirmed = it != aState.mEntries.end() &&
+                           it->second.mIncarnation == entry.mIncarnation &&
+                           it->second.mHeld >= aVersion;
     if (!confirmed && aNow < LastHeard(aState, id) + LongestLease()) {
       behind.push_back(id);
     }
--- a/packages/control/src/leases.hpp
+++ b/packages/control/src/leases.hpp
@@ -17,7 +17,9 @@
 
 /// Handles the leader's grant.
 void
-HandleControlGrant(Context& aContext, const membership::ControlGrant& aGrant);
+HandleControlGrant(Context& aContext,
+                   const ControlId& aFrom,
+                   const membership::ControlGrant& aGrant);
 
 /// Sends a follower's renewal, works out what is in force, and removes entries that are gone.
 void
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -63,7 +63,7 @@
 /// A change asked of the control group on behalf of a backend server.
 struct PendingChange
 {
-  RequestId mReplyTo = 0;
+  std::vector<RequestId> mReplyTo; ///< calls that wait for it
   membership::Change mChange;
   Instant mUntil{};
 };
@@ -100,6 +100,9 @@
   Instant mNextRenew{};
   Instant mLastGrant{};
   std::size_t mControl = 0; ///< index of the control process in use
+  std::uint64_t mStamp = 0; ///< last one received
+  ControlId mStampFrom;
+  Instant mStampAt{};
   std::uint64_t mRandom = 1;
 };
 
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -39,7 +39,7 @@
 {
   std::vector<std::pair<std::uint64_t, LookupEntry>> found;
   for (const auto& [id, entry] : aState.mConfiguration->mEntries) {
-    if (aState.mConfiguration->mDrains.mEntries.count(id) == 0) {
+    if (!IsDrained(*aState.mConfiguration, id)) {
       found.emplace_back(Draw(aState), LookupEntry{ id, entry.mAddress, entry.mRegion });
     }
   }
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -15,14 +15,18 @@
 /// before the lease ends.
 constexpr Millis kSwitchControl{ 700 };
 
+const ControlId&
+ControlInUse(const State& aState)
+{
+  return aState.mOptions.mControls[aState.mControl % aState.mOptions.mControls.size()];
+}
+
 void
 SendToControl(State& aState,
               std::variant<membership::Renew, membership::ChangeAsk> aBody,
               std::vector<Effect>& aEffects)
 {
-  const ControlId& to =
-    aState.mOptions.mControls[aState.mControl % aState.mOptions.mControls.size()];
-  aEffects.emplace_back(SendControl{ to, std::move(aBody) });
+  aEffects.emplace_back(SendControl{ ControlInUse(aState), std::move(aBody) });
 }
 
 std::vector<membership::BackendReport>
@@ -30,7 +34,7 @@
 {
   std::vector<membership::BackendReport> reports;
   for (auto& [id, report] : aState.mReports) {
-    report.first.mAge = std::chrono::duration_cast<Millis>(aNow - report.second);
+    report.first.mAge = std::chrono::ceil<Millis>(aNow - report.second);
     reports.push_back(report.first);
   }
   aState.mReports.clear();
@@ -46,7 +50,13 @@
   renew.mEntry = aState.mOptions.mEntry;
   renew.mHeld = aState.mConfiguration->mVersion;
   renew.mLeaving = aState.mStage == EntryStage::Draining;
-  renew.mReports = TakeReports(aState, aNow);
+  renew.mInFlight = static_cast<std::uint32_t>(aState.mInFlight.size());
+  // Without a stamp the control process cannot tell how old the reports are; they wait for the next
+  // renewal.
+  if (aState.mStampFrom == ControlInUse(aState)) {
+    renew.mStamp = { aState.mStamp, std::chrono::duration_cast<Millis>(aNow - aState.mStampAt) };
+    renew.mReports = TakeReports(aState, aNow);
+  }
   aState.mAsked[renew.mAsk] = aNow;
   aState.mAsked.erase(aState.mAsked.begin(), aState.mAsked.upper_bound(renew.mAsk - 16));
   SendToControl(aState, std::move(renew), aEffects);
@@ -61,15 +71,24 @@
   aEffects.emplace_back(Reply{ aId, BackendAnswer{ aVerdict, aMessage } });
 }
 
+void
+AnswerAll(const PendingChange& aPending,
+          BackendVerdict aVerdict,
+          const std::string& aMessage,
+          std::vector<Effect>& aEffects)
+{
+  for (const RequestId it : aPending.mReplyTo) {
+    AnswerBackend(it, aVerdict, aMessage, aEffects);
+  }
+}
+
 void
 ResendChanges(State& aState, std::vector<Effect>& aEffects, Instant aNow)
 {
   for (auto it = aState.mPendingChanges.begin(); it != aState.mPendingChanges.end();) {
     if (aNow >= it->second.mUntil) {
-      AnswerBackend(it->second.mReplyTo,
-                    BackendVerdict::Busy,
-                    "the control group did not decide in time",
-                    aEffects);
+      AnswerAll(
+        it->second, BackendVerdict::Busy, "the control group did not decide in time", aEffects);
       it = aState.mPendingChanges.erase(it);
       continue;
     }
@@ -85,9 +104,15 @@
              std::vector<Effect>& aEffects,
              Instant aNow)
 {
-  const std::uint64_t ask = aState.mNextAsk++;
   const membership::Change change{ {}, std::move(aBody) };
-  aState.mPendingChanges[ask] = PendingChange{ aReplyTo, change, aNow + kChangeTimeout };
+  for (auto& [ask, pending] : aState.mPendingChanges) {
+    if (pending.mChange == change) {
+      pending.mReplyTo.push_back(aReplyTo);
+      return;
+    }
+  }
+  const std::uint64_t ask = aState.mNextAsk++;
+  aState.mPendingChanges[ask] = PendingChange{ { aReplyTo }, change, aNow + kChangeTimeout };
   SendToControl(aState, membership::ChangeAsk{ ask, change }, aEffects);
 }
 
@@ -102,9 +127,8 @@
     it = keep ? std::next(it) : aState.mServers.erase(it);
   }
   for (auto it = aState.mDeparted.begin(); it != aState.mDeparted.end();) {
-    const auto server = servers.find(it->first);
-    const bool keep = server != servers.end() && server->second.mIncarnation == it->second;
-    it = keep ? std::next(it) : aState.mDeparted.erase(it);
+    const bool committed = HasDeparted(*aState.mConfiguration, it->first, it->second);
+    it = committed ? aState.mDeparted.erase(it) : std::next(it);
   }
 }
 
@@ -141,9 +165,8 @@
 MayServe(const State& aState)
 {
   const auto it = aState.mConfiguration->mEntries.find(aState.mOptions.mId);
-  const bool registered = it != aState.mConfiguration->mEntries.end() &&
-                          it->second.mIncarnation == aState.mOptions.mEntry.mIncarnation;
-  return registered || aState.mStage == EntryStage::Draining;
+  return it != aState.mConfiguration->mEntries.end() &&
+         it->second.mIncarnation == aState.mOptions.mEntry.mIncarnation;
 }
 
 } // namespace
@@ -171,6 +194,13 @@
     return;
   }
   const Instant askedAt = asked->second;
+  // The reports that waited for a stamp go out at once.
+  if (aState.mStampFrom != aGrant.mFrom && !aState.mReports.empty()) {
+    aState.mNextRenew = aNow;
+  }
+  aState.mStamp = grant.mStamp;
+  aState.mStampFrom = aGrant.mFrom;
+  aState.mStampAt = aNow;
   if (grant.mConfiguration && (*grant.mConfiguration)->mVersion > aState.mConfiguration->mVersion) {
     aState.mConfiguration = *grant.mConfiguration;
     DropUnknownServers(aState);
@@ -204,7 +234,7 @@
   const bool same = known != aState.mConfiguration->mBackendServers.end() &&
                     known->second.mIncarnation == incarnation;
   if ((departed != aState.mDeparted.end() && departed->second == incarnation) ||
-      (same && known->second.mLeaving)) {
+      HasDeparted(*aState.mConfiguration, aRenewal.mServerId, incarnation)) {
     AnswerBackend(
       aRenewal.mId, BackendVerdict::Refused, "this incarnation announced its departure", aEffects);
     return;
@@ -249,7 +279,7 @@
   }
   const bool accepted = aDone.mAnswer.mVerdict == membership::Verdict::Accepted;
   const auto verdict = accepted ? BackendVerdict::Accepted : BackendVerdict::Refused;
-  AnswerBackend(it->second.mReplyTo, verdict, aDone.mAnswer.mMessage, aEffects);
+  AnswerAll(it->second, verdict, aDone.mAnswer.mMessage, aEffects);
   aState.mPendingChanges.erase(it);
 }
 
--- a/packages/membership/include/fighold/membership/change.hpp
+++ b/packages/membership/include/fighold/membership/change.hpp
@@ -2,6 +2,7 @@
 
 #include "fighold/membership/configuration.hpp"
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -62,6 +63,16 @@
   friend bool operator==(const RemoveBackendServer&, const RemoveBackendServer&) = default;
 };
 
+/// Forgets that an incarnation departed; proposed once no late announcement of it can arrive any
+/// more.
+struct ForgetDeparted
+{
+  BackendServerId mId;
+  Incarnation mIncarnation = 0;
+
+  friend bool operator==(const ForgetDeparted&, const ForgetDeparted&) = default;
+};
+
 /// What a drain is about.
 enum class DrainKind : std::uint8_t
 {
@@ -96,7 +107,8 @@
                                 DepartBackendServer,
                                 RemoveBackendServer,
                                 SetDrain,
-                                TakeShiftStep>;
+                                TakeShiftStep,
+                                ForgetDeparted>;
 
 /// A change with its identifier. Changes with an empty identifier are not remembered for resends;
 /// they are idempotent.
@@ -119,10 +131,19 @@
 /// @param aConfiguration configuration before the change
 /// @param aChange committed change
 /// @param aVersion position of the change in the replicated log
-/// @return configuration after the change, with mVersion == aVersion, and the answer; a resend
-/// (known mChangeId) gets
-///         its first answer and changes nothing else
+/// @return configuration after the change and the answer. mVersion is aVersion if the change
+/// altered
+///         what entries see, and stays otherwise, so that entries confirm only what concerns them.
+///         A resend (known mChangeId) gets its first answer and changes nothing else
 Applied
 Apply(const Configuration& aConfiguration, const Change& aChange, Version aVersion);
 
+/// @param aConfiguration configuration in use
+/// @param aChange change without an identifier
+/// @return the answer if the change would alter nothing, so that it needs no log entry; nothing for
+/// a change with an
+///         identifier, whose answer must be kept
+std::optional<ChangeAnswer>
+AnswerIfSettled(const Configuration& aConfiguration, const Change& aChange);
+
 } // namespace fighold::membership
--- a/packages/membership/include/fighold/membership/configuration.hpp
+++ b/packages/membership/include/fighold/membership/configuration.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 /// The replicated configuration: plan, entries, backend servers, drains and shift steps.
 namespace fighold::membership {
@@ -22,6 +23,8 @@
   RegionId mRegion;
   DataCentreId mDataCentre;
   Version mRegisteredAt = 0; ///< the entry serves only with this version or a later one
+  bool mLeaving = false;     ///< stops as planned: out of the look-ups, still serving
+  Incarnation mReplaced = 0; ///< incarnation before this one; it is not registered again
 
   friend auto operator<=>(const Entry&, const Entry&) = default;
 };
@@ -80,10 +83,21 @@
   friend auto operator<=>(const Drains&, const Drains&) = default;
 };
 
+/// One accepted plan.
+struct PlanRecord
+{
+  std::uint64_t mNumber = 0;
+  std::string mDigest;
+  Version mVersion = 0; ///< version at which the plan was accepted
+  ChangeId mChange;
+
+  friend auto operator<=>(const PlanRecord&, const PlanRecord&) = default;
+};
+
 /// The whole configuration at one version. Immutable; a change makes a new one.
 struct Configuration
 {
-  Version mVersion = 0;
+  Version mVersion = 0; ///< position in the log of the last change that altered what entries see
   SharedValue<plan::Plan> mPlan; ///< number 0: no plan was accepted yet
   std::string mPlanDigest;
   std::map<EntryId, Entry> mEntries;
@@ -92,10 +106,37 @@
   Drains mDrains;
   std::map<ChangeId, ChangeAnswer> mAnswers; ///< the newest kMaxAnswers
 
+  /// Incarnations that announced their departure or were replaced; they are refused until they are
+  /// forgotten.
+  std::map<BackendServerId, std::set<Incarnation>> mDeparted;
+  std::vector<PlanRecord> mHistory; ///< accepted plans, oldest first; the newest kMaxHistory
+
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
 
 /// First answers kept for resends.
 constexpr std::size_t kMaxAnswers = 4096;
 
+/// Accepted plans kept for the operators' history: three months of one plan a day.
+constexpr std::size_t kMaxHistory = 96;
+
+/// @return true if the operator or the plan drains the region
+bool
+IsDrained(const Configuration& aConfiguration, const RegionId& aId);
+
+/// @return true if the operator drains the entry or the entry stops as planned
+bool
+IsDrained(const Configuration& aConfiguration, const EntryId& aId);
+
+/// @return true if the operator or the plan drains the backend server, or it announced its
+/// departure
+bool
+IsDrained(const Configuration& aConfiguration, const BackendServerId& aId);
+
+/// @return true if the incarnation announced its departure or was replaced
+bool
+HasDeparted(const Configuration& aConfiguration,
+            const BackendServerId& aId,
+            Incarnation aIncarnation);
+
 } // namespace fighold::membership
--- a/packages/membership/include/fighold/membership/protocol.hpp
+++ b/packages/membership/include/fighold/membership/protocol.hpp
@@ -22,6 +22,26 @@
   friend auto operator<=>(const BackendReport&, const BackendReport&) = default;
 };
 
+/// Bounds the age of a message: the receiver gave out mGiven, a reading of its own monotonic clock
+/// that means nothing to others, and the message was sent mSince after that reading arrived.
+struct Stamp
+{
+  std::uint64_t mGiven = 0; ///< 0: none was received yet
+  Millis mSince{ 0 };
+
+  friend auto operator<=>(const Stamp&, const Stamp&) = default;
+};
+
+/// @return reading of the own clock to give out
+std::uint64_t
+GiveStamp(Instant aNow);
+
+/// @param aStamp stamp that came back
+/// @param aNow time by the clock that gave it
+/// @return a time not later than the one at which the message was sent; nothing when unknown
+std::optional<Instant>
+SentNotBefore(const Stamp& aStamp, Instant aNow);
+
 /// Entry to control: asks for a configuration lease and passes on reports.
 struct Renew
 {
@@ -31,6 +51,8 @@
   Version mHeld = 0;     ///< version in use
   bool mLeaving = false; ///< planned stop: take the entry out of the look-ups
   std::vector<BackendReport> mReports;
+  Stamp mStamp;                ///< last one that this control process gave
+  std::uint32_t mInFlight = 0; ///< requests of callers, for the progress of a drain
 
   friend auto operator<=>(const Renew&, const Renew&) = default;
 };
@@ -55,6 +77,7 @@
   std::optional<SharedValue<Configuration>>
     mConfiguration; ///< set when the holder's version is older
   std::vector<BackendLease> mBackendLeases;
+  std::uint64_t mStamp = 0; ///< to be returned by the next renewal
 
   friend bool operator==(const Grant&, const Grant&) = default;
 };
@@ -83,6 +106,7 @@
   Incarnation mIncarnation = 0;
   Version mHeld = 0;
   Millis mAge{ 0 }; ///< time since the entry renewed
+  std::uint32_t mInFlight = 0;
 
   friend auto operator<=>(const EntryStatus&, const EntryStatus&) = default;
 };
@@ -94,6 +118,7 @@
   Version mHeld = 0; ///< version up to which the follower has applied the log
   std::map<EntryId, EntryStatus> mEntries;
   std::vector<BackendReport> mReports;
+  Stamp mStamp;
 
   friend auto operator<=>(const ControlRenew&, const ControlRenew&) = default;
 };
@@ -106,6 +131,7 @@
   Version mVersion = 0; ///< the follower may grant leases only with this version or a later one
   Version mInForce = 0; ///< version that is in force everywhere
   std::vector<BackendLease> mBackendLeases;
+  std::uint64_t mStamp = 0;
 
   friend auto operator<=>(const ControlGrant&, const ControlGrant&) = default;
 };
--- /dev/null
+++ b/packages/membership/src/backend_life_test.cpp
@@ -0,0 +1,101 @@
+#include "fighold/membership/backend_life.hpp"
+#include "fighold/membership/lease.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace fighold::membership {
+namespace {
+
+struct BackendLifeFixture
+{
+  BackendChart mChart = LoadBackendChart(FIGHOLD_CHARTS_DIR);
+  Instant mStart{ std::chrono::hours(1) };
+  BackendLife mLife = StartLife(7, mStart);
+
+  void Renew(Millis aAt)
+  {
+    mLife = Renewed(mChart, mLife, mStart + aAt + kBackendServerLease, 0, mStart + aAt);
+  }
+
+  void Age(Millis aAt) { mLife = Aged(mChart, mLife, mStart + aAt); }
+};
+
+TEST_CASE_METHOD(BackendLifeFixture,
+                 "BackendLife, renews past the warm-up, warms and serves",
+                 "[membership]")
+{
+  Renew(Millis(10));
+  CHECK(mLife.mStage == BackendStage::Warming);
+  for (Millis at{ 500 }; at <= kWarmUp; at += Millis(500)) {
+    Renew(at);
+    Age(at);
+  }
+  CHECK(mLife.mStage == BackendStage::Serving);
+}
+
+// Guards against a server that is kept in service although it stopped renewing.
+TEST_CASE_METHOD(BackendLifeFixture,
+                 "BackendLife, stops renewing, expires and is gone after the retention",
+                 "[membership]")
+{
+  Renew(Millis(10));
+  Age(Millis(2010));
+  CHECK(mLife.mStage == BackendStage::Expired);
+  CHECK_FALSE(IsAlive(mLife, mStart + Millis(2010)));
+  Age(Millis(2010) + kRemoveBackendServerAfter);
+  CHECK(mLife.mStage == BackendStage::Gone);
+}
+
+// Guards against a late renewal that returns a departed server to service.
+TEST_CASE_METHOD(BackendLifeFixture,
+                 "BackendLife, renewal after the departure, stays leaving",
+                 "[membership]")
+{
+  Renew(Millis(10));
+  mLife = Departed(mChart, mLife, mStart + Millis(20));
+  Renew(Millis(30));
+  CHECK(mLife.mStage == BackendStage::Leaving);
+  CHECK_FALSE(IsAlive(mLife, mStart + Millis(30)));
+}
+
+TEST_CASE_METHOD(BackendLifeFixture,
+                 "BackendLife, renews after it expired, warms again",
+                 "[membership]")
+{
+  Age(Millis(2000));
+  REQUIRE(mLife.mStage == BackendStage::Expired);
+  Renew(Millis(2500));
+  CHECK(mLife.mStage == BackendStage::Warming);
+}
+
+TEST_CASE_METHOD(BackendLifeFixture,
+                 "BackendLife, any sequence of events, is alive only within its lease",
+                 "[membership]")
+{
+  rc::prop("and never after its departure", [this]() {
+    const auto events = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 20), rc::gen::inRange(0, 3000)));
+    BackendLife life = StartLife(1, mStart);
+    Instant now = mStart;
+    Instant lease = mStart + kBackendServerLease;
+    bool departed = false;
+    for (const auto& [kind, wait] : events) {
+      now += Millis(wait);
+      if (kind == 0) {
+        life = Departed(mChart, life, now);
+        departed = departed || life.mStage == BackendStage::Leaving;
+      } else if (kind < 10) {
+        life = Renewed(mChart, life, now + kBackendServerLease, 0, now);
+        lease = now + kBackendServerLease;
+      } else {
+        life = Aged(mChart, life, now);
+      }
+      RC_ASSERT(!departed || !IsAlive(life, now));
+      RC_ASSERT(now < lease || !IsAlive(life, now));
+    }
+  });
+}
+
+} // namespace
+} // namespace fighold::membership
--- a/packages/membership/src/change.cpp
+++ b/packages/membership/src/change.cpp
@@ -49,7 +49,7 @@
 }
 
 ChangeAnswer
-ApplyBody(const SubmitPlan& aChange, Configuration& aNext, Version /*aVersion*/)
+ApplyBody(const SubmitPlan& aChange, Configuration& aNext, Version aVersion)
 {
   if (aChange.mBaseDigest != aNext.mPlanDigest) {
     return Conflict("the plan in use is not the one that this plan replaces");
@@ -60,6 +60,10 @@
   aNext.mPlan = aChange.mPlan;
   aNext.mPlanDigest = plan::Digest(*aChange.mPlan);
   StartNewShifts(aNext);
+  aNext.mHistory.push_back({ aNext.mPlan->mNumber, aNext.mPlanDigest, aVersion, {} });
+  if (aNext.mHistory.size() > kMaxHistory) {
+    aNext.mHistory.erase(aNext.mHistory.begin());
+  }
   return Accepted();
 }
 
@@ -68,8 +72,16 @@
 {
   Entry entry = aChange.mEntry;
   const auto it = aNext.mEntries.find(aChange.mId);
-  const bool same = it != aNext.mEntries.end() && it->second.mIncarnation == entry.mIncarnation;
+  const bool known = it != aNext.mEntries.end();
+  const bool same = known && it->second.mIncarnation == entry.mIncarnation;
+  if (known && !same && it->second.mReplaced == entry.mIncarnation) {
+    return Refused("this incarnation was replaced");
+  }
   entry.mRegisteredAt = same ? it->second.mRegisteredAt : aVersion;
+  entry.mLeaving = entry.mLeaving || (same && it->second.mLeaving);
+  if (known) {
+    entry.mReplaced = same ? it->second.mReplaced : it->second.mIncarnation;
+  }
   aNext.mEntries[aChange.mId] = entry;
   return Accepted();
 }
@@ -94,10 +106,11 @@
     return Refused("the plan names no such service or region");
   }
   const auto it = aNext.mBackendServers.find(aChange.mId);
-  const bool same =
-    it != aNext.mBackendServers.end() && it->second.mIncarnation == server.mIncarnation;
-  if (same && it->second.mLeaving) {
-    return Refused("this incarnation announced its departure");
+  if (HasDeparted(aNext, aChange.mId, server.mIncarnation)) {
+    return Refused("this incarnation announced its departure or was replaced");
+  }
+  if (it != aNext.mBackendServers.end() && it->second.mIncarnation != server.mIncarnation) {
+    aNext.mDeparted[aChange.mId].insert(it->second.mIncarnation);
   }
   aNext.mBackendServers[aChange.mId] = server;
   return Accepted();
@@ -106,11 +119,12 @@
 ChangeAnswer
 ApplyBody(const DepartBackendServer& aChange, Configuration& aNext, Version /*aVersion*/)
 {
+  // A departure may overtake the announcement, so that it is kept even for an unknown incarnation.
+  aNext.mDeparted[aChange.mId].insert(aChange.mIncarnation);
   const auto it = aNext.mBackendServers.find(aChange.mId);
-  if (it == aNext.mBackendServers.end() || it->second.mIncarnation != aChange.mIncarnation) {
-    return Refused("no such backend server incarnation");
+  if (it != aNext.mBackendServers.end() && it->second.mIncarnation == aChange.mIncarnation) {
+    it->second.mLeaving = true;
   }
-  it->second.mLeaving = true;
   return Accepted();
 }
 
@@ -125,6 +139,19 @@
   return Accepted();
 }
 
+ChangeAnswer
+ApplyBody(const ForgetDeparted& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  const auto it = aNext.mDeparted.find(aChange.mId);
+  if (it == aNext.mDeparted.end() || it->second.erase(aChange.mIncarnation) == 0) {
+    return Refused("no such departed incarnation");
+  }
+  if (it->second.empty()) {
+    aNext.mDeparted.erase(it);
+  }
+  return Accepted();
+}
+
 template<typename T>
 void
 SetMember(std::set<T>& aSet, const std::string& aName, bool aOn)
@@ -193,7 +220,6 @@
 Apply(const Configuration& aConfiguration, const Change& aChange, Version aVersion)
 {
   Configuration next = aConfiguration;
-  next.mVersion = aVersion;
   const auto known = next.mAnswers.find(aChange.mId);
   if (known != next.mAnswers.end()) {
     const ChangeAnswer answer = known->second;
@@ -201,11 +227,29 @@
   }
   ChangeAnswer answer =
     std::visit([&](const auto& aBody) { return ApplyBody(aBody, next, aVersion); }, aChange.mBody);
-  answer.mVersion = aVersion;
+  if (next != aConfiguration) {
+    next.mVersion = aVersion;
+    if (!next.mHistory.empty() && next.mHistory.back().mVersion == aVersion) {
+      next.mHistory.back().mChange = aChange.mId;
+    }
+  }
+  answer.mVersion = next.mVersion;
   answer.mPlanNumber = next.mPlan->mNumber;
   answer.mPlanDigest = next.mPlanDigest;
   Remember(next, aChange.mId, answer);
   return { SharedValue<Configuration>(std::move(next)), answer };
 }
 
+std::optional<ChangeAnswer>
+AnswerIfSettled(const Configuration& aConfiguration, const Change& aChange)
+{
+  if (!aChange.mId.mValue.empty()) {
+    return std::nullopt;
+  }
+  const Applied applied = Apply(aConfiguration, aChange, aConfiguration.mVersion + 1);
+  return applied.mConfiguration->mVersion == aConfiguration.mVersion
+           ? std::optional<ChangeAnswer>(applied.mAnswer)
+           : std::nullopt;
+}
+
 } // namespace fighold::membership
--- a/packages/membership/src/change_test.cpp
+++ b/packages/membership/src/change_test.cpp
@@ -23,11 +23,12 @@
 struct ChangeFixture
 {
   SharedValue<Configuration> mConfiguration;
+  Version mPosition = 0; ///< in the log
 
   ChangeAnswer Do(const std::string& aId, ChangeBody aBody)
   {
     const Applied applied =
-      Apply(*mConfiguration, Change{ { aId }, std::move(aBody) }, mConfiguration->mVersion + 1);
+      Apply(*mConfiguration, Change{ { aId }, std::move(aBody) }, ++mPosition);
     mConfiguration = applied.mConfiguration;
     return applied.mAnswer;
   }
@@ -93,6 +94,113 @@
   CHECK_FALSE(mConfiguration->mBackendServers.at({ "s" }).mLeaving);
 }
 
+// Guards against a late announcement that returns a departed server to service after it was
+// removed, or after a newer incarnation took its place.
+TEST_CASE_METHOD(ChangeFixture,
+                 "Apply, departed or replaced incarnation announces after removal, is refused",
+                 "[membership]")
+{
+  Submit("a", MakePlan(1), "");
+  BackendServer server;
+  server.mIncarnation = 7;
+  server.mService = { "vardia" };
+  server.mRegion = { "attiki" };
+  Do("", AnnounceBackendServer{ { "s" }, server });
+  Do("", DepartBackendServer{ { "s" }, 7 });
+  CHECK(Do("", RemoveBackendServer{ { "s" }, 7 }).mVerdict == Verdict::Accepted);
+  CHECK(Do("", AnnounceBackendServer{ { "s" }, server }).mVerdict == Verdict::Refused);
+  for (const Incarnation it : { 8U, 9U }) {
+    server.mIncarnation = it;
+    CHECK(Do("", AnnounceBackendServer{ { "s" }, server }).mVerdict == Verdict::Accepted);
+  }
+  server.mIncarnation = 8;
+  CHECK(Do("", AnnounceBackendServer{ { "s" }, server }).mVerdict == Verdict::Refused);
+  CHECK(Do("", ForgetDeparted{ { "s" }, 7 }).mVerdict == Verdict::Accepted);
+  server.mIncarnation = 7;
+  CHECK(Do("", AnnounceBackendServer{ { "s" }, server }).mVerdict == Verdict::Accepted);
+}
+
+// Guards against an announcement that arrives after the departure that overtook it.
+TEST_CASE_METHOD(ChangeFixture,
+                 "Apply, departure before its announcement, refuses the announcement",
+                 "[membership]")
+{
+  Submit("a", MakePlan(1), "");
+  BackendServer server;
+  server.mIncarnation = 7;
+  server.mService = { "vardia" };
+  server.mRegion = { "attiki" };
+  Do("", DepartBackendServer{ { "s" }, 7 });
+  CHECK(Do("", AnnounceBackendServer{ { "s" }, server }).mVerdict == Verdict::Refused);
+}
+
+// Guards against versions that entries must confirm although nothing changed for them.
+TEST_CASE_METHOD(ChangeFixture,
+                 "Apply, change without effect, keeps the version and needs no log entry",
+                 "[membership]")
+{
+  Submit("a", MakePlan(1), "");
+  BackendServer server;
+  server.mIncarnation = 7;
+  server.mService = { "vardia" };
+  server.mRegion = { "attiki" };
+  const Change change{ {}, AnnounceBackendServer{ { "s" }, server } };
+  CHECK_FALSE(AnswerIfSettled(*mConfiguration, change).has_value());
+  Do("", change.mBody);
+  const Version version = mConfiguration->mVersion;
+  const auto settled = AnswerIfSettled(*mConfiguration, change);
+  REQUIRE(settled.has_value());
+  CHECK(settled->mVerdict == Verdict::Accepted);
+  const Applied again = Apply(*mConfiguration, change, version + 5);
+  CHECK(again.mConfiguration->mVersion == version);
+  CHECK(again.mAnswer.mVersion == version);
+}
+
+// Guards against a late renewal of an entry's earlier process that displaces the running one.
+TEST_CASE_METHOD(ChangeFixture,
+                 "Apply, replaced incarnation of an entry registers again, is refused",
+                 "[membership]")
+{
+  Entry entry;
+  entry.mIncarnation = 5;
+  Do("", RegisterEntry{ { "e" }, entry });
+  entry.mIncarnation = 6;
+  Do("", RegisterEntry{ { "e" }, entry });
+  entry.mIncarnation = 5;
+  CHECK(Do("", RegisterEntry{ { "e" }, entry }).mVerdict == Verdict::Refused);
+  CHECK(mConfiguration->mEntries.at({ "e" }).mIncarnation == 6);
+}
+
+// Guards against a stopping entry that returns to the look-ups through a late renewal.
+TEST_CASE_METHOD(ChangeFixture,
+                 "Apply, leaving entry registers again, stays leaving and registered",
+                 "[membership]")
+{
+  Entry entry;
+  entry.mIncarnation = 5;
+  Do("", RegisterEntry{ { "e" }, entry });
+  Entry leaving = entry;
+  leaving.mLeaving = true;
+  Do("", RegisterEntry{ { "e" }, leaving });
+  Do("", RegisterEntry{ { "e" }, entry });
+  CHECK(IsDrained(*mConfiguration, EntryId{ "e" }));
+  CHECK(mConfiguration->mEntries.at({ "e" }).mRegisteredAt == 1);
+}
+
+TEST_CASE_METHOD(ChangeFixture,
+                 "Apply, more plans than the history holds, keeps the newest",
+                 "[membership]")
+{
+  std::string base;
+  for (std::uint64_t n = 1; n <= kMaxHistory + 5; ++n) {
+    base = Submit("c" + std::to_string(n), MakePlan(n), base).mPlanDigest;
+  }
+  REQUIRE(mConfiguration->mHistory.size() == kMaxHistory);
+  CHECK(mConfiguration->mHistory.front().mNumber == 6);
+  CHECK(mConfiguration->mHistory.back().mChange == ChangeId{ "c101" });
+  CHECK(mConfiguration->mHistory.back().mDigest == base);
+}
+
 TEST_CASE_METHOD(ChangeFixture,
                  "Apply, server of a service that the plan does not name, is refused",
                  "[membership]")
--- a/packages/membership/src/configuration.cpp
+++ b/packages/membership/src/configuration.cpp
@@ -1,1 +1,42 @@
 #include "fighold/membership/configuration.hpp"
+
+#include <algorithm>
+
+namespace fighold::membership {
+
+bool
+IsDrained(const Configuration& aConfiguration, const RegionId& aId)
+{
+  const auto& planned = aConfiguration.mPlan->mDrainedRegions;
+  return aConfiguration.mDrains.mRegions.count(aId) > 0 ||
+         std::binary_search(planned.begin(), planned.end(), aId);
+}
+
+bool
+IsDrained(const Configuration& aConfiguration, const EntryId& aId)
+{
+  const auto it = aConfiguration.mEntries.find(aId);
+  return aConfiguration.mDrains.mEntries.count(aId) > 0 ||
+         (it != aConfiguration.mEntries.end() && it->second.mLeaving);
+}
+
+bool
+IsDrained(const Configuration& aConfiguration, const BackendServerId& aId)
+{
+  const auto& planned = aConfiguration.mPlan->mLeaving;
+  const auto it = aConfiguration.mBackendServers.find(aId);
+  return aConfiguration.mDrains.mBackendServers.count(aId) > 0 ||
+         std::binary_search(planned.begin(), planned.end(), aId) ||
+         (it != aConfiguration.mBackendServers.end() && it->second.mLeaving);
+}
+
+bool
+HasDeparted(const Configuration& aConfiguration,
+            const BackendServerId& aId,
+            Incarnation aIncarnation)
+{
+  const auto it = aConfiguration.mDeparted.find(aId);
+  return it != aConfiguration.mDeparted.end() && it->second.count(aIncarnation) > 0;
+}
+
+} // namespace fighold::membership
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -45,6 +45,19 @@
   return { { aLease.id() }, aLease.incarnation(), Millis(aLease.left_ms()), aLease.in_flight() };
 }
 
+void
+Put(const Stamp& aStamp, pb::Stamp& aOut)
+{
+  aOut.set_given(aStamp.mGiven);
+  aOut.set_since_ms(ToMillis(aStamp.mSince));
+}
+
+Stamp
+Get(const pb::Stamp& aStamp)
+{
+  return { aStamp.given(), Millis(aStamp.since_ms()) };
+}
+
 void
 PutBody(const Renew& aRenew, pb::Envelope& aOut)
 {
@@ -57,13 +70,16 @@
   for (const auto& it : aRenew.mReports) {
     Put(it, *out->add_reports());
   }
+  Put(aRenew.mStamp, *out->mutable_stamp());
+  out->set_in_flight(aRenew.mInFlight);
 }
 
 Body
 GetBody(const pb::Renew& aRenew)
 {
-  Renew renew{ aRenew.ask(),  { aRenew.id() },  detail::FromPb(aRenew.entry()),
-               aRenew.held(), aRenew.leaving(), {} };
+  Renew renew{ aRenew.ask(),        { aRenew.id() },   detail::FromPb(aRenew.entry()),
+               aRenew.held(),       aRenew.leaving(),  {},
+               Get(aRenew.stamp()), aRenew.in_flight() };
   for (const auto& it : aRenew.reports()) {
     renew.mReports.push_back(Get(it));
   }
@@ -80,6 +96,7 @@
   if (aGrant.mConfiguration) {
     *out->mutable_configuration() = detail::ToPb(**aGrant.mConfiguration, Answers::LeaveOut);
   }
+  out->set_stamp(aGrant.mStamp);
   for (const auto& it : aGrant.mBackendLeases) {
     Put(it, *out->add_backend_leases());
   }
@@ -88,7 +105,8 @@
 std::optional<Body>
 GetBody(const pb::Grant& aGrant)
 {
-  Grant grant{ aGrant.ask(), Millis(aGrant.length_ms()), aGrant.version(), std::nullopt, {} };
+  Grant grant{ aGrant.ask(),  Millis(aGrant.length_ms()), aGrant.version(), std::nullopt, {},
+               aGrant.stamp() };
   if (aGrant.has_configuration()) {
     auto configuration = detail::FromPb(aGrant.configuration());
     if (!configuration) {
@@ -142,11 +160,13 @@
   auto* out = aOut.mutable_control_renew();
   out->set_ask(aRenew.mAsk);
   out->set_held(aRenew.mHeld);
+  Put(aRenew.mStamp, *out->mutable_stamp());
   for (const auto& [id, status] : aRenew.mEntries) {
     auto& it = (*out->mutable_entries())[id.mValue];
     it.set_incarnation(status.mIncarnation);
     it.set_held(status.mHeld);
     it.set_age_ms(ToMillis(status.mAge));
+    it.set_in_flight(status.mInFlight);
   }
   for (const auto& it : aRenew.mReports) {
     Put(it, *out->add_reports());
@@ -159,8 +179,11 @@
   ControlRenew renew;
   renew.mAsk = aRenew.ask();
   renew.mHeld = aRenew.held();
+  renew.mStamp = Get(aRenew.stamp());
   for (const auto& [id, status] : aRenew.entries()) {
-    renew.mEntries[{ id }] = { status.incarnation(), status.held(), Millis(status.age_ms()) };
+    renew.mEntries[{ id }] = {
+      status.incarnation(), status.held(), Millis(status.age_ms()), status.in_flight()
+    };
   }
   for (const auto& it : aRenew.reports()) {
     renew.mReports.push_back(Get(it));
@@ -176,6 +199,7 @@
   out->set_length_ms(ToMillis(aGrant.mLength));
   out->set_version(aGrant.mVersion);
   out->set_in_force(aGrant.mInForce);
+  out->set_stamp(aGrant.mStamp);
   for (const auto& it : aGrant.mBackendLeases) {
     Put(it, *out->add_backend_leases());
   }
@@ -185,7 +209,8 @@
 GetBody(const pb::ControlGrant& aGrant)
 {
   ControlGrant grant{
-    aGrant.ask(), Millis(aGrant.length_ms()), aGrant.version(), aGrant.in_force(), {}
+    aGrant.ask(),  Millis(aGrant.length_ms()), aGrant.version(), aGrant.in_force(), {},
+    aGrant.stamp()
   };
   for (const auto& it : aGrant.backend_leases()) {
     grant.mBackendLeases.push_back(Get(it));
--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -44,10 +44,11 @@
   std::vector<Envelope> Envelopes() const
   {
     Grant grant{
-      4, Millis(1500), 5, SharedValue(mConfiguration), { { { "s1" }, 5, Millis(900), 2 } }
+      4, Millis(1500), 5, SharedValue(mConfiguration), { { { "s1" }, 5, Millis(900), 2 } }, 20
     };
     Configuration sent = mConfiguration;
     sent.mAnswers.clear();
+    sent.mHistory.clear();
     grant.mConfiguration = SharedValue(sent);
     return {
       { "e1",
@@ -57,12 +58,16 @@
                mConfiguration.mEntries.at({ "e1" }),
                5,
                true,
-               { { { "s1" }, 5, Millis(7), 1 } } } },
+               { { { "s1" }, 5, Millis(7), 1 } },
+               { 17, Millis(250) },
+               6 } },
       { "c1", 1, grant },
       { "e1", 3, ChangeAsk{ 2, Change{ { "x" }, RemoveBackendServer{ { "s1" }, 5 } } } },
       { "c1", 1, ChangeDone{ 2, ChangeAnswer{ Verdict::Conflict, 8, 12, "digest", "message" } } },
-      { "c2", 1, ControlRenew{ 3, 8, { { { "e1" }, { 3, 5, Millis(20) } } }, {} } },
-      { "c1", 1, ControlGrant{ 3, Millis(1800), 5, 4, { { { "s1" }, 5, Millis(900), 2 } } } },
+      { "c2",
+        1,
+        ControlRenew{ 3, 8, { { { "e1" }, { 3, 5, Millis(20), 4 } } }, {}, { 18, Millis(251) } } },
+      { "c1", 1, ControlGrant{ 3, Millis(1800), 5, 4, { { { "s1" }, 5, Millis(900), 2 } }, 19 } },
       { "c1", 1, agreement::Message(agreement::Append{ 1, 2, 1, 2, 7, { { 3, 1, "payload" } } }) },
       { "c2", 1, agreement::Message(agreement::AppendReply{ 1, true, 3, 7 }) },
       { "c2", 1, agreement::Message(agreement::Forward{ "payload" }) },
--- a/packages/wire/src/convert.cpp
+++ b/packages/wire/src/convert.cpp
@@ -90,10 +90,10 @@
   return SharedValue(std::move(*checked.mValue));
 }
 
-pb::Change::Incarnated
+pb::Incarnated
 IncarnatedToPb(const std::string& aId, Incarnation aIncarnation)
 {
-  pb::Change::Incarnated out;
+  pb::Incarnated out;
   out.set_id(aId);
   out.set_incarnation(aIncarnation);
   return out;
@@ -138,6 +138,12 @@
   *aOut.mutable_remove_backend_server() = IncarnatedToPb(aBody.mId.mValue, aBody.mIncarnation);
 }
 
+void
+SetBody(const ForgetDeparted& aBody, pb::Change& aOut)
+{
+  *aOut.mutable_forget_departed() = IncarnatedToPb(aBody.mId.mValue, aBody.mIncarnation);
+}
+
 void
 SetBody(const SetDrain& aBody, pb::Change& aOut)
 {
@@ -187,6 +193,9 @@
     case pb::Change::kTakeShiftStep:
       return TakeShiftStep{ { aChange.take_shift_step().service() },
                             ShiftFromPb(aChange.take_shift_step().shift()) };
+    case pb::Change::kForgetDeparted:
+      return ForgetDeparted{ { aChange.forget_departed().id() },
+                             aChange.forget_departed().incarnation() };
     case pb::Change::BODY_NOT_SET:
       break;
   }
@@ -204,6 +213,8 @@
   out.set_region(aEntry.mRegion.mValue);
   out.set_data_centre(aEntry.mDataCentre.mValue);
   out.set_registered_at(aEntry.mRegisteredAt);
+  out.set_leaving(aEntry.mLeaving);
+  out.set_replaced(aEntry.mReplaced);
   return out;
 }
 
@@ -216,6 +227,8 @@
   out.mRegion = { aEntry.region() };
   out.mDataCentre = { aEntry.data_centre() };
   out.mRegisteredAt = aEntry.registered_at();
+  out.mLeaving = aEntry.leaving();
+  out.mReplaced = aEntry.replaced();
   return out;
 }
 
@@ -270,10 +283,22 @@
   for (const auto& it : aConfiguration.mDrains.mRegions) {
     out.add_drained_regions(it.mValue);
   }
+  for (const auto& [id, incarnations] : aConfiguration.mDeparted) {
+    for (const Incarnation it : incarnations) {
+      *out.add_departed() = IncarnatedToPb(id.mValue, it);
+    }
+  }
   if (aAnswers == Answers::Include) {
     for (const auto& [id, answer] : aConfiguration.mAnswers) {
       (*out.mutable_answers())[id.mValue] = ToPb(answer);
     }
+    for (const auto& it : aConfiguration.mHistory) {
+      auto* record = out.add_history();
+      record->set_number(it.mNumber);
+      record->set_digest(it.mDigest);
+      record->set_version(it.mVersion);
+      record->set_change(it.mChange.mValue);
+    }
   }
   return out;
 }
@@ -316,6 +341,12 @@
     }
     out.mAnswers[{ id }] = *value;
   }
+  for (const auto& it : aConfiguration.departed()) {
+    out.mDeparted[{ it.id() }].insert(it.incarnation());
+  }
+  for (const auto& it : aConfiguration.history()) {
+    out.mHistory.push_back({ it.number(), it.digest(), it.version(), { it.change() } });
+  }
   return out;
 }
 
