Leases: property tests over control and entry in virtual time, and the faults they found

Faults found by it and fixed: - The first 15 renewals of a process ignored their grants (unsigned wrap when old asks were dropped), so that an entry needed about 8 s to start. - A late grant to an earlier process answered an ask of the restarted one; asks now begin at a number that no earlier process used. - A renewal of a new incarnation of a backend server kept the old one alive. - A late announcement displaced a newer incarnation; it now names the incarnation that it replaces and is a conflict otherwise. - A new leader granted the backend server's lease from the announcement. - A late renewal of a replaced entry process registered it again; only fresh renewals register.

--- a/packages/control/src/backend_servers.cpp
+++ b/packages/control/src/backend_servers.cpp
@@ -1,5 +1,7 @@
 #include "backend_servers.hpp"
 
+#include <algorithm>
+
 namespace fighold::control {
 namespace {
 
@@ -60,7 +62,8 @@
   }
   for (auto it = state.mBackends.begin(); it != state.mBackends.end();) {
     const bool unknown = RegisteredIncarnation(state, it->first) != it->second.mIncarnation;
-    const bool old = aContext.mNow >= it->second.mAliveUntil + kKeepUnknown;
+    const bool old =
+      aContext.mNow >= std::max(it->second.mAliveUntil, it->second.mSince) + kKeepUnknown;
     it = unknown && old ? state.mBackends.erase(it) : std::next(it);
   }
 }
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -188,6 +188,8 @@
   Context context{ aState, aNow, {} };
   if (!aState.mStartedAt) {
     aState.mStartedAt = aNow;
+    // A late grant to an earlier process must not answer an ask of this one.
+    aState.mNextAsk = membership::GiveStamp(aNow);
   }
   std::visit([&](const auto& aBody) { Handle(aBody, context); }, aEvent);
   return std::move(context.mEffects);
--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -19,6 +19,13 @@
 /// Time between two proposals about one entry.
 constexpr Millis kEntryProposalInterval{ 1000 };
 
+/// Renewals whose grants are still accepted.
+constexpr std::size_t kMaxAsked = 16;
+
+/// Age up to which a renewal may register an entry; an older one may come from a process that was
+/// replaced since.
+constexpr Millis kFreshRenewal{ 1000 };
+
 /// Longest time for which a granted lease may last by the granter's clock.
 Duration
 LongestLease()
@@ -77,7 +84,9 @@
     state.mReports.clear();
   }
   state.mAsked[renew.mAsk] = aContext.mNow;
-  state.mAsked.erase(state.mAsked.begin(), state.mAsked.upper_bound(renew.mAsk - 16));
+  if (state.mAsked.size() > kMaxAsked) {
+    state.mAsked.erase(state.mAsked.begin());
+  }
   aContext.mEffects.emplace_back(SendControl{ *leader, std::move(renew) });
 }
 
@@ -195,7 +204,8 @@
   }
   state.mEntries[aFrom] =
     EntryView{ aRenew.mEntry.mIncarnation, aRenew.mHeld, aContext.mNow, aRenew.mInFlight };
-  if (const auto sent = membership::SentNotBefore(aRenew.mStamp, aContext.mNow)) {
+  const auto sent = membership::SentNotBefore(aRenew.mStamp, aContext.mNow);
+  if (sent) {
     TakeReports(aContext, aRenew.mReports, *sent);
   }
   const auto right = GrantRight(state, aContext.mNow);
@@ -207,7 +217,8 @@
   const bool registered = IsRegistered(state, aFrom, aRenew.mEntry.mIncarnation);
   // A leaving entry stays registered until its lease has run out, because it still serves.
   const bool marked = registered && state.mConfiguration->mEntries.at(aFrom).mLeaving;
-  if (registered ? aRenew.mLeaving && !marked : !aRenew.mLeaving) {
+  const bool fresh = sent && aContext.mNow < *sent + kFreshRenewal;
+  if (fresh && (registered ? aRenew.mLeaving && !marked : !aRenew.mLeaving)) {
     membership::Entry entry = aRenew.mEntry;
     entry.mLeaving = aRenew.mLeaving;
     ProposeAboutEntry(aContext, aFrom, membership::RegisterEntry{ aFrom, entry });
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -15,6 +15,9 @@
 /// before the lease ends.
 constexpr Millis kSwitchControl{ 700 };
 
+/// Renewals whose grants are still accepted.
+constexpr std::size_t kMaxAsked = 16;
+
 const ControlId&
 ControlInUse(const State& aState)
 {
@@ -58,7 +61,9 @@
     renew.mReports = TakeReports(aState, aNow);
   }
   aState.mAsked[renew.mAsk] = aNow;
-  aState.mAsked.erase(aState.mAsked.begin(), aState.mAsked.upper_bound(renew.mAsk - 16));
+  if (aState.mAsked.size() > kMaxAsked) {
+    aState.mAsked.erase(aState.mAsked.begin());
+  }
   SendToControl(aState, std::move(renew), aEffects);
 }
 
@@ -117,10 +122,18 @@
 }
 
 /// Forgets what is known of backend servers that the configuration no longer has, unless requests
-/// still run there.
+/// still run there. The lease of an incarnation ends with it.
 void
-DropUnknownServers(State& aState)
+DropUnknownServers(State& aState, const membership::Configuration& aPrevious)
 {
+  for (const auto& [id, server] : aPrevious.mBackendServers) {
+    const auto now = aState.mConfiguration->mBackendServers.find(id);
+    const bool same = now != aState.mConfiguration->mBackendServers.end() &&
+                      now->second.mIncarnation == server.mIncarnation;
+    if (const auto known = aState.mServers.find(id); !same && known != aState.mServers.end()) {
+      known->second.mAliveUntil = {};
+    }
+  }
   const auto& servers = aState.mConfiguration->mBackendServers;
   for (auto it = aState.mServers.begin(); it != aState.mServers.end();) {
     const bool keep = servers.count(it->first) > 0 || it->second.mOutstanding > 0;
@@ -161,6 +174,20 @@
   }
 }
 
+BackendVerdict
+ToBackendVerdict(membership::Verdict aVerdict)
+{
+  switch (aVerdict) {
+    case membership::Verdict::Accepted:
+      return BackendVerdict::Accepted;
+    case membership::Verdict::Conflict:
+      return BackendVerdict::Busy;
+    case membership::Verdict::Refused:
+      break;
+  }
+  return BackendVerdict::Refused;
+}
+
 bool
 MayServe(const State& aState)
 {
@@ -194,16 +221,17 @@
     return;
   }
   const Instant askedAt = asked->second;
-  // The reports that waited for a stamp go out at once.
-  if (aState.mStampFrom != aGrant.mFrom && !aState.mReports.empty()) {
+  // What waited for a stamp goes out at once.
+  if (aState.mStampFrom != aGrant.mFrom) {
     aState.mNextRenew = aNow;
   }
   aState.mStamp = grant.mStamp;
   aState.mStampFrom = aGrant.mFrom;
   aState.mStampAt = aNow;
   if (grant.mConfiguration && (*grant.mConfiguration)->mVersion > aState.mConfiguration->mVersion) {
+    const auto previous = aState.mConfiguration;
     aState.mConfiguration = *grant.mConfiguration;
-    DropUnknownServers(aState);
+    DropUnknownServers(aState, *previous);
     BuildTable(aState);
   }
   // A grant for a version that this entry does not have would let it serve an old configuration.
@@ -240,15 +268,20 @@
     return;
   }
   if (!same) {
-    AskForChange(aState,
-                 aRenewal.mId,
-                 membership::AnnounceBackendServer{ aRenewal.mServerId, aRenewal.mServer },
-                 aEffects,
-                 aNow);
+    AskForChange(
+      aState,
+      aRenewal.mId,
+      membership::AnnounceBackendServer{
+        aRenewal.mServerId,
+        aRenewal.mServer,
+        known == aState.mConfiguration->mBackendServers.end() ? 0 : known->second.mIncarnation },
+      aEffects,
+      aNow);
   } else {
     AnswerBackend(aRenewal.mId, BackendVerdict::Accepted, "", aEffects);
+    // The renewal of a newer incarnation must not keep the one in the configuration alive.
+    aState.mServers[aRenewal.mServerId].mAliveUntil = aNow + membership::kBackendServerLease;
   }
-  aState.mServers[aRenewal.mServerId].mAliveUntil = aNow + membership::kBackendServerLease;
   aState.mReports[aRenewal.mServerId] = {
     { aRenewal.mServerId, incarnation, Millis(0), aRenewal.mInFlight }, aNow
   };
@@ -277,9 +310,7 @@
   if (it == aState.mPendingChanges.end()) {
     return;
   }
-  const bool accepted = aDone.mAnswer.mVerdict == membership::Verdict::Accepted;
-  const auto verdict = accepted ? BackendVerdict::Accepted : BackendVerdict::Refused;
-  AnswerAll(it->second, verdict, aDone.mAnswer.mMessage, aEffects);
+  AnswerAll(it->second, ToBackendVerdict(aDone.mAnswer.mVerdict), aDone.mAnswer.mMessage, aEffects);
   aState.mPendingChanges.erase(it);
 }
 
--- a/packages/entry/src/state.cpp
+++ b/packages/entry/src/state.cpp
@@ -17,6 +17,8 @@
 {
   State state;
   state.mRandom = aOptions.mSeed;
+  // A late grant to an earlier process must not answer an ask of this one.
+  state.mNextAsk = aOptions.mEntry.mIncarnation;
   state.mOptions = std::move(aOptions);
   state.mCharts = std::move(aCharts);
   return state;
--- a/packages/membership/include/fighold/membership/backend_life.hpp
+++ b/packages/membership/include/fighold/membership/backend_life.hpp
@@ -48,7 +48,7 @@
   Incarnation mIncarnation = 0;
   BackendStage mStage = BackendStage::Announced;
   Instant mSince{};      ///< first heard of here
-  Instant mAliveUntil{}; ///< end of its lease
+  Instant mAliveUntil{}; ///< end of its lease, by renewals only
   Instant mEndedAt{};    ///< left or expired
   std::uint32_t mInFlight = 0;
 
@@ -74,7 +74,8 @@
 
 /// @param aIncarnation incarnation that was announced
 /// @param aNow time of the first news of it
-/// @return life at its start; the lease begins with the announcement
+/// @return life at its start; it has no lease until a renewal is heard, since the announcement may be
+/// late
 BackendLife
 StartLife(Incarnation aIncarnation, Instant aNow);
 
--- a/packages/membership/include/fighold/membership/change.hpp
+++ b/packages/membership/include/fighold/membership/change.hpp
@@ -36,11 +36,13 @@
   friend bool operator==(const RemoveEntry&, const RemoveEntry&) = default;
 };
 
-/// Adds a backend server, or a new incarnation of it.
+/// Adds a backend server, or a new incarnation of it. An announcement that was overtaken by that of
+/// a newer incarnation is a conflict, since incarnations have no order.
 struct AnnounceBackendServer
 {
   BackendServerId mId;
   BackendServer mServer;
+  Incarnation mReplaces = 0; ///< incarnation in the configuration that the announcer saw; 0: none
 
   friend bool operator==(const AnnounceBackendServer&, const AnnounceBackendServer&) = default;
 };
--- a/packages/membership/include/fighold/membership/configuration.hpp
+++ b/packages/membership/include/fighold/membership/configuration.hpp
@@ -24,7 +24,6 @@
   DataCentreId mDataCentre;
   Version mRegisteredAt = 0; ///< the entry serves only with this version or a later one
   bool mLeaving = false;     ///< stops as planned: out of the look-ups, still serving
-  Incarnation mReplaced = 0; ///< incarnation before this one; it is not registered again
 
   friend auto operator<=>(const Entry&, const Entry&) = default;
 };
--- a/packages/membership/src/backend_life.cpp
+++ b/packages/membership/src/backend_life.cpp
@@ -2,6 +2,8 @@
 
 #include "fighold/membership/lease.hpp"
 
+#include <algorithm>
+
 namespace fighold::membership {
 namespace {
 
@@ -11,7 +13,8 @@
 bool
 LeaseOver(const BackendScope& aScope)
 {
-  return aScope.mNow >= aScope.mLife.mAliveUntil;
+  const BackendLife& life = aScope.mLife;
+  return aScope.mNow >= std::max(life.mAliveUntil, life.mSince + kBackendServerLease);
 }
 
 bool
@@ -66,7 +69,6 @@
   BackendLife life;
   life.mIncarnation = aIncarnation;
   life.mSince = aNow;
-  life.mAliveUntil = aNow + kBackendServerLease;
   return life;
 }
 
--- a/packages/membership/src/change.cpp
+++ b/packages/membership/src/change.cpp
@@ -72,16 +72,9 @@
 {
   Entry entry = aChange.mEntry;
   const auto it = aNext.mEntries.find(aChange.mId);
-  const bool known = it != aNext.mEntries.end();
-  const bool same = known && it->second.mIncarnation == entry.mIncarnation;
-  if (known && !same && it->second.mReplaced == entry.mIncarnation) {
-    return Refused("this incarnation was replaced");
-  }
+  const bool same = it != aNext.mEntries.end() && it->second.mIncarnation == entry.mIncarnation;
   entry.mRegisteredAt = same ? it->second.mRegisteredAt : aVersion;
   entry.mLeaving = entry.mLeaving || (same && it->second.mLeaving);
-  if (known) {
-    entry.mReplaced = same ? it->second.mReplaced : it->second.mIncarnation;
-  }
   aNext.mEntries[aChange.mId] = entry;
   return Accepted();
 }
@@ -110,6 +103,9 @@
     return Refused("this incarnation announced its departure or was replaced");
   }
   if (it != aNext.mBackendServers.end() && it->second.mIncarnation != server.mIncarnation) {
+    if (!it->second.mLeaving && it->second.mIncarnation != aChange.mReplaces) {
+      return Conflict("another incarnation was announced since");
+    }
     aNext.mDeparted[aChange.mId].insert(it->second.mIncarnation);
   }
   aNext.mBackendServers[aChange.mId] = server;
--- a/packages/wire/src/convert.cpp
+++ b/packages/wire/src/convert.cpp
@@ -124,6 +124,7 @@
 {
   aOut.mutable_announce_backend_server()->set_id(aBody.mId.mValue);
   *aOut.mutable_announce_backend_server()->mutable_server() = ServerToPb(aBody.mServer);
+  aOut.mutable_announce_backend_server()->set_replaces(aBody.mReplaces);
 }
 
 void
@@ -176,7 +177,8 @@
       return RemoveEntry{ { aChange.remove_entry().id() }, aChange.remove_entry().incarnation() };
     case pb::Change::kAnnounceBackendServer:
       return AnnounceBackendServer{ { aChange.announce_backend_server().id() },
-                                    ServerFromPb(aChange.announce_backend_server().server()) };
+                                    ServerFromPb(aChange.announce_backend_server().server()),
+                                    aChange.announce_backend_server().replaces() };
     case pb::Change::kDepartBackendServer:
       return DepartBackendServer{ { aChange.depart_backend_server().id() },
                                   aChange.depart_backend_server().incarnation() };
@@ -214,7 +216,6 @@
   out.set_data_centre(aEntry.mDataCentre.mValue);
   out.set_registered_at(aEntry.mRegisteredAt);
   out.set_leaving(aEntry.mLeaving);
-  out.set_replaced(aEntry.mReplaced);
   return out;
 }
 
@@ -228,7 +229,6 @@
   out.mDataCentre = { aEntry.data_centre() };
   out.mRegisteredAt = aEntry.registered_at();
   out.mLeaving = aEntry.leaving();
-  out.mReplaced = aEntry.replaced();
   return out;
 }
 
--- /dev/null
+++ b/tests/model/world.cpp
@@ -0,0 +1,361 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace fighold::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Resolution of virtual time.
+constexpr Millis kStep{ 25 };
+
+/// Heartbeat rounds are told apart by the start of the process that made them, as a term would do.
+constexpr std::uint64_t kRoundsOfOneStart = 1'000'000;
+
+const std::vector<ControlId> kVoters{ { "c1" }, { "c2" }, { "c3" } };
+
+/// Payloads are numbers of the changes in this store: equal changes have equal payloads, as with
+/// the message format, but no bytes are made.
+control::Codec
+StoreCodec()
+{
+  const auto store = std::make_shared<std::vector<membership::Change>>();
+  control::Codec codec;
+  codec.mEncode = [store](const membership::Change& aChange) {
+    auto it = std::find(store->begin(), store->end(), aChange);
+    if (it == store->end()) {
+      it = store->insert(it, aChange);
+    }
+    return std::to_string(it - store->begin());
+  };
+  codec.mDecode = [store](const std::string& aBytes) {
+    return std::optional<membership::Change>(store->at(std::stoul(aBytes)));
+  };
+  return codec;
+}
+
+const control::Charts&
+ControlCharts()
+{
+  static const control::Charts charts = control::LoadCharts(FIGHOLD_CHARTS_DIR);
+  return charts;
+}
+
+const entry::Charts&
+EntryCharts()
+{
+  static const entry::Charts charts = entry::LoadCharts(FIGHOLD_CHARTS_DIR);
+  return charts;
+}
+
+std::string
+At(Duration aNow)
+{
+  return std::to_string(std::chrono::duration_cast<Millis>(aNow - 1h).count()) + " ms: ";
+}
+
+} // namespace
+
+World::World(std::uint64_t aSeed, Faults aFaults)
+  : mFaults(aFaults)
+  , mRandom(aSeed)
+{
+  const auto codec = StoreCodec();
+  for (const ControlId& it : kVoters) {
+    ControlProcess& control = mControls[it.mValue];
+    control.mClock = NewClock();
+    control.mState.mCodec = codec;
+    StartControl(it.mValue);
+  }
+  for (const char* it : { "e1", "e2", "e3" }) {
+    mEntries[it].mClock = NewClock();
+    StartEntry(it);
+  }
+  for (const char* it : { "s1", "s2", "s3" }) {
+    ServerProcess& server = mServers[{ it }];
+    server.mServer.mIncarnation = mNextId++;
+    server.mServer.mService = { "vardia" };
+    server.mServer.mRegion = { "attiki" };
+    server.mServer.mSlots = 4;
+  }
+}
+
+Clock
+World::NewClock()
+{
+  // Two clocks differ in rate by up to the allowance of 1%.
+  const double rate = mFaults.mClockRates ? 0.9955 + static_cast<double>(Draw(91)) / 10000.0 : 1.0;
+  return { Millis(Draw(100'000)), rate };
+}
+
+Instant
+World::Local(const Clock& aClock) const
+{
+  const auto ticks = static_cast<double>(mNow.count()) * aClock.mRate;
+  return Instant(aClock.mOffset + Duration(static_cast<Duration::rep>(ticks)));
+}
+
+void
+World::StartControl(const std::string& aName)
+{
+  ControlProcess& control = mControls[aName];
+  agreement::Options options{ { aName }, kVoters };
+  const auto codec = control.mState.mCodec;
+  auto node = agreement::MakeNode(options, control.mDisk);
+  node.mTerm = control.mState.mNode.mTerm;
+  node.mRound = ++mRounds * kRoundsOfOneStart;
+  control.mState = control::MakeState(std::move(node), codec, ControlCharts());
+  control.mWrites.clear();
+  control.mHeld.clear();
+  control.mFrozen = false;
+  // A process that restarts leads again only in a new term; acknowledgements of the old one are
+  // refused.
+  for (auto it = mFlying.begin(); it != mFlying.end();) {
+    const auto* body = std::get_if<control::FromControl>(&it->second.mBody);
+    const bool old = body != nullptr && std::holds_alternative<agreement::Message>(body->mBody) &&
+                     (it->second.mFrom == aName || it->second.mTo == aName);
+    it = old ? mFlying.erase(it) : std::next(it);
+  }
+  if (control.mGroup != 0) {
+    Join(aName);
+  }
+  control.mGroup = std::max<std::uint64_t>(control.mGroup, 1);
+}
+
+void
+World::StartEntry(const std::string& aName)
+{
+  EntryProcess& process = mEntries[aName];
+  process.mIncarnation = mRandom() >> 2U;
+  entry::Options options;
+  options.mId = { aName };
+  options.mEntry.mIncarnation = process.mIncarnation;
+  options.mEntry.mRegion = { "attiki" };
+  options.mControls = kVoters;
+  std::rotate(options.mControls.begin(),
+              options.mControls.begin() + static_cast<std::ptrdiff_t>(Draw(3)),
+              options.mControls.end());
+  options.mSeed = mNextId++;
+  process.mState = entry::MakeState(options, EntryCharts());
+  process.mHeld.clear();
+  process.mFrozen = false;
+}
+
+/// Puts a process into the current group: what it had not committed is cut off, as the leader's
+/// log would do.
+void
+World::Join(const std::string& aName)
+{
+  ControlProcess& control = mControls[aName];
+  agreement::Node& node = control.mState.mNode;
+  const agreement::Node& leader = mControls[mLeader].mState.mNode;
+  if (aName != mLeader) {
+    std::size_t same = 0;
+    while (same < std::min(node.mLog.size(), leader.mLog.size()) &&
+           node.mLog[same] == leader.mLog[same]) {
+      ++same;
+    }
+    node.mLog.resize(same);
+    control.mDisk.resize(std::min(control.mDisk.size(), same));
+    node.mSynced = std::min<agreement::Index>(node.mSynced, same);
+    node.mPendingWrites.clear();
+    node.mPendingReplies.clear();
+    control.mWrites.clear();
+    if (control.mDisk.size() < same) {
+      control.mDisk = node.mLog;
+    }
+    node.mSynced = same;
+  }
+  node.mOptions.mVoters = kVoters;
+  auto& voters = node.mOptions.mVoters;
+  std::iter_swap(voters.begin(), std::find(voters.begin(), voters.end(), ControlId{ mLeader }));
+  node.mTerm = mGroup;
+  control.mGroup = mGroup;
+}
+
+void
+World::Elect(const std::string& aLeader, const std::string& aSupporter)
+{
+  ControlProcess& leader = mControls[aLeader];
+  ++mGroup;
+  mLeader = aLeader;
+  agreement::Node& node = leader.mState.mNode;
+  Join(aLeader);
+  leader.mDisk = node.mLog;
+  node.mSynced = node.mLog.size();
+  node.mPendingWrites.clear();
+  node.mPendingReplies.clear();
+  leader.mWrites.clear();
+  for (auto& [id, peer] : node.mPeers) {
+    peer = agreement::Peer{ 0, node.mLog.size() + 1, 0 };
+  }
+  node.mRound = ++mRounds * kRoundsOfOneStart;
+  node.mRoundTimes.clear();
+  node.mNextHeartbeat = {};
+  node.mQuorumAt = {};
+  Join(aSupporter);
+}
+
+void
+World::Send(Flying aMessage)
+{
+  if (const auto from = mControls.find(aMessage.mFrom); from != mControls.end()) {
+    aMessage.mGroup = from->second.mGroup;
+  }
+  const bool late = mFaults.mLateMessages && Chance(2);
+  const auto delay = [&] { return Millis(late ? 200 + Draw(5000) : 1 + Draw(60)); };
+  if (mFaults.mLateMessages && Chance(3)) {
+    return;
+  }
+  if (mFaults.mLateMessages && Chance(3)) {
+    mFlying.emplace(mNow + delay(), aMessage);
+  }
+  mFlying.emplace(mNow + delay(), std::move(aMessage));
+}
+
+void
+World::Deliver(Flying aMessage)
+{
+  if (mCut.count({ aMessage.mFrom, aMessage.mTo }) > 0) {
+    return;
+  }
+  const auto control = mControls.find(aMessage.mTo);
+  if (control != mControls.end()) {
+    if (control->second.mFrozen) {
+      control->second.mHeld.push_back(std::move(aMessage));
+      return;
+    }
+    if (const auto* body = std::get_if<control::FromEntry>(&aMessage.mBody)) {
+      StepControl(aMessage.mTo, *body);
+      return;
+    }
+    const auto& body = std::get<control::FromControl>(aMessage.mBody);
+    // Messages of the agreement from another term are refused.
+    const bool agreement = std::holds_alternative<agreement::Message>(body.mBody);
+    if (!agreement || aMessage.mGroup == control->second.mGroup) {
+      StepControl(aMessage.mTo, body);
+    }
+    return;
+  }
+  EntryProcess& process = mEntries[aMessage.mTo];
+  if (process.mFrozen) {
+    process.mHeld.push_back(std::move(aMessage));
+  } else if (const auto* grant = std::get_if<entry::GrantReceived>(&aMessage.mBody)) {
+    StepEntry(aMessage.mTo, *grant);
+  } else {
+    StepEntry(aMessage.mTo, std::get<entry::ChangeDoneReceived>(aMessage.mBody));
+  }
+}
+
+void
+World::StepControl(const std::string& aName, control::Event aEvent)
+{
+  ControlProcess& control = mControls[aName];
+  const Version before = control.mState.mConfiguration->mVersion;
+  auto effects = control::Step(control.mState, std::move(aEvent), Local(control.mClock));
+  const Version after = control.mState.mConfiguration->mVersion;
+  if (after > before) {
+    mCommitted.try_emplace(after, mNow);
+  }
+  mInForce = std::max(mInForce, control.mState.mInForce);
+  for (auto& it : effects) {
+    if (auto* send = std::get_if<control::SendControl>(&it)) {
+      std::visit(
+        [&](auto& aBody) {
+          Send({ aName, send->mTo.mValue, control::FromControl{ { aName }, std::move(aBody) }, 0 });
+        },
+        send->mBody);
+    } else if (auto* toEntry = std::get_if<control::SendEntry>(&it)) {
+      if (auto* grant = std::get_if<membership::Grant>(&toEntry->mBody)) {
+        Send({ aName, toEntry->mTo.mValue, entry::GrantReceived{ { aName }, std::move(*grant) } });
+      } else {
+        Send({ aName,
+               toEntry->mTo.mValue,
+               entry::ChangeDoneReceived{ std::get<membership::ChangeDone>(toEntry->mBody) } });
+      }
+    } else if (auto* store = std::get_if<control::Store>(&it)) {
+      // A write is kept from the moment it is issued; it is reported as synced later.
+      control.mDisk.resize(store->mWrite.mEntries.front().mIndex - 1);
+      for (const auto& entry : store->mWrite.mEntries) {
+        control.mDisk.push_back(entry);
+      }
+      control.mWrites.emplace_back(mNow + Millis(Draw(30)), std::move(store->mWrite));
+    }
+  }
+}
+
+void
+World::Sync(const std::string& aName)
+{
+  ControlProcess& control = mControls[aName];
+  while (!control.mFrozen && !control.mWrites.empty() && control.mWrites.front().first <= mNow) {
+    const std::uint64_t write = control.mWrites.front().second.mWrite;
+    control.mWrites.pop_front();
+    StepControl(aName, control::Stored{ write });
+  }
+}
+
+void
+World::StepEntry(const std::string& aName, entry::Event aEvent)
+{
+  EntryProcess& process = mEntries[aName];
+  auto effects = entry::Step(process.mState, std::move(aEvent), Local(process.mClock));
+  for (auto& it : effects) {
+    if (auto* send = std::get_if<entry::SendControl>(&it)) {
+      std::visit(
+        [&](auto& aBody) {
+          Send({ aName, send->mTo.mValue, control::FromEntry{ { aName }, std::move(aBody) } });
+        },
+        send->mBody);
+    } else if (const auto* dispatch = std::get_if<entry::Dispatch>(&it)) {
+      ++mDispatchCount;
+      for (const HeardDeparture& departure : mDepartures) {
+        if (departure.mId == dispatch->mServer.mId &&
+            departure.mIncarnation == dispatch->mServer.mIncarnation && mNow > departure.mAt + 3s) {
+          Fail(aName + " sent work to " + departure.mId.mValue + ", which left at " +
+               At(departure.mAt));
+        }
+      }
+      net::ExchangeResult result;
+      result.mStage = net::ExchangeStage::Answered;
+      result.mResponse.mStatus = 200;
+      StepEntry(aName, entry::DispatchDone{ dispatch->mId, dispatch->mDispatch, result });
+    } else if (const auto* reply = std::get_if<entry::Reply>(&it)) {
+      const auto* lookup = std::get_if<entry::LookupAnswer>(&reply->mAnswer);
+      if (lookup == nullptr || !lookup->mError.empty()) {
+        continue;
+      }
+      ++mServedCount;
+      if (lookup->mVersion < mInForce) {
+        Fail(aName + " serves with version " + std::to_string(lookup->mVersion) + " although " +
+             std::to_string(mInForce) + " was reported in force");
+      }
+      if (lookup->mVersion < process.mServed) {
+        Fail(aName + " went back from version " + std::to_string(process.mServed) + " to " +
+             std::to_string(lookup->mVersion));
+      }
+      process.mServed = lookup->mVersion;
+      for (const auto& [version, at] : mCommitted) {
+        if (version > lookup->mVersion && mNow > at + 4s) {
+          Fail(aName + " serves with version " + std::to_string(lookup->mVersion) + ", 4 s after " +
+               std::to_string(version));
+          break;
+        }
+      }
+      if (process.mIsolatedSince != Duration{} && mNow > process.mIsolatedSince + 2s + kStep) {
+        Fail(aName + " serves although it was cut off at " + At(process.mIsolatedSince));
+      }
+    }
+  }
+}
+
+void
+World::Fail(const std::string& aText)
+{
+  if (mViolation.empty()) {
+    mViolation = At(mNow) + aText;
+  }
+}
+
+} // namespace fighold::testing
--- /dev/null
+++ b/tests/model/world_run.cpp
@@ -0,0 +1,299 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace fighold::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Millis kStep{ 25 };
+
+/// Time between two requests and look-ups at each entry, two renewals of a backend server, two
+/// changes of an operator.
+constexpr Millis kTraffic{ 100 };
+constexpr Millis kServerRenewal{ 500 };
+constexpr Millis kChange{ 1500 };
+
+bool
+IsDue(Duration aNow, Millis aInterval)
+{
+  return aNow % aInterval < kStep;
+}
+
+} // namespace
+
+void
+World::Thaw()
+{
+  const auto thaw = [this](auto& aProcess) {
+    aProcess.mFrozen = false;
+    auto held = std::move(aProcess.mHeld);
+    aProcess.mHeld.clear();
+    for (Flying& it : held) {
+      Deliver(std::move(it));
+    }
+  };
+  for (auto& [name, process] : mControls) {
+    if (process.mFrozen && Chance(50)) {
+      thaw(process);
+    }
+  }
+  for (auto& [name, process] : mEntries) {
+    if (process.mFrozen && Chance(50)) {
+      thaw(process);
+    }
+  }
+}
+
+void
+World::MakeFault()
+{
+  std::vector<std::string> names;
+  for (const auto& [name, process] : mControls) {
+    names.push_back(name);
+  }
+  for (const auto& [name, process] : mEntries) {
+    names.push_back(name);
+  }
+  const std::string& name = names[Draw(names.size())];
+  switch (Draw(9)) {
+    case 0: // one direction of one path
+      if (mFaults.mCuts) {
+        mCut.insert({ name, names[Draw(names.size())] });
+      }
+      break;
+    case 1: // silent cut of one process, in one direction or in both
+      if (mFaults.mCuts) {
+        const auto kind = Draw(3);
+        for (const std::string& it : names) {
+          if (kind != 0) {
+            mCut.insert({ name, it });
+          }
+          if (kind != 1) {
+            mCut.insert({ it, name });
+          }
+        }
+      }
+      break;
+    case 2:
+    case 3:
+      mCut.clear();
+      break;
+    case 4:
+      if (mFaults.mFreezes) {
+        const auto control = mControls.find(name);
+        (control != mControls.end() ? control->second.mFrozen : mEntries[name].mFrozen) = true;
+      }
+      break;
+    case 5:
+      Thaw();
+      break;
+    case 6:
+      if (mFaults.mRestarts) {
+        StartEntry(AnyName(mEntries));
+      }
+      break;
+    case 7:
+      if (mFaults.mRestarts) {
+        const std::string control = AnyName(mControls);
+        if (control != mLeader || !mFaults.mLeaderChanges) {
+          StartControl(control);
+        }
+      }
+      break;
+    default:
+      if (mFaults.mLeaderChanges) {
+        std::vector<std::string> up;
+        for (const auto& [id, process] : mControls) {
+          if (!process.mFrozen) {
+            up.push_back(id);
+          }
+        }
+        if (up.size() < 2) {
+          break;
+        }
+        std::shuffle(up.begin(), up.end(), mRandom);
+        const auto last = [this](const std::string& aId) {
+          const auto& log = mControls[aId].mState.mNode.mLog;
+          return log.empty() ? std::pair<std::uint64_t, std::size_t>()
+                             : std::make_pair(log.back().mTerm, log.size());
+        };
+        if (last(up[0]) < last(up[1])) {
+          std::swap(up[0], up[1]);
+        }
+        Elect(up[0], up[1]);
+      }
+  }
+}
+
+void
+World::MakeTraffic()
+{
+  for (const auto& [name, process] : mEntries) {
+    if (process.mFrozen) {
+      continue;
+    }
+    StepEntry(name, entry::Lookup{ mNextId++, { "vardia" }, RegionId{ "attiki" }, 0 });
+    entry::CallerRequest request;
+    request.mId = mNextId++;
+    request.mService = { "vardia" };
+    StepEntry(name, request);
+  }
+}
+
+void
+World::MoveServers()
+{
+  for (auto& [id, server] : mServers) {
+    if (!server.mUp) {
+      if (mNow >= server.mReturnsAt) {
+        server.mUp = true;
+        server.mServer.mIncarnation = mNextId++;
+      }
+      continue;
+    }
+    const std::string name = AnyName(mEntries);
+    if (mEntries[name].mFrozen) {
+      continue;
+    }
+    if (Chance(4)) {
+      mDepartures.push_back({ id, server.mServer.mIncarnation, mNow });
+      StepEntry(name, entry::BackendDeparture{ mNextId++, id, server.mServer.mIncarnation });
+      server.mUp = false;
+      server.mReturnsAt = mNow + Millis(500 + Draw(8000));
+      if (mFaults.mRestarts && Chance(50)) {
+        StartEntry(name);
+      }
+      continue;
+    }
+    StepEntry(name, entry::BackendRenewal{ mNextId++, id, server.mServer, 0 });
+  }
+}
+
+void
+World::MakeChange()
+{
+  const std::string name = AnyName(mControls);
+  const ControlProcess& control = mControls[name];
+  if (control.mFrozen) {
+    return;
+  }
+  const auto& configuration = *control.mState.mConfiguration;
+  control::ChangeCall call;
+  call.mId = mNextId++;
+  call.mChange.mId = { std::to_string(call.mId) };
+  if (configuration.mPlan->mNumber == 0) {
+    plan::Plan plan;
+    plan.mNumber = 1;
+    plan.mMaxEntries = 3;
+    plan.mShiftCap = 1000;
+    plan.mRegions = { { { "attiki" }, 10 }, { { "kriti" }, 10 } };
+    plan.mServices[{ "vardia" }] = {};
+    plan.mSplits[{ "vardia" }] = { { { "attiki" }, { { { "attiki" }, plan::kWhole } } },
+                                   { { "kriti" }, { { { "kriti" }, plan::kWhole } } } };
+    call.mChange.mBody = membership::SubmitPlan{ "", SharedValue(plan) };
+  } else {
+    const bool on = configuration.mDrains.mRegions.empty();
+    call.mChange.mBody = membership::SetDrain{ membership::DrainKind::Region, "kriti", on };
+  }
+  StepControl(name, call);
+}
+
+void
+World::UpdateIsolation()
+{
+  for (auto& [name, process] : mEntries) {
+    const bool hears = std::any_of(mControls.begin(), mControls.end(), [&](const auto& aControl) {
+      return mCut.count({ aControl.first, name }) == 0;
+    });
+    if (hears) {
+      process.mIsolatedSince = {};
+    } else if (process.mIsolatedSince == Duration{}) {
+      process.mIsolatedSince = mNow;
+    }
+  }
+}
+
+std::string
+World::Run(Duration aLength)
+{
+  const Duration end = mNow + aLength;
+  Duration nextFault = mNow + 3s;
+  while (mNow < end && mViolation.empty()) {
+    mNow += kStep;
+    while (!mFlying.empty() && mFlying.begin()->first <= mNow) {
+      Flying message = std::move(mFlying.begin()->second);
+      mFlying.erase(mFlying.begin());
+      Deliver(std::move(message));
+    }
+    for (auto& [name, control] : mControls) {
+      Sync(name);
+      // A process that missed elections joins when it can hear the leader.
+      if (!control.mFrozen && control.mGroup != mGroup && mCut.count({ mLeader, name }) == 0 &&
+          Chance(5)) {
+        Join(name);
+      }
+      if (!control.mFrozen && IsDue(mNow, control::kTickInterval)) {
+        StepControl(name, control::Tick{});
+      }
+    }
+    for (auto& [name, process] : mEntries) {
+      const Instant local = Local(process.mClock);
+      if (!process.mFrozen && local >= entry::NextTick(process.mState, local)) {
+        StepEntry(name, entry::Tick{});
+      }
+    }
+    UpdateIsolation();
+    if (IsDue(mNow, kTraffic)) {
+      MakeTraffic();
+    }
+    if (IsDue(mNow, kServerRenewal)) {
+      MoveServers();
+    }
+    if (IsDue(mNow, kChange)) {
+      MakeChange();
+    }
+    if (mNow >= nextFault) {
+      nextFault = mNow + Millis(100 + Draw(1200));
+      MakeFault();
+    }
+  }
+  return mViolation;
+}
+
+std::string
+World::HealAndSettle()
+{
+  mCut.clear();
+  mFaults = Faults{ false, false, false, false, false, false };
+  for (int n = 0; n < 20; ++n) {
+    Thaw();
+  }
+  for (const auto& [name, control] : mControls) {
+    if (control.mGroup != mGroup) {
+      Join(name);
+    }
+  }
+  Run(8s);
+  if (!mViolation.empty()) {
+    return mViolation;
+  }
+  for (const auto& [version, at] : mCommitted) {
+    if (mNow > at + 4s && version > mInForce) {
+      Fail("version " + std::to_string(version) + " is not reported in force, 4 s after it");
+      break;
+    }
+  }
+  for (const auto& [name, process] : mEntries) {
+    const bool holds = membership::Holds(process.mState.mLease, Local(process.mClock));
+    if (!holds || process.mState.mConfiguration->mVersion + 4 < Newest()) {
+      Fail(name + (holds ? " holds" : " has no lease for") + " version " +
+           std::to_string(process.mState.mConfiguration->mVersion) + " of " +
+           std::to_string(Newest()) + " after every fault ended");
+    }
+  }
+  return mViolation;
+}
+
+} // namespace fighold::testing
