figholdctl: progress of a drain, plan history, plan watch, marks in the status

Cause: a drain returned once it was in force, although requests still ran at the drained part, and the status did not show what drains or leaves.

Change: drain on prints what is in flight until three looks in a row find nothing; plan history prints the replicated history; plan watch names the entries that are behind until the version is in force. The status marks what is cut off, draining or leaving, and names drained regions.

--- a/packages/control/src/front_codec.cpp
+++ b/packages/control/src/front_codec.cpp
@@ -184,7 +184,10 @@
                                 { "data_centre", it.mEntry.mDataCentre.mValue },
                                 { "address", ToText(it.mEntry.mAddress) },
                                 { "version", it.mHeld },
-                                { "current", it.mCurrent } });
+                                { "current", it.mCurrent },
+                                { "draining", it.mDraining },
+                                { "leaving", it.mEntry.mLeaving },
+                                { "in_flight", it.mInFlight } });
   }
   return out;
 }
@@ -200,15 +203,46 @@
                                 { "address", ToText(it.mServer.mAddress) },
                                 { "alive", it.mAlive },
                                 { "leaving", it.mServer.mLeaving },
+                                { "draining", it.mDraining },
+                                { "state", it.mStage },
                                 { "in_flight", it.mInFlight } });
   }
   return out;
 }
 
+json::array
+ToJson(const std::vector<membership::PlanRecord>& aHistory)
+{
+  json::array out;
+  for (const membership::PlanRecord& it : aHistory) {
+    out.push_back(json::object{ { "plan", it.mNumber },
+                                { "digest", it.mDigest },
+                                { "version", it.mVersion },
+                                { "change", it.mChange.mValue } });
+  }
+  return out;
+}
+
+json::array
+DrainedRegions(const membership::Configuration& aConfiguration)
+{
+  json::array out;
+  for (const auto& [id, capacity] : aConfiguration.mPlan->mRegions) {
+    if (IsDrained(aConfiguration, id)) {
+      out.emplace_back(id.mValue);
+    }
+  }
+  return out;
+}
+
 net::HttpResponse
 Convert(const net::HttpRequest& aRequest, const StatusAnswer& aAnswer)
 {
   const membership::Configuration& configuration = *aAnswer.mConfiguration;
+  if (aRequest.mTarget.rfind("/v1/plan/history", 0) == 0) {
+    return net::JsonResponse(
+      200, json::serialize(json::object{ { "plans", ToJson(configuration.mHistory) } }));
+  }
   if (aRequest.mTarget.rfind("/v1/plan", 0) == 0) {
     if (configuration.mPlan->mNumber == 0) {
       return ErrorResponse(404, "no plan was accepted yet");
@@ -219,15 +253,13 @@
     return net::JsonResponse(aAnswer.mCurrent ? 200 : 503,
                              json::serialize(json::object{ { "ready", aAnswer.mCurrent } }));
   }
-  const json::object body{ { "self", aAnswer.mSelf.mValue },
-                           { "leader", aAnswer.mLeader },
-                           { "current", aAnswer.mCurrent },
-                           { "version", configuration.mVersion },
-                           { "in_force", aAnswer.mInForce },
-                           { "plan", configuration.mPlan->mNumber },
-                           { "digest", configuration.mPlanDigest },
-                           { "entries", ToJson(aAnswer.mEntries) },
-                           { "backend_servers", ToJson(aAnswer.mBackends) } };
+  const json::object body{
+    { "self", aAnswer.mSelf.mValue },        { "leader", aAnswer.mLeader },
+    { "current", aAnswer.mCurrent },         { "version", configuration.mVersion },
+    { "in_force", aAnswer.mInForce },        { "plan", configuration.mPlan->mNumber },
+    { "digest", configuration.mPlanDigest }, { "drained_regions", DrainedRegions(configuration) },
+    { "entries", ToJson(aAnswer.mEntries) }, { "backend_servers", ToJson(aAnswer.mBackends) }
+  };
   return net::JsonResponse(200, json::serialize(body));
 }
 
@@ -256,7 +288,8 @@
   if (path == "/v1/drains" && post) {
     return ParseDrain(aId, *url);
   }
-  if (path == "/v1/plan" || path == "/v1/status" || path == "/readyz") {
+  if (path == "/v1/plan" || path == "/v1/plan/history" || path == "/v1/status" ||
+      path == "/readyz") {
     return StatusCall{ aId };
   }
   return ErrorResponse(404, "no such resource");
--- a/packages/ctl/include/fighold/ctl/command.hpp
+++ b/packages/ctl/include/fighold/ctl/command.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fighold/core/time.hpp"
 #include "fighold/net/http.hpp"
 
 #include <functional>
@@ -24,6 +25,7 @@
   std::function<std::string()> mNewChangeId;
   std::function<void(const std::string&)> mPrint; ///< standard output
   std::function<void(const std::string&)> mError; ///< standard error
+  std::function<void(Millis)> mWait;
 };
 
 /// Options that are given as flags.
--- a/packages/ctl/src/command.cpp
+++ b/packages/ctl/src/command.cpp
@@ -2,83 +2,14 @@
 
 #include "fighold/plan/sheet.hpp"
 
-#include <boost/json/parse.hpp>
-#include <boost/json/value.hpp>
+#include "progress.hpp"
+#include "session.hpp"
 
 #include <algorithm>
 
 namespace fighold::ctl {
 namespace {
 
-namespace json = boost::json;
-
-/// Everything that a command works with.
-struct Session
-{
-  const Options& mOptions;
-  const Environment& mEnvironment;
-};
-
-std::optional<net::HttpResponse>
-Call(const Session& aSession,
-     const std::string& aMethod,
-     const std::string& aTarget,
-     const std::string& aBody)
-{
-  net::HttpRequest request;
-  request.mMethod = aMethod;
-  request.mTarget = aTarget;
-  request.mBody = aBody;
-  if (!aSession.mOptions.mToken.empty()) {
-    request.mHeaders.push_back({ "Authorization", "Bearer " + aSession.mOptions.mToken });
-  }
-  auto response = aSession.mEnvironment.mCall(request);
-  if (!response) {
-    aSession.mEnvironment.mError("no control process answered");
-  }
-  return response;
-}
-
-json::object
-ToObject(const net::HttpResponse& aResponse)
-{
-  json::error_code ec;
-  const json::value value = json::parse(aResponse.mBody, ec);
-  return !ec && value.is_object() ? value.as_object() : json::object{};
-}
-
-std::string
-Text(const json::object& aObject, std::string_view aName)
-{
-  const auto* value = aObject.if_contains(aName);
-  return value != nullptr && value->is_string() ? std::string(value->as_string().c_str())
-                                                : std::string();
-}
-
-std::uint64_t
-Number(const json::object& aObject, std::string_view aName)
-{
-  json::error_code ec;
-  const auto* value = aObject.if_contains(aName);
-  const auto number = value != nullptr ? value->to_number<std::uint64_t>(ec) : 0;
-  return ec ? 0 : number;
-}
-
-bool
-Flag(const json::object& aObject, std::string_view aName)
-{
-  const auto* value = aObject.if_contains(aName);
-  return value != nullptr && value->is_bool() && value->as_bool();
-}
-
-const json::array&
-List(const json::object& aObject, std::string_view aName)
-{
-  static const json::array empty;
-  const auto* value = aObject.if_contains(aName);
-  return value != nullptr && value->is_array() ? value->as_array() : empty;
-}
-
 /// Reads and checks a sheet; prints the findings.
 std::optional<plan::Plan>
 ReadSheet(const Session& aSession, const std::string& aPath, std::string& aText)
@@ -189,45 +120,6 @@
   return kExitDone;
 }
 
-std::string
-Padded(std::string aText, std::size_t aWidth)
-{
-  aText.resize(std::max(aText.size(), aWidth), ' ');
-  return aText + " ";
-}
-
-int
-ShowStatus(const std::vector<std::string>& /*aArguments*/, const Session& aSession)
-{
-  const auto response = Call(aSession, "GET", "/v1/status", "");
-  if (!response) {
-    return kExitFailed;
-  }
-  const json::object status = ToObject(*response);
-  const auto& print = aSession.mEnvironment.mPrint;
-  print("control " + Text(status, "self") +
-        (Flag(status, "current") ? "" : " (cut off or behind)") + ", leader " +
-        Text(status, "leader"));
-  print("plan " + std::to_string(Number(status, "plan")) + ", digest " + Text(status, "digest"));
-  print("version " + std::to_string(Number(status, "version")) +
-        ", in force everywhere: " + std::to_string(Number(status, "in_force")));
-  for (const auto& it : List(status, "entries")) {
-    const json::object& entry = it.as_object();
-    print("entry   " + Padded(Text(entry, "id"), 24) + Padded(Text(entry, "region"), 12) +
-          Padded(Text(entry, "address"), 21) + "version " +
-          std::to_string(Number(entry, "version")) + (Flag(entry, "current") ? "" : " cut off"));
-  }
-  for (const auto& it : List(status, "backend_servers")) {
-    const json::object& server = it.as_object();
-    const std::string state = Flag(server, "leaving") ? "leaving"
-                              : Flag(server, "alive") ? "serving"
-                                                      : "lost";
-    print("server  " + Padded(Text(server, "id"), 24) + Padded(Text(server, "region"), 12) +
-          Padded(Text(server, "service"), 21) + state);
-  }
-  return kExitDone;
-}
-
 int
 Drain(const std::vector<std::string>& aArguments, const Session& aSession)
 {
@@ -241,7 +133,10 @@
     aSession.mEnvironment.mError("repeat it with --change=" + change);
     return kExitFailed;
   }
-  return ReportChange(*response, change, aSession);
+  const int code = ReportChange(*response, change, aSession);
+  return code == kExitDone && aArguments[0] == "on"
+           ? AwaitDrain(aArguments[1], aArguments[2], aSession)
+           : code;
 }
 
 /// A command with its words and arguments.
@@ -266,10 +161,15 @@
       "submit a sheet and wait until it is in force everywhere",
       SubmitPlan },
     { { "plan", "show" }, {}, "print the plan in use as a sheet", ShowPlan },
+    { { "plan", "history" }, {}, "print the plans that were accepted", ShowHistory },
+    { { "plan", "watch" },
+      {},
+      "print where the plan is not in force yet, until it is everywhere",
+      WatchPlan },
     { { "status" }, {}, "print plan, leader, entries and backend servers", ShowStatus },
     { { "drain" },
       { "on|off", "backend-server|entry|region", "NAME" },
-      "start or end a drain",
+      "start or end a drain; a start waits until nothing is in flight",
       Drain },
   };
   return commands;
--- a/packages/ctl/src/command_test.cpp
+++ b/packages/ctl/src/command_test.cpp
@@ -12,6 +12,7 @@
   std::string mSheet = "item,service\n";
   std::string mOutput;
   std::string mErrors;
+  int mWaits = 0;
 
   int Run(const std::vector<std::string>& aArguments, const Options& aOptions = {})
   {
@@ -32,6 +33,7 @@
     environment.mNewChangeId = [] { return std::string("new-id"); };
     environment.mPrint = [this](const std::string& aText) { mOutput += aText + "\n"; };
     environment.mError = [this](const std::string& aText) { mErrors += aText + "\n"; };
+    environment.mWait = [this](Millis) { ++mWaits; };
     return RunCommand(aArguments, aOptions, environment);
   }
 };
@@ -83,5 +85,83 @@
   CHECK(mErrors.find("not yet in force at: e7") != std::string::npos);
 }
 
+constexpr auto kAccepted =
+  R"({"decided":true,"verdict":"accepted","version":9,"plan":7,"digest":"d","in_force":true})";
+
+// Guards against a drain that is reported as done while requests still run there.
+TEST_CASE_METHOD(CommandFixture,
+                 "drain, requests in flight, shows them until nothing is left",
+                 "[ctl]")
+{
+  const auto status = [](int aCount) {
+    return net::JsonResponse(200,
+                             R"({"backend_servers":[{"id":"s1","alive":true,"in_flight":)" +
+                               std::to_string(aCount) +
+                               R"(},{"id":"s2","alive":true,"in_flight":5}]})");
+  };
+  mResponses = { net::JsonResponse(200, kAccepted),
+                 status(3),
+                 status(0),
+                 status(1),
+                 status(0),
+                 status(0),
+                 status(0) };
+  CHECK(Run({ "drain", "on", "backend-server", "s1" }) == kExitDone);
+  CHECK(mOutput.find("3 in flight\n0 in flight\n1 in flight\n0 in flight\ndrained") !=
+        std::string::npos);
+  CHECK(mResponses.empty());
+}
+
+TEST_CASE_METHOD(CommandFixture,
+                 "drain, control processes vanish during the wait, exits 1",
+                 "[ctl]")
+{
+  mResponses = { net::JsonResponse(200, kAccepted) };
+  CHECK(Run({ "drain", "on", "entry", "e1" }) == kExitFailed);
+  CHECK(mOutput.find("drained") == std::string::npos);
+}
+
+TEST_CASE_METHOD(CommandFixture,
+                 "plan watch, one entry behind, names it until the plan is in force",
+                 "[ctl]")
+{
+  mResponses = { net::JsonResponse(200, R"({"plan":7,"version":9,"in_force":8,"entries":[
+      {"id":"e1","version":9,"current":true},{"id":"e2","version":8,"current":false}]})"),
+                 net::JsonResponse(200, R"({"plan":7,"version":9,"in_force":9})") };
+  CHECK(Run({ "plan", "watch" }) == kExitDone);
+  CHECK(mOutput == "version 9 is not yet in force at: e2 (version 8, cut off)\n"
+                   "plan 7, version 9: in force everywhere\n");
+  CHECK(mWaits == 1);
+}
+
+TEST_CASE_METHOD(CommandFixture, "plan history, two plans, prints both in order", "[ctl]")
+{
+  mResponses = { net::JsonResponse(200,
+                                   R"({"plans":[{"plan":1,"digest":"d1","version":2,"change":"a"},
+                      {"plan":2,"digest":"d2","version":5,"change":"b"}]})") };
+  CHECK(Run({ "plan", "history" }) == kExitDone);
+  CHECK(mOutput == "plan 1        d1 version 2 change a\nplan 2        d2 version 5 change b\n");
+}
+
+TEST_CASE_METHOD(CommandFixture, "status, parts cut off, draining and leaving, marks each", "[ctl]")
+{
+  mResponses = { net::JsonResponse(200, R"({"drained_regions":["kriti"],"entries":[
+      {"id":"e1","current":true,"draining":true},{"id":"e2"},
+      {"id":"e3","current":true,"leaving":true,"draining":true}],
+    "backend_servers":[{"id":"s1","alive":true,"draining":true},{"id":"s2","leaving":true},
+      {"id":"s3","alive":true},{"id":"s4"}]})") };
+  CHECK(Run({ "status" }) == kExitDone);
+  for (const char* it : { "region  kriti draining\n",
+                          "version 0 draining\n",
+                          "version 0 cut off\n",
+                          "version 0 leaving\n",
+                          " draining\n",
+                          " leaving\n",
+                          " serving\n",
+                          " lost\n" }) {
+    CHECK(mOutput.find(it) != std::string::npos);
+  }
+}
+
 } // namespace
 } // namespace fighold::ctl
--- a/packages/ctl/src/figholdctl_main.cpp
+++ b/packages/ctl/src/figholdctl_main.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <random>
 #include <sstream>
+#include <thread>
 
 DEFINE_string(controls,
               "",
@@ -112,6 +113,7 @@
   environment.mNewChangeId = NewChangeId;
   environment.mPrint = [](const std::string& aText) { std::cout << aText << "\n"; };
   environment.mError = [](const std::string& aText) { std::cerr << aText << "\n"; };
+  environment.mWait = [](fighold::Millis aTime) { std::this_thread::sleep_for(aTime); };
   return fighold::ctl::RunCommand(aArguments, options, environment);
 }
 
