Lease model: a control process that gets renewals and no log entries

Cause: the deliberate fault "a follower takes the right to grant although it lags" was not caught, because no schedule kept log entries away from a process that still got grants.

Change: a fault that keeps the agreement's messages from one control process, and a test with it.

--- a/tests/model/lease_test.cpp
+++ b/tests/model/lease_test.cpp
@@ -39,7 +39,7 @@
                  "Leases, no faults, every entry serves the newest version",
                  "[model]")
 {
-  RunAll(50, Faults{ false, false, false, false, false, true });
+  RunAll(50, Faults{ false, false, false, false, false, false, true });
 }
 
 // Guards against an entry that serves an old configuration after messages were lost, doubled, late
@@ -48,7 +48,7 @@
                  "Leases, bad messages, no entry serves a version older than one in force",
                  "[model]")
 {
-  RunAll(300, Faults{ false, false, false, false, true, true });
+  RunAll(300, Faults{ false, false, false, false, true, false, true });
 }
 
 // Guards against an entry that serves although it is cut off, in one direction or in both.
@@ -56,7 +56,7 @@
                  "Leases, cuts of paths and processes, a cut-off entry refuses within 2 s",
                  "[model]")
 {
-  RunAll(300, Faults{ true, false, false, false, true, true });
+  RunAll(300, Faults{ true, false, false, false, true, false, true });
 }
 
 // Guards against a process that goes on with an old right after it was frozen.
@@ -64,7 +64,7 @@
                  "Leases, processes frozen and thawed, none uses a right that has run out",
                  "[model]")
 {
-  RunAll(300, Faults{ false, true, false, false, true, true });
+  RunAll(300, Faults{ false, true, false, false, true, false, true });
 }
 
 // Guards against a restarted entry that begins on an older configuration, and a restarted control
@@ -73,7 +73,7 @@
                  "Leases, restarts of entries and control processes, no version goes back",
                  "[model]")
 {
-  RunAll(300, Faults{ false, false, true, false, true, true });
+  RunAll(300, Faults{ false, false, true, false, true, false, true });
 }
 
 // Guards against a new leader that counts on the old one's leases having ended.
@@ -81,7 +81,16 @@
                  "Leases, changes of leader, nothing is reported in force too early",
                  "[model]")
 {
-  RunAll(300, Faults{ true, false, false, true, true, true });
+  RunAll(300, Faults{ true, false, false, true, true, false, true });
+}
+
+// Guards against a control process that hands out its stale plan as current, because renewals reach
+// it and log entries do not.
+TEST_CASE_METHOD(LeaseModelFixture,
+                 "Leases, control process without log entries, grants nothing on its old plan",
+                 "[model]")
+{
+  RunAll(300, Faults{ false, false, false, false, true, true, true });
 }
 
 TEST_CASE_METHOD(LeaseModelFixture, "Leases, all faults together, every promise holds", "[model]")
--- a/tests/model/world.cpp
+++ b/tests/model/world.cpp
@@ -187,7 +187,11 @@
       StepControl(aMessage.mTo, *body);
       return;
     }
-    StepControl(aMessage.mTo, std::get<control::FromControl>(aMessage.mBody));
+    const auto& body = std::get<control::FromControl>(aMessage.mBody);
+    const bool agreement = std::holds_alternative<agreement::Message>(body.mBody);
+    if (!agreement || aMessage.mTo != mWithoutLog) {
+      StepControl(aMessage.mTo, body);
+    }
     return;
   }
   EntryProcess& process = mEntries[aMessage.mTo];
--- a/tests/model/world.hpp
+++ b/tests/model/world.hpp
@@ -23,6 +23,7 @@
   bool mRestarts = true;
   bool mLeaderChanges = true; ///< the leader is frozen for longer than an election takes
   bool mLateMessages = true;
+  bool mLostLog = true; ///< one control process gets no messages of the agreement, but all others
   bool mClockRates = true;
 };
 
@@ -138,6 +139,7 @@
   std::map<BackendServerId, ServerProcess> mServers;
   std::multimap<Duration, Flying> mFlying;
   std::set<std::pair<std::string, std::string>> mCut;
+  std::string mWithoutLog; ///< control process that gets no messages of the agreement
   std::vector<HeardDeparture> mDepartures;
   std::map<Version, Duration> mCommitted; ///< version to the time at which one process applied it
   Version mInForce = 0;                   ///< newest version that a control process reported
--- a/tests/model/world_run.cpp
+++ b/tests/model/world_run.cpp
@@ -57,7 +57,7 @@
     names.push_back(name);
   }
   const std::string& name = names[Draw(names.size())];
-  switch (Draw(9)) {
+  switch (Draw(10)) {
     case 0: // one direction of one path
       if (mFaults.mCuts) {
         mCut.insert({ name, names[Draw(names.size())] });
@@ -79,6 +79,7 @@
     case 2:
     case 3:
       mCut.clear();
+      mWithoutLog.clear();
       break;
     case 4:
       if (mFaults.mFreezes) {
@@ -94,6 +95,11 @@
         StartEntry(AnyName(mEntries));
       }
       break;
+    case 8:
+      if (mFaults.mLostLog) {
+        mWithoutLog = AnyName(mControls);
+      }
+      break;
     case 7:
       if (mFaults.mRestarts) {
         StartControl(AnyName(mControls));
@@ -242,7 +248,8 @@
 World::HealAndSettle()
 {
   mCut.clear();
-  mFaults = Faults{ false, false, false, false, false, false };
+  mWithoutLog.clear();
+  mFaults = Faults{ false, false, false, false, false, false, false };
   for (int n = 0; n < 20; ++n) {
     Thaw();
   }
