--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -1,5 +1,6 @@
 #include "fighold/control/decide.hpp"
 
+#include "backend_servers.hpp"
 #include "calls.hpp"
 #include "claim_holding.hpp"
 #include "leases.hpp"
@@ -8,6 +9,12 @@
 namespace fighold::control {
 namespace {
 
+/// Time for which a leader does not propose the same change again while it is not committed.
+constexpr Millis kProposedFor{ 2000 };
+
+/// Time for which an entry's change waits for its answer; the entry gives up after 3 s.
+constexpr Millis kKeepAsk{ 4000 };
+
 /// @return the state machine of a snapshot
 SharedValue<membership::Configuration>
 RestoredConfiguration(const Codec& aCodec, const agreement::Snapshot& aSnapshot)
@@ -20,6 +27,16 @@
   return SharedValue(std::move(*configuration));
 }
 
+void
+TakeConfiguration(Context& aContext, const SharedValue<membership::Configuration>& aConfiguration)
+{
+  State& state = aContext.mState;
+  if (aConfiguration->mVersion > state.mConfiguration->mVersion) {
+    state.mAppliedAt.emplace_back(aConfiguration->mVersion, aContext.mNow);
+  }
+  state.mConfiguration = aConfiguration;
+}
+
 void
 ApplyCommitted(Context& aContext, const agreement::LogEntry& aEntry)
 {
@@ -30,7 +47,8 @@
   }
   const membership::Applied applied =
     membership::Apply(*state.mConfiguration, *change, aEntry.mIndex);
-  state.mConfiguration = applied.mConfiguration;
+  TakeConfiguration(aContext, applied.mConfiguration);
+  state.mProposed.erase(aEntry.mPayload);
   const auto [first, last] = state.mAsks.equal_range(aEntry.mPayload);
   for (auto it = first; it != last; ++it) {
     aContext.mEffects.emplace_back(
@@ -42,9 +60,48 @@
   }
 }
 
+void
+ProposePayload(Context& aContext, const std::string& aPayload, const membership::Change& aChange)
+{
+  State& state = aContext.mState;
+  if (agreement::IsLeader(state.mNode) && GrantRight(state, aContext.mNow)) {
+    Instant& until = state.mProposed[aPayload];
+    if (aContext.mNow < until ||
+        membership::AnswerIfSettled(*state.mConfiguration, aChange).has_value()) {
+      return;
+    }
+    until = aContext.mNow + kProposedFor;
+  }
+  Agree(aContext, agreement::Propose{ aPayload });
+}
+
+void
+HandleForward(Context& aContext, const agreement::Forward& aForward)
+{
+  const auto change = aContext.mState.mCodec.mDecode(aForward.mPayload);
+  if (change && agreement::IsLeader(aContext.mState.mNode)) {
+    ProposePayload(aContext, aForward.mPayload, *change);
+  }
+}
+
+template<typename T>
+void
+DropWhere(T& aItems, const std::function<bool(const typename T::value_type&)>& aIsOver)
+{
+  for (auto it = aItems.begin(); it != aItems.end();) {
+    it = aIsOver(*it) ? aItems.erase(it) : std::next(it);
+  }
+}
+
 void
 HandleAsk(Context& aContext, const EntryId& aFrom, const membership::ChangeAsk& aAsk)
 {
+  const auto settled = membership::AnswerIfSettled(*aContext.mState.mConfiguration, aAsk.mChange);
+  if (settled && GrantRight(aContext.mState, aContext.mNow)) {
+    aContext.mEffects.emplace_back(
+      SendEntry{ aFrom, membership::ChangeDone{ aAsk.mAsk, *settled } });
+    return;
+  }
   const std::string payload = aContext.mState.mCodec.mEncode(aAsk.mChange);
   auto& asks = aContext.mState.mAsks;
   const auto [first, last] = asks.equal_range(payload);
@@ -52,9 +109,9 @@
     return aItem.second.mFrom == aFrom && aItem.second.mAsk == aAsk.mAsk;
   });
   if (!waiting) {
-    asks.emplace(payload, PendingAsk{ aFrom, aAsk.mAsk });
+    asks.emplace(payload, PendingAsk{ aFrom, aAsk.mAsk, aContext.mNow + kKeepAsk });
   }
-  Agree(aContext, agreement::Propose{ payload });
+  ProposePayload(aContext, payload, aAsk.mChange);
 }
 
 void
@@ -89,11 +146,18 @@
     return;
   }
   if (const auto* message = std::get_if<agreement::Message>(&aMessage.mBody)) {
+    const bool sameGroup = message->mGroup == aContext.mState.mNode.mMembers.mGroup;
+    if (const auto* forward = std::get_if<agreement::Forward>(&message->mBody);
+        forward != nullptr && sameGroup) {
+      HandleForward(aContext, *forward);
+      return;
+    }
     Agree(aContext, agreement::Received{ aMessage.mFrom, *message });
   } else if (const auto* renew = std::get_if<membership::ControlRenew>(&aMessage.mBody)) {
     HandleControlRenew(aContext, aMessage.mFrom, *renew);
   } else {
-    HandleControlGrant(aContext, std::get<membership::ControlGrant>(aMessage.mBody));
+    HandleControlGrant(
+      aContext, aMessage.mFrom, std::get<membership::ControlGrant>(aMessage.mBody));
   }
 }
 
@@ -108,9 +172,13 @@
 {
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
+  TickBackends(aContext);
   TickShifts(aContext);
   TickCalls(aContext);
   TickClaims(aContext);
+  const Instant now = aContext.mNow;
+  DropWhere(aContext.mState.mProposed, [now](const auto& aItem) { return now >= aItem.second; });
+  DropWhere(aContext.mState.mAsks, [now](const auto& aItem) { return now >= aItem.second.mUntil; });
 }
 
 } // namespace
@@ -128,7 +196,7 @@
     } else if (auto* commit = std::get_if<agreement::Commit>(&it)) {
       ApplyCommitted(aContext, commit->mEntry);
     } else if (auto* restore = std::get_if<agreement::Restore>(&it)) {
-      state.mConfiguration = RestoredConfiguration(state.mCodec, *restore->mSnapshot);
+      TakeConfiguration(aContext, RestoredConfiguration(state.mCodec, *restore->mSnapshot));
     } else if (auto* take = std::get_if<agreement::TakeSnapshot>(&it)) {
       taken.push_back({ take->mIndex, state.mCodec.mEncodeState(*state.mConfiguration) });
     } else {
@@ -145,11 +213,11 @@
 void
 Propose(Context& aContext, const membership::Change& aChange)
 {
-  Agree(aContext, agreement::Propose{ aContext.mState.mCodec.mEncode(aChange) });
+  ProposePayload(aContext, aContext.mState.mCodec.mEncode(aChange), aChange);
 }
 
 State
-MakeState(agreement::Node aNode, Codec aCodec, chart::BoundChart<CallScope> aChart)
+MakeState(agreement::Node aNode, Codec aCodec, Charts aCharts)
 {
   State state;
   state.mNode = std::move(aNode);
@@ -157,7 +225,7 @@
   if (state.mNode.mSnapshot->mIndex != 0) {
     state.mConfiguration = RestoredConfiguration(state.mCodec, *state.mNode.mSnapshot);
   }
-  state.mCallChart = std::move(aChart);
+  state.mCharts = std::move(aCharts);
   return state;
 }
 
@@ -165,14 +233,23 @@
 Step(State& aState, Event aEvent, Instant aNow)
 {
   Context context{ aState, aNow, {} };
+  if (!aState.mStartedAt) {
+    aState.mStartedAt = aNow;
+    // A late grant to an earlier process must not answer an ask of this one.
+    aState.mNextAsk = membership::GiveStamp(aNow);
+    if (aState.mConfiguration->mVersion > 0) {
+      aState.mAppliedAt.emplace_back(aState.mConfiguration->mVersion, aNow);
+    }
+  }
   std::visit([&](const auto& aBody) { Handle(aBody, context); }, aEvent);
   return std::move(context.mEffects);
 }
 
-chart::BoundChart<CallScope>
-LoadCallChart(const std::filesystem::path& aFolder)
+Charts
+LoadCharts(const std::filesystem::path& aFolder)
 {
-  return chart::LoadBound(aFolder / "plan_change.scxml", CallRegistry());
+  return { chart::LoadBound(aFolder / "plan_change.scxml", CallRegistry()),
+           membership::LoadBackendChart(aFolder) };
 }
 
 } // namespace fighold::control
--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -1,11 +1,12 @@
 #include "leases.hpp"
 
+#include "backend_servers.hpp"
+
 #include <algorithm>
 
 namespace fighold::control {
 namespace {
 
-using membership::kBackendServerLease;
 using membership::kConfigurationLease;
 
 /// Time between two renewals of a follower; four fit into its lease.
@@ -15,12 +16,16 @@
 /// look-ups.
 constexpr Millis kRemoveEntryAfter{ 3000 };
 
-/// Renewals whose grants may still arrive.
-constexpr std::uint64_t kAsksKept = 16;
-
 /// Time between two proposals about one entry.
 constexpr Millis kEntryProposalInterval{ 1000 };
 
+/// Renewals whose grants are still accepted.
+constexpr std::size_t kMaxAsked = 16;
+
+/// Age up to which a renewal may register an entry; an older one may come from a process that was
+/// replaced since.
+constexpr Millis kFreshRenewal{ 1000 };
+
 /// Longest time for which a granted lease may last by the granter's clock.
 Duration
 LongestLease()
@@ -47,43 +52,6 @@
   }
 }
 
-void
-TakeReport(Context& aContext, const membership::BackendReport& aReport)
-{
-  const Instant until = aContext.mNow - aReport.mAge + kBackendServerLease;
-  BackendView& view = aContext.mState.mBackends[aReport.mId];
-  if (view.mIncarnation != aReport.mIncarnation) {
-    view = BackendView{ aReport.mIncarnation, until, aReport.mInFlight };
-  } else if (until > view.mAliveUntil) {
-    view.mAliveUntil = until;
-    view.mInFlight = aReport.mInFlight;
-  }
-}
-
-void
-TakeReports(Context& aContext, const std::vector<membership::BackendReport>& aReports)
-{
-  for (const membership::BackendReport& it : aReports) {
-    TakeReport(aContext, it);
-    if (!agreement::IsLeader(aContext.mState.mNode)) {
-      aContext.mState.mReports[it.mId] = { it, aContext.mNow - it.mAge };
-    }
-  }
-}
-
-std::vector<membership::BackendLease>
-LivingBackends(const State& aState, Instant aNow)
-{
-  std::vector<membership::BackendLease> leases;
-  for (const auto& [id, view] : aState.mBackends) {
-    const auto left = std::chrono::duration_cast<Millis>(view.mAliveUntil - aNow);
-    if (left > Millis(0)) {
-      leases.push_back({ id, view.mIncarnation, left, view.mInFlight });
-    }
-  }
-  return leases;
-}
-
 void
 SendFollowerRenewal(Context& aContext)
 {
@@ -95,21 +63,29 @@
   }
   membership::ControlRenew renew;
   renew.mAsk = state.mNextAsk++;
-  renew.mHeld = state.mConfiguration->mVersion;
+  // A process that started less than a lease ago does not know which leases it granted before.
+  if (aContext.mNow >= *state.mStartedAt + LongestLease()) {
+    renew.mHeld = state.mConfiguration->mVersion;
+  }
   for (const auto& [id, view] : state.mEntries) {
     const auto age = std::chrono::duration_cast<Millis>(aContext.mNow - view.mHeardAt);
     if (age < 2 * kConfigurationLease) {
-      renew.mEntries[id] = { view.mIncarnation, view.mHeld, age };
+      renew.mEntries[id] = { view.mIncarnation, view.mHeld, age, view.mInFlight };
     }
   }
-  for (auto& [id, report] : state.mReports) {
-    report.first.mAge = std::chrono::duration_cast<Millis>(aContext.mNow - report.second);
-    renew.mReports.push_back(report.first);
+  // Without a stamp the leader cannot tell how old the reports are; they wait for the next renewal.
+  if (state.mStampFrom == *leader) {
+    const auto since = std::chrono::duration_cast<Millis>(aContext.mNow - state.mStampAt);
+    renew.mStamp = { state.mStamp, since };
+    for (auto& [id, report] : state.mReports) {
+      report.first.mAge = std::chrono::ceil<Millis>(aContext.mNow - report.second);
+      renew.mReports.push_back(report.first);
+    }
+    state.mReports.clear();
   }
-  state.mReports.clear();
   state.mAsked[renew.mAsk] = aContext.mNow;
-  if (renew.mAsk > kAsksKept) {
-    state.mAsked.erase(state.mAsked.begin(), state.mAsked.upper_bound(renew.mAsk - kAsksKept));
+  if (state.mAsked.size() > kMaxAsked) {
+    state.mAsked.erase(state.mAsked.begin());
   }
   aContext.mEffects.emplace_back(SendControl{ *leader, std::move(renew) });
 }
@@ -129,7 +105,10 @@
 OldestGrantable(const State& aState, Instant aNow)
 {
   Version oldest = aState.mConfiguration->mVersion;
-  for (const auto& [id, peer] : aState.mNode.mPeers) {
+  for (const ControlId& id : aState.mNode.mOptions.mConfigured) {
+    if (id == aState.mNode.mOptions.mSelf) {
+      continue;
+    }
     const auto it = aState.mControls.find(id);
     const Instant heard = it == aState.mControls.end()
                             ? aState.mLeaderSince
@@ -141,10 +120,18 @@
   return oldest;
 }
 
+/// Oldest version with which an entry may still serve, as far as renewals show.
 Version
 OldestHeld(const State& aState, Instant aNow)
 {
   Version oldest = aState.mConfiguration->mVersion;
+  // An entry that is out of the configuration may hold a lease that a follower granted before it
+  // applied the removal.
+  for (const auto& [id, view] : aState.mEntries) {
+    if (aNow < view.mHeardAt + LongestLease()) {
+      oldest = std::min(oldest, view.mHeld);
+    }
+  }
   for (const auto& [id, entry] : aState.mConfiguration->mEntries) {
     const auto it = aState.mEntries.find(id);
     const bool known = it != aState.mEntries.end() && it->second.mIncarnation == entry.mIncarnation;
@@ -155,6 +142,30 @@
   return oldest;
 }
 
+/// Every lease that was granted before this process applied a version has run out a lease later: a
+/// leader grants with what it has committed, and a follower's right rests on the leader's version.
+Version
+InForceByTime(State& aState, Instant aNow)
+{
+  Version version = 0;
+  while (!aState.mAppliedAt.empty() && aNow >= aState.mAppliedAt.front().second + LongestLease()) {
+    version = aState.mAppliedAt.front().first;
+    aState.mAppliedAt.pop_front();
+  }
+  return version;
+}
+
+void
+NoteLeadership(Context& aContext)
+{
+  State& state = aContext.mState;
+  const bool leader = agreement::IsLeader(state.mNode);
+  if (leader && !state.mWasLeader) {
+    state.mLeaderSince = aContext.mNow;
+  }
+  state.mWasLeader = leader;
+}
+
 void
 RemoveLostEntries(Context& aContext)
 {
@@ -175,9 +186,13 @@
 std::optional<Instant>
 GrantRight(const State& aState, Instant aNow)
 {
-  const Instant began = agreement::IsLeader(aState.mNode)
-                          ? agreement::QuorumAt(aState.mNode)
-                          : aState.mGrantUntil - kConfigurationLease;
+  const bool leader = agreement::IsLeader(aState.mNode);
+  // A leader's first tick notes since when it leads.
+  if (leader && !aState.mWasLeader) {
+    return std::nullopt;
+  }
+  const Instant began =
+    leader ? agreement::QuorumAt(aState.mNode) : aState.mGrantUntil - kConfigurationLease;
   return membership::GrantableLength(began, aNow) ? std::optional<Instant>(began) : std::nullopt;
 }
 
@@ -188,8 +203,12 @@
   if (aRenew.mId != aFrom) {
     return;
   }
-  state.mEntries[aFrom] = EntryView{ aRenew.mEntry.mIncarnation, aRenew.mHeld, aContext.mNow };
-  TakeReports(aContext, aRenew.mReports);
+  state.mEntries[aFrom] =
+    EntryView{ aRenew.mEntry.mIncarnation, aRenew.mHeld, aContext.mNow, aRenew.mInFlight };
+  const auto sent = membership::SentNotBefore(aRenew.mStamp, aContext.mNow);
+  if (sent) {
+    TakeReports(aContext, aRenew.mReports, *sent);
+  }
   const auto right = GrantRight(state, aContext.mNow);
   // An entry with a newer version than this process shows that this process is behind; it may not
   // grant.
@@ -197,11 +216,13 @@
     return;
   }
   const bool registered = IsRegistered(state, aFrom, aRenew.mEntry.mIncarnation);
-  if (!registered && !aRenew.mLeaving) {
-    ProposeAboutEntry(aContext, aFrom, membership::RegisterEntry{ aFrom, aRenew.mEntry });
-  } else if (registered && aRenew.mLeaving) {
-    ProposeAboutEntry(
-      aContext, aFrom, membership::RemoveEntry{ aFrom, aRenew.mEntry.mIncarnation });
+  // A leaving entry stays registered until its lease has run out, because it still serves.
+  const bool marked = registered && state.mConfiguration->mEntries.at(aFrom).mLeaving;
+  const bool fresh = sent && aContext.mNow < *sent + kFreshRenewal;
+  if (fresh && (registered ? aRenew.mLeaving && !marked : !aRenew.mLeaving)) {
+    membership::Entry entry = aRenew.mEntry;
+    entry.mLeaving = aRenew.mLeaving;
+    ProposeAboutEntry(aContext, aFrom, membership::RegisterEntry{ aFrom, entry });
   }
   membership::Grant grant;
   grant.mAsk = aRenew.mAsk;
@@ -212,6 +233,7 @@
     grant.mConfiguration = state.mConfiguration;
   }
   grant.mBackendLeases = LivingBackends(state, aContext.mNow);
+  grant.mStamp = membership::GiveStamp(aContext.mNow);
   aContext.mEffects.emplace_back(SendEntry{ aFrom, std::move(grant) });
 }
 
@@ -230,10 +252,12 @@
     EntryView& view = state.mEntries[id];
     const Instant heard = aContext.mNow - status.mAge;
     if (heard > view.mHeardAt) {
-      view = EntryView{ status.mIncarnation, status.mHeld, heard };
+      view = EntryView{ status.mIncarnation, status.mHeld, heard, status.mInFlight };
     }
   }
-  TakeReports(aContext, aRenew.mReports);
+  if (const auto sent = membership::SentNotBefore(aRenew.mStamp, aContext.mNow)) {
+    TakeReports(aContext, aRenew.mReports, *sent);
+  }
   membership::ControlGrant grant;
   grant.mAsk = aRenew.mAsk;
   grant.mLength =
@@ -241,37 +265,39 @@
   grant.mVersion = state.mConfiguration->mVersion;
   grant.mInForce = state.mInForce;
   grant.mBackendLeases = LivingBackends(state, aContext.mNow);
+  grant.mStamp = membership::GiveStamp(aContext.mNow);
   aContext.mEffects.emplace_back(SendControl{ aFrom, std::move(grant) });
 }
 
 void
-HandleControlGrant(Context& aContext, const membership::ControlGrant& aGrant)
+HandleControlGrant(Context& aContext,
+                   const ControlId& aFrom,
+                   const membership::ControlGrant& aGrant)
 {
   State& state = aContext.mState;
   const auto asked = state.mAsked.find(aGrant.mAsk);
-  if (asked == state.mAsked.end() || state.mConfiguration->mVersion < aGrant.mVersion) {
+  if (asked == state.mAsked.end()) {
+    return;
+  }
+  state.mStamp = aGrant.mStamp;
+  state.mStampFrom = aFrom;
+  state.mStampAt = aContext.mNow;
+  if (state.mConfiguration->mVersion < aGrant.mVersion) {
     return;
   }
   state.mGrantUntil =
     std::max(state.mGrantUntil, membership::LeaseEnd(asked->second, aGrant.mLength));
   state.mInForce = std::max(state.mInForce, aGrant.mInForce);
-  for (const membership::BackendLease& it : aGrant.mBackendLeases) {
-    const Millis age = std::chrono::duration_cast<Millis>(aContext.mNow - asked->second) +
-                       kBackendServerLease - it.mLeft;
-    TakeReport(aContext, { it.mId, it.mIncarnation, age, it.mInFlight });
-  }
+  TakeLeases(aContext, aGrant.mBackendLeases, asked->second);
 }
 
 void
 TickLeases(Context& aContext)
 {
   State& state = aContext.mState;
-  const bool leader = agreement::IsLeader(state.mNode);
-  if (leader && !state.mWasLeader) {
-    state.mLeaderSince = aContext.mNow;
-  }
-  state.mWasLeader = leader;
-  if (!leader) {
+  NoteLeadership(aContext);
+  state.mInForce = std::max(state.mInForce, InForceByTime(state, aContext.mNow));
+  if (!agreement::IsLeader(state.mNode)) {
     if (aContext.mNow >= state.mNextRenew) {
       SendFollowerRenewal(aContext);
     }
@@ -291,7 +317,9 @@
   std::vector<EntryId> behind;
   for (const auto& [id, entry] : aState.mConfiguration->mEntries) {
     const auto it = aState.mEntries.find(id);
-    const bool confirmed = it != aState.mEntries.end() && it->second.mHeld >= aVersion;
+    const bool confirmed = it != aState.mEntries.end() &&
+                           it->second.mIncarnation == entry.mIncarnation &&
+                           it->second.mHeld >= aVersion;
     if (!confirmed && aNow < LastHeard(aState, id) + LongestLease()) {
       behind.push_back(id);
     }
--- a/packages/control/src/shifts_test.cpp
+++ b/packages/control/src/shifts_test.cpp
@@ -52,7 +52,7 @@
     codec.mEncode = wire::EncodeChange;
     codec.mDecode = [](const std::string& aBytes) { return wire::DecodeChange(aBytes); };
     mState = MakeState(
-      agreement::MakeNode(options, mDisk), std::move(codec), LoadCallChart(FIGHOLD_CHARTS_DIR));
+      agreement::MakeNode(options, mDisk), std::move(codec), LoadCharts(FIGHOLD_CHARTS_DIR));
     mState.mShifts.mChart = LoadShiftChart(FIGHOLD_CHARTS_DIR);
     for (int n = 0; n < 200 && !agreement::IsLeader(mState.mNode); ++n) {
       Tick();
@@ -89,7 +89,12 @@
   void Tick()
   {
     for (const RegionId& it : mLiving) {
-      mState.mBackends[{ it.mValue + "-1" }] = { 0, mNow + membership::kBackendServerLease, 0 };
+      mState.mBackends[{ it.mValue + "-1" }] =
+        membership::Renewed(mState.mCharts.mBackend,
+                            membership::StartLife(0, mNow),
+                            mNow + membership::kBackendServerLease,
+                            0,
+                            mNow);
     }
     mNow += kTickInterval;
     Do(control::Tick{});
--- a/packages/entry/src/state.cpp
+++ b/packages/entry/src/state.cpp
@@ -18,6 +18,8 @@
   State state;
   state.mRandom = aOptions.mSeed;
   state.mAsker.mOptions = { aOptions.mId, aOptions.mEntry.mIncarnation, aOptions.mControls };
+  // A late grant to an earlier process must not answer an ask of this one.
+  state.mNextAsk = aOptions.mEntry.mIncarnation;
   state.mOptions = std::move(aOptions);
   state.mCharts = std::move(aCharts);
   return state;
