--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -27,6 +27,10 @@
 /// Random part of the election timeout, so that two processes seldom begin at the same time.
 constexpr Millis kElectionSpread{ 600 };
 
+/// Writes of entries that may wait for the storage. A leader drops proposals beyond that, and a
+/// follower drops entries, which the leader repeats.
+constexpr std::size_t kMaxPendingWrites = 512;
+
 /// States of charts/control_role.scxml, in the order of its registry.
 enum class Role : std::uint8_t
 {
--- a/packages/agreement/src/cluster_fake.hpp
+++ b/packages/agreement/src/cluster_fake.hpp
@@ -93,7 +93,7 @@
   void Carry(const ControlId& aId, Effect& aEffect, std::vector<Event>& aNext);
   void Apply(const ControlId& aId, const LogEntry& aEntry);
   void Restore(const ControlId& aId, const Snapshot& aSnapshot);
-  void SendOne(const ControlId& aFrom, Send aSend);
+  void SendOne(const ControlId& aFrom, const Send& aSend);
   void CheckProcess(const ControlId& aId);
   void CheckLeader(const ControlId& aId);
 
--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -28,7 +28,9 @@
 {
   const Node& node = aContext.mNode;
   if (IsLeader(node)) {
-    AppendOwn(aContext, EntryKind::Change, aPropose.mPayload);
+    if (node.mPendingWrites.size() < kMaxPendingWrites) {
+      AppendOwn(aContext, EntryKind::Change, aPropose.mPayload);
+    }
   } else if (node.mLeader) {
     SendTo(aContext, *node.mLeader, Forward{ aPropose.mPayload });
   }
--- a/packages/agreement/src/node_test.cpp
+++ b/packages/agreement/src/node_test.cpp
@@ -213,6 +213,22 @@
   CHECK(Effects<Commit>() == std::vector<Commit>{ { { 5, 3, "c" } } });
 }
 
+// Guards against a slow disk that fills the ring towards the storage.
+TEST_CASE_METHOD(NodeFixture, "Step, storage far behind, takes no more entries", "[agreement]")
+{
+  for (Index n = 4; n < 4 + 2 * kMaxPendingWrites; ++n) {
+    Receive({ kSecond, 2 }, Append{ 3, n - 1, n == 4 ? 2U : 3U, 0, 7, { { n, 3, "x" } } });
+  }
+  CHECK(mNode.mPendingWrites.size() == kMaxPendingWrites);
+  Sync();
+  CHECK(mNode.mSynced == 3 + kMaxPendingWrites);
+  Lead();
+  for (std::size_t n = 0; n < 2 * kMaxPendingWrites; ++n) {
+    Do(Propose{ "c" });
+  }
+  CHECK(mNode.mPendingWrites.size() == kMaxPendingWrites);
+}
+
 // Guards against an acknowledgement of entries that a crash would lose.
 TEST_CASE_METHOD(NodeFixture, "Step, entries received, acknowledges after the sync", "[agreement]")
 {
--- a/packages/agreement/src/replication.cpp
+++ b/packages/agreement/src/replication.cpp
@@ -8,6 +8,10 @@
 /// Entries in one message.
 constexpr std::size_t kMaxEntries = 64;
 
+/// Bytes of payload after which no further entry is put into a message. A plan has some tens of
+/// kilobytes, and links between regions reserve a few Mbit/s for control.
+constexpr std::size_t kMaxEntryBytes = 65'536;
+
 void
 SendAppendToAll(Context& aContext)
 {
@@ -126,8 +130,12 @@
   const Index previous = peer.mNext - 1;
   Append append{ node.mTermVote.mTerm, previous,    TermAt(node, previous),
                  node.mCommitted,      node.mRound, {} };
-  for (Index n = peer.mNext; n <= LastIndex(node) && append.mEntries.size() < kMaxEntries; ++n) {
+  std::size_t bytes = 0;
+  for (Index n = peer.mNext;
+       n <= LastIndex(node) && append.mEntries.size() < kMaxEntries && bytes < kMaxEntryBytes;
+       ++n) {
     append.mEntries.push_back(EntryAt(node, n));
+    bytes += append.mEntries.back().mPayload.size();
   }
   if (peer.mMatched) {
     peer.mNext += append.mEntries.size();
@@ -233,8 +241,9 @@
     FireRole(aContext, RoleEvent::Conflict, aFrom.mValue + " replaces a committed entry");
     return;
   }
-  const Index matched = aAppend.mPrevious + aAppend.mEntries.size();
-  if (!fresh->empty()) {
+  const bool busy = !fresh->empty() && node.mPendingWrites.size() >= kMaxPendingWrites;
+  const Index matched = aAppend.mPrevious + (busy ? 0 : aAppend.mEntries.size());
+  if (!fresh->empty() && !busy) {
     const std::uint64_t write = WriteEntries(aContext, std::move(*fresh));
     SendAfter(aContext, write, aFrom, AppendReply{ term, true, matched, aAppend.mRound });
   } else {
