--- a/packages/agreement/src/node_test.cpp
+++ b/packages/agreement/src/node_test.cpp
@@ -318,6 +318,33 @@
   CHECK(QuorumAt(mNode) > first);
 }
 
+// Guards against a snapshot put together from two encodings of the same state, against one that is
+// acknowledged before it is synced, and against one that is older than what was applied.
+TEST_CASE_METHOD(NodeFixture,
+                 "Step, snapshot parts of two leaders, installs the whole one of the later leader",
+                 "[agreement]")
+{
+  const Members members{ 1, { { kSelf, 1 }, { kSecond, 2 }, { kThird, 3 } } };
+  const std::string encoded = EncodeMembers(members);
+  Receive({ kSecond, 2 }, SnapshotPart{ 3, 7, 9, 3, encoded, 0, 4, "aa" });
+  Sync();
+  CHECK(Sent<SnapshotReply>() == std::vector<SnapshotReply>{ { 3, 7, 9, 2 } });
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 9, 3, encoded, 2, 4, "bb" });
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 9, 3, encoded, 0, 4, "bb" });
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 9, 3, encoded, 0, 4, "bb" });
+  CHECK(Effects<Restore>().empty());
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 9, 3, encoded, 2, 4, "bb" });
+  REQUIRE(Effects<Restore>().size() == 1);
+  CHECK(*Effects<Restore>().front().mSnapshot == Snapshot{ 9, 3, members, "bbbb" });
+  CHECK(Sent<AppendReply>().empty());
+  Sync();
+  CHECK(Sent<AppendReply>() == std::vector<AppendReply>{ { 4, true, 9, 8 } });
+
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 8, 3, encoded, 0, 1, "c" });
+  CHECK(mEffects.size() == 1);
+  CHECK(mNode.mCommitted == 9);
+}
+
 // Guards against messages of a group that another first process formed.
 TEST_CASE_METHOD(NodeFixture, "Step, message of another group, is ignored", "[agreement]")
 {
