--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -257,6 +257,11 @@
 std::optional<ControlId>
 Leader(const Node& aNode);
 
+/// @return true when this incarnation is one of the first members of the group, and the log still
+///         reaches back to the founding
+bool
+IsFounder(const Node& aNode);
+
 /// @return start of the last heartbeat round that a majority acknowledged; leases that a leader
 /// grants rest on it. The epoch while the node does not lead or has not yet committed an entry of
 /// its term, because its state machine may be behind until then.
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -1,7 +1,9 @@
 #include "fighold/control/decide.hpp"
 
 #include "calls.hpp"
+#include "claim_holding.hpp"
 #include "leases.hpp"
+#include "shifts.hpp"
 
 namespace fighold::control {
 namespace {
@@ -70,6 +72,9 @@
 void
 Handle(const FromEntry& aMessage, Context& aContext)
 {
+  if (HandleClaimMessage(aContext, aMessage)) {
+    return;
+  }
   if (const auto* renew = std::get_if<membership::Renew>(&aMessage.mBody)) {
     HandleRenew(aContext, aMessage.mFrom, *renew);
   } else {
@@ -80,6 +85,9 @@
 void
 Handle(const FromControl& aMessage, Context& aContext)
 {
+  if (HandleClaimMessage(aContext, aMessage)) {
+    return;
+  }
   if (const auto* message = std::get_if<agreement::Message>(&aMessage.mBody)) {
     Agree(aContext, agreement::Received{ aMessage.mFrom, *message });
   } else if (const auto* renew = std::get_if<membership::ControlRenew>(&aMessage.mBody)) {
@@ -100,7 +108,9 @@
 {
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
+  TickShifts(aContext);
   TickCalls(aContext);
+  TickClaims(aContext);
 }
 
 } // namespace
