--- /dev/null
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -0,0 +1,378 @@
+#include "faulty_server.hpp"
+#include "threads.hpp"
+
+#include <boost/fiber/operations.hpp>
+#include <catch2/catch.hpp>
+
+namespace fighold::entry {
+namespace {
+
+using fighold::testing::FaultyConnection;
+using fighold::testing::FaultyServer;
+using fighold::testing::Script;
+using net::ExchangeStage;
+
+constexpr std::chrono::seconds kPatience{ 30 };
+
+void
+Sleep(int aMillis)
+{
+  std::this_thread::sleep_for(Millis(aMillis));
+}
+
+/// The backend thread with its rings; the test takes the part of the decide thread.
+struct BackendFixture
+{
+  Wiring mWiring;
+  Backend mBackend{ mWiring, LoadConnectionChart(FIGHOLD_CHARTS_DIR) };
+  std::thread mThread{ [this] { mBackend.Run(); } };
+  std::uint64_t mNext = 1;
+
+  ~BackendFixture()
+  {
+    mWiring.mDispatches.Close();
+    mThread.join();
+  }
+
+  static Instant In(Millis aTime) { return std::chrono::steady_clock::now() + aTime; }
+
+  Dispatch Make(const Endpoint& aAddress, Millis aDeadline, Millis aFirstByte)
+  {
+    Dispatch dispatch;
+    dispatch.mId = mNext;
+    dispatch.mDispatch = mNext++;
+    dispatch.mServer.mAddress = aAddress;
+    dispatch.mUntil = In(aDeadline);
+    dispatch.mFirstByteUntil = In(aFirstByte);
+    dispatch.mConnectionShare = 8;
+    return dispatch;
+  }
+
+  void Push(const Dispatch& aDispatch)
+  {
+    REQUIRE(mWiring.mDispatches.TryPush(BackendOrder(aDispatch)));
+  }
+
+  DispatchDone Pop(Duration aLimit = kPatience)
+  {
+    auto event = mWiring.mInbox.PopUntil(std::chrono::steady_clock::now() + aLimit);
+    REQUIRE(event);
+    return std::get<DispatchDone>(*event);
+  }
+
+  net::ExchangeResult Run(const Dispatch& aDispatch)
+  {
+    Push(aDispatch);
+    return Pop().mResult;
+  }
+
+  static bool Eventually(const std::function<bool()>& aCondition)
+  {
+    const Instant until = std::chrono::steady_clock::now() + kPatience;
+    while (!aCondition() && std::chrono::steady_clock::now() < until) {
+      Sleep(5);
+    }
+    return aCondition();
+  }
+};
+
+/// One fault of the first exchange. The second one is answered whole.
+struct FaultRow
+{
+  const char* mName;
+  std::function<bool(FaultyConnection&)> mFault; ///< returns false to close
+  ExchangeStage mStage;                          ///< what the caller's request sees
+  bool mSilent;
+  int mConnections; ///< seen by the server after the second exchange
+};
+
+const std::vector<FaultRow>&
+FaultRows()
+{
+  constexpr const char* kStart = "HTTP/1.1 200 OK\r\n";
+  const auto write = [](std::string aText, bool aKeep) {
+    return [text = std::move(aText), aKeep](FaultyConnection& aConnection) {
+      aConnection.Write(text);
+      return aKeep;
+    };
+  };
+  const std::string start = kStart;
+  static const std::vector<FaultRow> kRows{
+    { "whole answer",
+      write(FaultyConnection::AnswerText("first"), true),
+      ExchangeStage::Answered,
+      false,
+      1 },
+    { "answer after the deadline",
+      [](FaultyConnection& aConnection) {
+        Sleep(600);
+        aConnection.Answer("first");
+        return true;
+      },
+      ExchangeStage::NoAnswer,
+      true,
+      2 },
+    { "rest of the answer after the deadline",
+      [start](FaultyConnection& aConnection) {
+        aConnection.Write(start + "Content-Length: 5\r\n\r\nfi");
+        Sleep(600);
+        aConnection.Write("rst");
+        return true;
+      },
+      ExchangeStage::NoAnswer,
+      false,
+      2 },
+    { "answer shorter than its length",
+      write(start + "Content-Length: 100\r\n\r\nfirst", false),
+      ExchangeStage::NoAnswer,
+      false,
+      2 },
+    { "answer cut within a chunk",
+      write(start + "Transfer-Encoding: chunked\r\n\r\na\r\nfirst", false),
+      ExchangeStage::NoAnswer,
+      false,
+      2 },
+    { "answer cut between chunks",
+      write(start + "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n", false),
+      ExchangeStage::NoAnswer,
+      false,
+      2 },
+    { "two answers at once",
+      write(FaultyConnection::AnswerText("first") + FaultyConnection::AnswerText("other"), true),
+      ExchangeStage::Answered,
+      false,
+      2 },
+    { "second answer while idle",
+      [](FaultyConnection& aConnection) {
+        aConnection.Answer("first");
+        Sleep(40);
+        aConnection.Answer("other");
+        return true;
+      },
+      ExchangeStage::Answered,
+      false,
+      2 },
+    { "bytes while idle",
+      [](FaultyConnection& aConnection) {
+        aConnection.Answer("first");
+        Sleep(40);
+        aConnection.Write("x");
+        return true;
+      },
+      ExchangeStage::Answered,
+      false,
+      2 },
+    { "closed while idle",
+      write(FaultyConnection::AnswerText("first"), false),
+      ExchangeStage::Answered,
+      false,
+      2 },
+    { "two different lengths",
+      write(start + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nfirst", true),
+      ExchangeStage::NoAnswer,
+      false,
+      2 },
+    { "length and chunks",
+      write(start +
+              "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
+            true),
+      ExchangeStage::NoAnswer,
+      false,
+      2 },
+    { "no length", write(start + "\r\nfirst", false), ExchangeStage::NoAnswer, false, 2 },
+    { "header over the limit",
+      write(start + "X: " + std::string(70'000, 'a') + "\r\nContent-Length: 5\r\n\r\nfirst", true),
+      ExchangeStage::NoAnswer,
+      false,
+      2 },
+    { "no HTTP", write("what?\r\n\r\n", true), ExchangeStage::NoAnswer, false, 2 },
+    { "silent", [](FaultyConnection&) { return true; }, ExchangeStage::NoAnswer, true, 2 },
+    { "reset after the request",
+      [](FaultyConnection& aConnection) {
+        aConnection.Reset();
+        return false;
+      },
+      ExchangeStage::NoAnswer,
+      false,
+      2 },
+    { "shed with its own word",
+      write("HTTP/1.1 503 Busy\r\nFighold-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", true),
+      ExchangeStage::Answered,
+      false,
+      1 },
+  };
+  return kRows;
+}
+
+// Guards against an answer that reaches the wrong request, and against a broken answer that passes
+// as whole: one row for each way in which a backend server breaks the protocol.
+TEST_CASE_METHOD(BackendFixture,
+                 "Backend, each fault of an answer, is seen and the next request gets its own",
+                 "[entry]")
+{
+  for (const FaultRow& row : FaultRows()) {
+    INFO(row.mName);
+    FaultyServer server([&row](FaultyConnection& aConnection, int aRequest) {
+      if (aRequest == 1) {
+        return row.mFault(aConnection);
+      }
+      aConnection.Answer("second");
+      return true;
+    });
+    const auto first = Run(Make(server.Address(), Millis(400), Millis(300)));
+    CHECK(first.mStage == row.mStage);
+    CHECK(first.mSilent == row.mSilent);
+    if (row.mStage == ExchangeStage::Answered && first.mResponse.mStatus == 200) {
+      CHECK(first.mResponse.mBody == "first");
+    }
+    Sleep(80);
+    const auto second = Run(Make(server.Address(), kPatience, kPatience));
+    CHECK(second.mResponse.mBody == "second");
+    CHECK(server.Connections() == row.mConnections);
+    CHECK(server.Requests() == 2);
+  }
+}
+
+TEST_CASE_METHOD(BackendFixture, "Backend, connect refused, says that nothing was sent", "[entry]")
+{
+  Endpoint address;
+  {
+    const FaultyServer server([](FaultyConnection&, int) { return false; });
+    address = server.Address();
+  }
+  CHECK(Run(Make(address, Millis(2000), Millis(2000))).mStage == ExchangeStage::NotSent);
+}
+
+// Guards against a frozen and thawed entry that dispatches under an old claim.
+TEST_CASE_METHOD(BackendFixture, "Backend, claim has ended, sends nothing", "[entry]")
+{
+  const FaultyServer server([](FaultyConnection& aConnection, int) {
+    aConnection.Answer("run");
+    return true;
+  });
+  Dispatch dispatch = Make(server.Address(), kPatience, kPatience);
+  dispatch.mSendBefore = In(Millis(-1));
+  CHECK(Run(dispatch).mStage == ExchangeStage::NotSent);
+  CHECK(server.Requests() == 0);
+}
+
+// Guards against requests that follow each other onto old connections that went silent together.
+TEST_CASE_METHOD(BackendFixture,
+                 "Backend, one old connection silent, closes the others and uses a new one",
+                 "[entry]")
+{
+  static constexpr int kOld = 3;
+  std::atomic<bool> silent{ false };
+  std::atomic<int> waiting{ 0 };
+  const FaultyServer server([&](FaultyConnection& aConnection, int aRequest) {
+    if (aRequest <= kOld) {
+      ++waiting;
+      Eventually([&waiting] { return waiting == kOld; });
+    }
+    if (!silent || aConnection.Number() > kOld) {
+      aConnection.Answer("whole");
+    }
+    return true;
+  });
+  for (int n = 0; n < kOld; ++n) {
+    Push(Make(server.Address(), kPatience, kPatience));
+  }
+  for (int n = 0; n < kOld; ++n) {
+    CHECK(Pop().mResult.mStage == ExchangeStage::Answered);
+  }
+  REQUIRE(server.Open() == kOld);
+  silent = true;
+  const auto lost = Run(Make(server.Address(), kPatience, Millis(200)));
+  CHECK(lost.mSilent);
+  CHECK(lost.mReused);
+  CHECK(Eventually([&server] { return server.Open() == 0; }));
+  const auto next = Run(Make(server.Address(), kPatience, kPatience));
+  CHECK(next.mStage == ExchangeStage::Answered);
+  CHECK_FALSE(next.mReused);
+  CHECK(server.Connections() == kOld + 1);
+}
+
+// Guards against an entry that takes the connections of other entries.
+TEST_CASE_METHOD(BackendFixture, "Backend, share used up, opens no more connections", "[entry]")
+{
+  std::atomic<bool> release{ false };
+  FaultyServer server([&release](FaultyConnection& aConnection, int) {
+    Eventually([&release] { return release.load(); });
+    aConnection.Answer("whole");
+    return true;
+  });
+  for (int n = 0; n < 5; ++n) {
+    Dispatch dispatch = Make(server.Address(), kPatience, kPatience);
+    dispatch.mConnectionShare = 2;
+    Push(dispatch);
+  }
+  for (int n = 0; n < 3; ++n) {
+    CHECK(Pop().mResult.mStage == ExchangeStage::NotSent);
+  }
+  CHECK(Eventually([&server] { return server.Requests() == 2; }));
+  release = true;
+  CHECK(Pop().mResult.mStage == ExchangeStage::Answered);
+  CHECK(Pop().mResult.mStage == ExchangeStage::Answered);
+  CHECK(server.MostOpen() == 2);
+}
+
+// Guards against work that goes on for a caller that has gone away.
+TEST_CASE_METHOD(BackendFixture, "Backend, cancelled dispatch, closes its connection", "[entry]")
+{
+  FaultyServer server([](FaultyConnection&, int) { return true; });
+  const Dispatch dispatch = Make(server.Address(), kPatience, kPatience);
+  Push(dispatch);
+  REQUIRE(Eventually([&server] { return server.Requests() == 1; }));
+  REQUIRE(mWiring.mDispatches.TryPush(BackendOrder(CancelDispatch{ dispatch.mDispatch })));
+  CHECK(Eventually([&server] { return server.Open() == 0; }));
+  CHECK_FALSE(mWiring.mInbox.PopUntil(In(Millis(100))));
+}
+
+struct PoolFixture
+{
+  net::FiberLoop mLoop;
+  ConnectionPool mPool{ LoadConnectionChart(FIGHOLD_CHARTS_DIR),
+                        [this](const Endpoint& aPath) {
+                          return std::make_unique<net::HttpConnection>(mLoop, aPath);
+                        },
+                        {} };
+
+  /// Runs a body in a fiber with one idle connection in the pool.
+  void RunWithIdle(const std::function<void(Instant aNow)>& aBody)
+  {
+    const FaultyServer server([](FaultyConnection& aConnection, int) {
+      aConnection.Answer("whole");
+      return true;
+    });
+    std::thread thread([&] {
+      mLoop.Run([&] {
+        const Instant now = std::chrono::steady_clock::now();
+        const auto connection = TakeConnection(mPool, server.Address(), 1, now);
+        connection->mHttp->Connect(now + kPatience);
+        FireConnection(mPool, connection, ConnectionEvent::Connected, now);
+        const auto result = connection->mHttp->Exchange({}, now + kPatience);
+        EndExchange(mPool, connection, result, now);
+        aBody(now);
+        mPool.mPaths.clear();
+      });
+    });
+    thread.join();
+  }
+};
+
+// Guards against an idle connection that a middlebox forgot long ago.
+TEST_CASE_METHOD(PoolFixture, "SweepIdle, connection idle for long, closes it", "[entry]")
+{
+  std::vector<std::size_t> idle;
+  RunWithIdle([&](Instant aNow) {
+    idle.push_back(CountIdle(mPool));
+    SweepIdle(mPool, aNow + Millis(14'000));
+    idle.push_back(CountIdle(mPool));
+    SweepIdle(mPool, aNow + Millis(15'000));
+    idle.push_back(CountIdle(mPool));
+  });
+  CHECK(idle == std::vector<std::size_t>{ 1, 1, 0 });
+}
+
+} // namespace
+} // namespace fighold::entry
