--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -72,11 +72,14 @@
 
 struct CallScope;
 
-/// Encoding of changes, so that decisions do not depend on the message format.
+/// Encoding of changes and of the state machine, so that decisions do not depend on the message
+/// format.
 struct Codec
 {
   std::function<std::string(const membership::Change&)> mEncode;
   std::function<std::optional<membership::Change>(const std::string&)> mDecode;
+  std::function<std::string(const membership::Configuration&)> mEncodeState;
+  std::function<std::optional<membership::Configuration>(const std::string&)> mDecodeState;
 };
 
 /// The whole state.
@@ -86,6 +89,7 @@
   Codec mCodec;
   chart::BoundChart<CallScope> mCallChart;
   claims::Holder mClaims;
+  bool mClaimsUndetermined = false; ///< not known yet whether this data folder founded the group
   SharedValue<membership::Configuration> mConfiguration;
   std::map<EntryId, EntryView> mEntries;
   std::map<BackendServerId, BackendView> mBackends;
--- a/packages/control/src/claim_holding.cpp
+++ b/packages/control/src/claim_holding.cpp
@@ -13,14 +13,40 @@
 void
 HandleClaimAsk(Context& aContext, const EntryId& aFrom, const claims::Ask& aAsk)
 {
-  // A process that starts with an empty log takes it as proof that it never granted a claim.
-  if (aContext.mState.mNode.mSynced == 0) {
+  if (aContext.mState.mClaimsUndetermined) {
     return;
   }
   claims::Reply reply = claims::Decide(aContext.mState.mClaims, aAsk, aContext.mNow);
   aContext.mEffects.emplace_back(SendEntry{ aFrom, std::move(reply) });
 }
 
+/// A founder of the group grants nothing before its founding entry is synced, so a founder whose
+/// data folder was empty at start has not forgotten any grant. A process that joined later, or with
+/// a new data folder, may have.
+bool
+IsFounder(const agreement::Node& aNode)
+{
+  if (aNode.mLog.empty() || aNode.mLog.front().mIndex != 1 ||
+      aNode.mLog.front().mKind != agreement::EntryKind::Members) {
+    return false;
+  }
+  const auto members = agreement::DecodeMembers(aNode.mLog.front().mPayload);
+  if (!members) {
+    return false;
+  }
+  const auto self = members->mVoters.find(aNode.mOptions.mSelf);
+  return self != members->mVoters.end() && self->second == aNode.mIncarnation;
+}
+
+void
+DetermineFounder(State& aState)
+{
+  if (aState.mClaimsUndetermined && aState.mNode.mSynced > 0) {
+    aState.mClaimsUndetermined = false;
+    aState.mClaims = claims::MakeHolder(aState.mClaims.mOptions, !IsFounder(aState.mNode));
+  }
+}
+
 } // namespace
 
 bool
@@ -72,6 +98,10 @@
 void
 TickClaims(Context& aContext)
 {
+  DetermineFounder(aContext.mState);
+  if (aContext.mState.mClaimsUndetermined) {
+    return;
+  }
   for (auto& [to, ask] : claims::TickHolder(aContext.mState.mClaims, aContext.mNow)) {
     aContext.mEffects.emplace_back(SendControl{ to, std::move(ask) });
   }
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -21,6 +21,7 @@
       options.mPeers[id.mValue] = endpoint;
     }
   }
+  options.mKeys = aOptions.mKeys;
   return options;
 }
 
@@ -55,8 +56,10 @@
 {
   agreement::Options options;
   options.mSelf = aOptions.mSelf;
+  options.mSeed = aOptions.mIncarnation;
+  options.mChart = agreement::LoadRoleChart(aOptions.mCharts);
   for (const auto& [id, endpoint] : aOptions.mControls) {
-    options.mVoters.push_back(id);
+    options.mConfigured.insert(id);
   }
   return options;
 }
@@ -65,7 +68,9 @@
 WireCodec()
 {
   return { wire::EncodeChange,
-           [](const std::string& aBytes) { return wire::DecodeChange(aBytes); } };
+           [](const std::string& aBytes) { return wire::DecodeChange(aBytes); },
+           wire::EncodeConfiguration,
+           [](const std::string& aBytes) { return wire::DecodeConfiguration(aBytes); } };
 }
 
 } // namespace
@@ -77,24 +82,24 @@
     , mFront(mWiring, aOptions.mServer, aOptions.mToken)
   {
     auto chart = LoadCallChart(aOptions.mCharts);
-    std::vector<agreement::LogEntry> entries;
-    auto log = agreement::OpenLog(aOptions.mData, agreement::PosixFileOps(), entries);
+    auto options = AgreementOptionsOf(aOptions);
+    agreement::Recovered recovered;
+    auto storage = agreement::OpenStorage(
+      aOptions.mData, agreement::PosixFileOps(), aOptions.mIncarnation, recovered);
     const claims::HolderOptions holder{ aOptions.mSelf,
-                                        AgreementOptionsOf(aOptions).mVoters,
+                                        { options.mConfigured.begin(), options.mConfigured.end() },
                                         aOptions.mIncarnation };
-    // A holder grants nothing before its log holds an entry, so an empty log means no grants.
-    const bool mayHaveGranted = !entries.empty();
-    auto state = MakeState(agreement::MakeNode(AgreementOptionsOf(aOptions), std::move(entries)),
-                           WireCodec(),
-                           std::move(chart));
-    state.mClaims = claims::MakeHolder(holder, mayHaveGranted);
+    auto state = MakeState(
+      agreement::MakeNode(std::move(options), std::move(recovered)), WireCodec(), std::move(chart));
+    state.mClaims = claims::MakeHolder(holder, true);
+    state.mClaimsUndetermined = state.mNode.mLog.empty() && state.mNode.mSnapshot->mIndex == 0;
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
     });
     mStorageThread =
-      std::thread([this, log = std::move(log), onFatal = aOptions.mOnFatal]() mutable {
-        StorageThread(mWiring, std::move(log), onFatal);
+      std::thread([this, storage = std::move(storage), onFatal = aOptions.mOnFatal]() mutable {
+        StorageThread(mWiring, std::move(storage), onFatal);
       });
     mDecideThread = std::thread(
       [this, state = std::move(state)]() mutable { DecideThread(mWiring, std::move(state)); });
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -20,6 +20,10 @@
 namespace {
 
 constexpr int kEntryHostBase = 100;
+
+/// Keys are made for as many control processes and entries, since daemons read them all at start.
+constexpr int kMaxProcesses = 9;
+
 constexpr Millis kPollInterval{ 50 };
 
 /// Loopback hosts "127.a.b.n": a and b follow from the process id and the number of the cluster
@@ -80,6 +84,7 @@
     throw std::runtime_error("cannot create a folder for the test");
   }
   mFolder = name;
+  MakeKeys();
 }
 
 Cluster::~Cluster()
@@ -93,6 +98,22 @@
   }
 }
 
+void
+Cluster::MakeKeys() const
+{
+  std::filesystem::create_directory(mFolder / "keys");
+  for (int n = 1; n <= kMaxProcesses; ++n) {
+    Ctl({}, { "keys", "new", KeyFile("c" + std::to_string(n)) });
+    Ctl({}, { "keys", "new", KeyFile("e" + std::to_string(n)) });
+  }
+}
+
+std::string
+Cluster::KeyFile(const std::string& aName) const
+{
+  return (mFolder / "keys" / aName).string();
+}
+
 std::string
 Cluster::Address(int aHost) const
 {
@@ -174,6 +195,8 @@
           "--controls=" + ControlListOf(name),
           "--data=" + Data(aNumber).string(),
           std::string("--charts=") + FIGHOLD_CHARTS_DIR,
+          "--key_file=" + KeyFile(name),
+          "--peer_keys=" + (mFolder / "keys").string(),
           "--logtostderr" });
 }
 
@@ -195,6 +218,8 @@
           "--controls=" + ControlListOf(name),
           std::string("--charts=") + FIGHOLD_CHARTS_DIR,
           "--lookup_ttl_ms=1000",
+          "--key_file=" + KeyFile(name),
+          "--peer_keys=" + (mFolder / "keys").string(),
           "--logtostderr" });
 }
 
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -99,6 +99,8 @@
   Endpoint StandinAddress(const std::string& aStandin, const std::string& aServer) const;
 
 private:
+  void MakeKeys() const;
+  std::string KeyFile(const std::string& aName) const;
   std::string Address(int aHost) const;
   std::string ControlListOf(const std::string& aName) const;
   void Start(const std::string& aName, std::vector<std::string> aArguments);
