Contract and property tests of the request chart

A table of how a dispatch may end, for repeatable and other requests; claims that end, doubled and foreign replies, callers that go away, draining; and 300 seeded random schedules of arrivals, grants, ends, cancellations and time: a request is run at most once, answered exactly once, and never told "not run" after it may have run.

--- /dev/null
+++ b/packages/entry/src/request_chart_test.cpp
@@ -0,0 +1,341 @@
+#include "fighold/entry/decide.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace fighold::entry {
+namespace {
+
+/// An entry that holds a lease, with three backend servers of a service that repeats only safe
+/// requests. The test takes the part of the other threads.
+struct RequestFixture
+{
+  State mState;
+  Instant mNow{ std::chrono::hours(1) };
+  std::vector<Effect> mEffects;
+  std::vector<ControlId> mControls{ { "c1" }, { "c2" }, { "c3" } };
+
+  RequestFixture()
+  {
+    Options options;
+    options.mId = { "e1" };
+    options.mEntry.mIncarnation = 1;
+    options.mEntry.mRegion = { "attiki" };
+    options.mControls = mControls;
+    mState = MakeState(options, LoadCharts(FIGHOLD_CHARTS_DIR));
+    plan::Plan plan;
+    plan.mNumber = 1;
+    plan.mMaxEntries = 4;
+    plan.mRegions[{ "attiki" }] = 60;
+    plan.mServices[{ "vardia" }].mDeadline = Millis(5000);
+    membership::Configuration configuration;
+    configuration.mVersion = 1;
+    configuration.mPlan = SharedValue(plan);
+    configuration.mShifts[{ "vardia" }].mInUse[{ "attiki" }] = { { { "attiki" }, plan::kWhole } };
+    for (const std::string id : { "a1", "a2", "a3" }) {
+      membership::BackendServer server;
+      server.mService = { "vardia" };
+      server.mRegion = { "attiki" };
+      server.mSlots = 6;
+      server.mConnections = 40;
+      configuration.mBackendServers[{ id }] = server;
+      mState.mServers[{ id }].mAliveUntil = mNow + std::chrono::hours(1);
+    }
+    mState.mTable = routing::BuildTable(configuration);
+    mState.mConfiguration = SharedValue(configuration);
+    mState.mLease = { 1, mNow + std::chrono::hours(1) };
+    mState.mStage = EntryStage::Serving;
+    mState.mNextRenew = mNow + std::chrono::hours(1);
+  }
+
+  void Do(Event aEvent)
+  {
+    auto effects = Step(mState, std::move(aEvent), mNow);
+    std::move(effects.begin(), effects.end(), std::back_inserter(mEffects));
+  }
+
+  void Arrive(RequestId aId, const std::string& aMethod, const std::string& aKey)
+  {
+    CallerRequest request;
+    request.mId = aId;
+    request.mService = { "vardia" };
+    request.mSafe = net::IsSafeMethod(aMethod);
+    request.mKey = aKey;
+    request.mPayload = SharedValue(net::HttpRequest{ aMethod, "/x", {}, "body", {} });
+    Do(request);
+  }
+
+  void Grant(RequestId aId, const ControlId& aFrom)
+  {
+    Do(ClaimReplyReceived{ aFrom,
+                           { { { "e1" }, 1, aId }, claims::Verdict::Granted, {}, std::nullopt } });
+  }
+
+  void End(const Dispatch& aDispatch, net::ExchangeResult aResult)
+  {
+    Do(DispatchDone{ aDispatch.mId, aDispatch.mDispatch, std::move(aResult) });
+  }
+
+  template<typename T>
+  std::vector<T> All() const
+  {
+    std::vector<T> found;
+    for (const Effect& it : mEffects) {
+      if (const auto* effect = std::get_if<T>(&it)) {
+        found.push_back(*effect);
+      }
+    }
+    return found;
+  }
+
+  /// @return the last answer
+  CallerAnswer LastAnswer() const
+  {
+    const auto replies = All<Reply>();
+    REQUIRE_FALSE(replies.empty());
+    return std::get<CallerAnswer>(replies.back().mAnswer);
+  }
+
+  /// @return number of messages that give a key back
+  int Releases() const
+  {
+    int count = 0;
+    for (const SendControl& it : All<SendControl>()) {
+      const auto* result = std::get_if<claims::Result>(&it.mBody);
+      count += result != nullptr && result->mReleased ? 1 : 0;
+    }
+    return count;
+  }
+
+  static net::ExchangeResult Lost() { return { net::ExchangeStage::NoAnswer, {}, "read" }; }
+  static net::ExchangeResult Unsent() { return { net::ExchangeStage::NotSent, {}, "connect" }; }
+  static net::ExchangeResult Whole()
+  {
+    return { net::ExchangeStage::Answered, { 200, {}, "ok" }, "" };
+  }
+  static net::ExchangeResult Shed()
+  {
+    return { net::ExchangeStage::Answered, { 503, { { "Fighold-Outcome", "not-run" } }, "" }, "" };
+  }
+};
+
+TEST_CASE_METHOD(RequestFixture, "Request, unsafe without key, is refused as not run", "[entry]")
+{
+  Arrive(1, "POST", "");
+  CHECK(All<Dispatch>().empty());
+  CHECK(LastAnswer().mOutcome == Outcome::NotRun);
+  CHECK(LastAnswer().mStatus == 400);
+}
+
+TEST_CASE_METHOD(RequestFixture,
+                 "Request, unsafe with key, is dispatched after a majority",
+                 "[entry]")
+{
+  Arrive(1, "POST", "k");
+  Grant(1, { "c1" });
+  CHECK(All<Dispatch>().empty());
+  Grant(1, { "c2" });
+  REQUIRE(All<Dispatch>().size() == 1);
+  CHECK(All<Dispatch>()[0].mSendBefore == mNow + claims::kValidity);
+  CHECK(All<Dispatch>()[0].mConnectionShare == 10);
+  Grant(1, { "c3" });
+  CHECK(All<Dispatch>().size() == 1);
+}
+
+// Guards against a majority made of one holder's doubled reply.
+TEST_CASE_METHOD(RequestFixture, "Request, one holder grants twice, is not dispatched", "[entry]")
+{
+  Arrive(1, "POST", "k");
+  Grant(1, { "c1" });
+  Grant(1, { "c1" });
+  Grant(1, { "stranger" });
+  CHECK(All<Dispatch>().empty());
+  mNow += claims::kAskTimeout;
+  Do(Tick{});
+  CHECK(LastAnswer().mOutcome == Outcome::NotRun);
+  Grant(1, { "c2" });
+  CHECK(All<Dispatch>().empty());
+}
+
+/// How the dispatch of a request ends, and what follows.
+struct EndRow
+{
+  const char* mName;
+  const char* mMethod;
+  net::ExchangeResult mResult;
+  bool mAgain;                     ///< it is dispatched again
+  std::optional<Outcome> mOutcome; ///< answer, when it is not
+};
+
+// Guards against a second run of a request that may not be repeated, and against a wrong "not run".
+TEST_CASE_METHOD(RequestFixture,
+                 "Request, each end of its dispatch, is repeated only if allowed",
+                 "[entry]")
+{
+  const std::vector<EndRow> rows{
+    { "safe, lost", "GET", Lost(), true, std::nullopt },
+    { "safe, unsent", "GET", Unsent(), true, std::nullopt },
+    { "safe, shed", "GET", Shed(), true, std::nullopt },
+    { "safe, whole", "GET", Whole(), false, Outcome::Run },
+    { "unsafe, lost", "POST", Lost(), false, Outcome::Unknown },
+    { "unsafe, unsent", "POST", Unsent(), true, std::nullopt },
+    { "unsafe, shed", "POST", Shed(), true, std::nullopt },
+    { "unsafe, whole", "POST", Whole(), false, Outcome::Run },
+  };
+  RequestId id = 0;
+  for (const EndRow& row : rows) {
+    INFO(row.mName);
+    mEffects.clear();
+    ++id;
+    Arrive(id, row.mMethod, "k" + std::to_string(id));
+    Grant(id, { "c1" });
+    Grant(id, { "c2" });
+    REQUIRE(All<Dispatch>().size() == 1);
+    End(All<Dispatch>()[0], row.mResult);
+    CHECK(All<Dispatch>().size() == (row.mAgain ? 2 : 1));
+    CHECK(All<Reply>().size() == (row.mAgain ? 0 : 1));
+    if (row.mOutcome) {
+      CHECK(LastAnswer().mOutcome == *row.mOutcome);
+    }
+  }
+}
+
+// Guards against a dispatch under a claim that holders may have forgotten.
+TEST_CASE_METHOD(RequestFixture,
+                 "Request, unsent after its claim ended, is not sent again",
+                 "[entry]")
+{
+  mState.mLease.mUntil = mNow + std::chrono::hours(1);
+  Arrive(1, "POST", "k");
+  Grant(1, { "c1" });
+  Grant(1, { "c2" });
+  mState.mInFlight.at(1).mUntil = mNow + std::chrono::hours(1);
+  mNow += claims::kValidity;
+  End(All<Dispatch>()[0], Unsent());
+  CHECK(All<Dispatch>().size() == 1);
+  CHECK(LastAnswer().mOutcome == Outcome::NotRun);
+  CHECK(Releases() == 3);
+}
+
+TEST_CASE_METHOD(RequestFixture, "Request, first answer known, is answered with it", "[entry]")
+{
+  Arrive(1, "POST", "k");
+  Do(ClaimReplyReceived{ { "c2" },
+                         { { { "e1" }, 1, 1 },
+                           claims::Verdict::Answered,
+                           { { "e2" }, 1, 1 },
+                           claims::KeptAnswer{ 201, { { "X", "y" } }, "first" } } });
+  CHECK(All<Dispatch>().empty());
+  CHECK(LastAnswer().mOutcome == Outcome::Run);
+  CHECK(LastAnswer().mResponse == net::HttpResponse{ 201, { { "X", "y" } }, "first" });
+}
+
+// Guards against work, and against a blocked key, for a caller that has gone away.
+TEST_CASE_METHOD(RequestFixture,
+                 "Request, caller gone, cancels the dispatch or the claim",
+                 "[entry]")
+{
+  Arrive(1, "GET", "");
+  Do(CallerGone{ 1 });
+  REQUIRE(All<CancelDispatch>().size() == 1);
+  CHECK(All<CancelDispatch>()[0].mDispatch == All<Dispatch>()[0].mDispatch);
+  CHECK(mState.mServers[All<Dispatch>()[0].mServer.mId].mOutstanding == 0);
+  Arrive(2, "POST", "k");
+  Do(CallerGone{ 2 });
+  CHECK(LastAnswer().mOutcome == Outcome::NotRun);
+  CHECK(Releases() == 3);
+  CHECK(mState.mInFlight.empty());
+}
+
+TEST_CASE_METHOD(RequestFixture,
+                 "Request, entry draining, is the last one of its connection",
+                 "[entry]")
+{
+  Do(Stop{});
+  Arrive(1, "GET", "");
+  End(All<Dispatch>().back(), Whole());
+  CHECK(All<Reply>().back().mClose);
+}
+
+// Guards against a connection that went silent being taken for a dead server.
+TEST_CASE_METHOD(RequestFixture,
+                 "Request, reused connection silent, may use the server again",
+                 "[entry]")
+{
+  Arrive(1, "GET", "");
+  const auto first = All<Dispatch>()[0];
+  auto silent = Lost();
+  silent.mSilent = true;
+  silent.mReused = true;
+  End(first, silent);
+  REQUIRE(All<Dispatch>().size() == 2);
+  CHECK(mState.mInFlight.at(1).mTried == std::set{ All<Dispatch>()[1].mServer.mId });
+}
+
+// Guards against a second dispatch, a second answer or a missing one in any order of events.
+// Seeds 1 to 300.
+TEST_CASE_METHOD(RequestFixture,
+                 "Request, random events, is run at most once and answered once",
+                 "[entry]")
+{
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    mEffects.clear();
+    RequestId last = seed * 1000;
+    const auto recent = [&] { return last - random() % 6; };
+    std::map<RequestId, int> mayHaveRun;
+    std::map<RequestId, std::vector<Outcome>> answers;
+    for (int n = 0; n < 300; ++n) {
+      const auto dispatches = All<Dispatch>();
+      switch (random() % 8) {
+        case 0:
+          ++last;
+          Arrive(last, "POST", "k" + std::to_string(last));
+          break;
+        case 1:
+        case 2:
+        case 3:
+          Grant(recent(), mControls[random() % 3]);
+          break;
+        case 4:
+          if (random() % 4 == 0) {
+            Do(CallerGone{ recent() });
+          }
+          break;
+        case 5:
+          mNow += Millis(random() % 300);
+          Do(Tick{});
+          break;
+        default:
+          if (!dispatches.empty()) {
+            const Dispatch& dispatch = dispatches[random() % dispatches.size()];
+            const auto it = mState.mInFlight.find(dispatch.mId);
+            const bool current =
+              it != mState.mInFlight.end() && it->second.mDispatch == dispatch.mDispatch;
+            const std::vector<net::ExchangeResult> ends{ Lost(), Whole(), Unsent(), Shed() };
+            const std::size_t kind = random() % ends.size();
+            mayHaveRun[dispatch.mId] += current && kind < 2 ? 1 : 0;
+            End(dispatch, ends[kind]);
+          }
+      }
+    }
+    mNow += Millis(20'000);
+    Do(Tick{});
+    for (const Reply& it : All<Reply>()) {
+      answers[it.mId].push_back(std::get<CallerAnswer>(it.mAnswer).mOutcome);
+    }
+    INFO("seed " << seed);
+    for (const auto& [id, count] : mayHaveRun) {
+      REQUIRE(count <= 1);
+      REQUIRE((count == 0 || answers[id] != std::vector{ Outcome::NotRun }));
+    }
+    for (const auto& [id, outcomes] : answers) {
+      REQUIRE(outcomes.size() == 1);
+    }
+    mState.mInFlight.clear();
+  }
+}
+
+} // namespace
+} // namespace fighold::entry
