--- a/packages/agreement/src/members.cpp
+++ b/packages/agreement/src/members.cpp
@@ -60,6 +60,21 @@
 
 } // namespace
 
+bool
+IsFounder(const Node& aNode)
+{
+  if (aNode.mSynced < 1 || aNode.mCommitted < 1 || aNode.mLog.empty() ||
+      aNode.mLog.front().mIndex != 1) {
+    return false;
+  }
+  const auto members = DecodeMembers(aNode.mLog.front().mPayload);
+  if (!members) {
+    return false;
+  }
+  const auto it = members->mVoters.find(aNode.mOptions.mSelf);
+  return it != members->mVoters.end() && it->second == aNode.mIncarnation;
+}
+
 std::string
 EncodeMembers(const Members& aMembers)
 {
--- a/packages/claims/include/fighold/claims/holder.hpp
+++ b/packages/claims/include/fighold/claims/holder.hpp
@@ -76,6 +76,10 @@
 Holder
 MakeHolder(HolderOptions aOptions, bool aMayHaveGranted);
 
+/// Ends the wait of a holder that is known to have granted nothing before its start.
+void
+Activate(Holder& aHolder);
+
 /// Decides about an ask.
 /// @param aHolder state, changed in place
 /// @param aAsk ask of an entry
--- a/packages/claims/src/holder.cpp
+++ b/packages/claims/src/holder.cpp
@@ -116,6 +116,12 @@
   return holder;
 }
 
+void
+Activate(Holder& aHolder)
+{
+  aHolder.mStage = HolderStage::Active;
+}
+
 Reply
 Decide(Holder& aHolder, const Ask& aAsk, Instant aNow)
 {
--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -89,7 +89,7 @@
   Codec mCodec;
   chart::BoundChart<CallScope> mCallChart;
   claims::Holder mClaims;
-  bool mClaimsUndetermined = false; ///< not known yet whether this data folder founded the group
+  bool mStartedEmpty = false; ///< no state was found at start
   SharedValue<membership::Configuration> mConfiguration;
   std::map<EntryId, EntryView> mEntries;
   std::map<BackendServerId, BackendView> mBackends;
--- /dev/null
+++ b/packages/control/src/claim_holding_test.cpp
@@ -0,0 +1,93 @@
+#include "claim_holding.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::control {
+namespace {
+
+/// A control process c1 that started with an empty data folder.
+struct ClaimHoldingFixture
+{
+  State mState;
+  Instant mNow{ std::chrono::hours(1) };
+
+  ClaimHoldingFixture()
+  {
+    mState.mNode.mOptions.mSelf = { "c1" };
+    mState.mNode.mIncarnation = 7;
+    mState.mClaims = claims::MakeHolder({ { "c1" }, { { "c1" }, { "c2" }, { "c3" } }, 7 }, true);
+    mState.mStartedEmpty = true;
+  }
+
+  /// The founding entry of the group is synced.
+  void Found(Incarnation aSelf)
+  {
+    const agreement::Members members{ 7,
+                                      { { { "c1" }, aSelf }, { { "c2" }, 8 }, { { "c3" }, 9 } } };
+    mState.mNode.mLog = {
+      { 1, 1, agreement::EncodeMembers(members), agreement::EntryKind::Members }
+    };
+    mState.mNode.mSynced = 1;
+    mState.mNode.mCommitted = 1;
+  }
+
+  void Tick()
+  {
+    Context context{ mState, mNow, {} };
+    TickClaims(context);
+  }
+
+  /// @return verdict on an ask of e1, or nothing when there is no reply
+  std::optional<claims::Verdict> Ask(const std::string& aClaimant = "e1")
+  {
+    Context context{ mState, mNow, {} };
+    CHECK(HandleClaimMessage(
+      context, FromEntry{ { "e1" }, claims::Ask{ "k", "d", { { aClaimant }, 1, 1 } } }));
+    if (context.mEffects.empty()) {
+      return std::nullopt;
+    }
+    return std::get<claims::Reply>(std::get<SendEntry>(context.mEffects[0]).mBody).mVerdict;
+  }
+};
+
+TEST_CASE_METHOD(ClaimHoldingFixture, "Claim holding, founder, grants once founded", "[control]")
+{
+  Tick();
+  CHECK(Ask() == claims::Verdict::Abstained);
+  Found(7);
+  CHECK(Ask() == claims::Verdict::Abstained);
+  Tick();
+  CHECK(Ask() == claims::Verdict::Granted);
+}
+
+// Guards against a process whose data folder was replaced and whose grants are forgotten.
+TEST_CASE_METHOD(ClaimHoldingFixture,
+                 "Claim holding, founder's folder replaced, abstains",
+                 "[control]")
+{
+  Found(6);
+  Tick();
+  CHECK(Ask() == claims::Verdict::Abstained);
+}
+
+TEST_CASE_METHOD(ClaimHoldingFixture, "Claim holding, joined by a snapshot, abstains", "[control]")
+{
+  mState.mNode.mLog = { { 20, 2, "change" } };
+  mState.mNode.mSynced = 20;
+  mState.mNode.mCommitted = 20;
+  Tick();
+  CHECK(Ask() == claims::Verdict::Abstained);
+}
+
+// Guards against an entry that claims in the name of another one.
+TEST_CASE_METHOD(ClaimHoldingFixture,
+                 "Claim holding, ask for another entry, is ignored",
+                 "[control]")
+{
+  Found(7);
+  Tick();
+  CHECK_FALSE(Ask("e2"));
+}
+
+} // namespace
+} // namespace fighold::control
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -64,6 +64,16 @@
   return options;
 }
 
+std::vector<ControlId>
+HoldersOf(const DaemonOptions& aOptions)
+{
+  std::vector<ControlId> holders;
+  for (const auto& [id, endpoint] : aOptions.mControls) {
+    holders.push_back(id);
+  }
+  return holders;
+}
+
 Codec
 WireCodec()
 {
@@ -86,13 +96,16 @@
     agreement::Recovered recovered;
     auto storage = agreement::OpenStorage(
       aOptions.mData, agreement::PosixFileOps(), aOptions.mIncarnation, recovered);
-    const claims::HolderOptions holder{ aOptions.mSelf,
-                                        { options.mConfigured.begin(), options.mConfigured.end() },
-                                        aOptions.mIncarnation };
+    const bool startedEmpty = recovered.mLog.empty() && recovered.mSnapshot->mIndex == 0;
     auto state = MakeState(
       agreement::MakeNode(std::move(options), std::move(recovered)), WireCodec(), std::move(chart));
+    // A process that finds no state may still have granted claims before it lost its disk; only the
+    // founding of the group shows that there are none.
+    const claims::HolderOptions holder{ aOptions.mSelf,
+                                        HoldersOf(aOptions),
+                                        aOptions.mIncarnation };
     state.mClaims = claims::MakeHolder(holder, true);
-    state.mClaimsUndetermined = state.mNode.mLog.empty() && state.mNode.mSnapshot->mIndex == 0;
+    state.mStartedEmpty = startedEmpty;
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
--- a/tests/processes/claims_test.cpp
+++ b/tests/processes/claims_test.cpp
@@ -119,6 +119,31 @@
   }
 }
 
+// Guards against a second run when an entry is frozen at any moment, its request is resent, and the
+// entry goes on. Seed 21.
+TEST_CASE_METHOD(ClaimsFixture,
+                 "Claims, entry frozen at random moments, resends run at most once",
+                 "[processes]")
+{
+  std::mt19937 random(21);
+  for (int n = 0; n < 8; ++n) {
+    const std::string key = "z" + std::to_string(n);
+    net::ExchangeResult first;
+    std::thread caller([&] { first = Post(1, key, 3); });
+    std::this_thread::sleep_for(std::chrono::microseconds(random() % 12'000));
+    mCluster.Signal("e1", SIGSTOP);
+    const auto resend = Post(2, key, 3);
+    mCluster.Signal("e1", SIGCONT);
+    caller.join();
+    INFO(key << ": " << first.mResponse.mBody << resend.mResponse.mBody);
+    CHECK(Runs(key) <= 1);
+    CHECK((OutcomeOf(resend) == "run" || OutcomeOf(resend) == "unknown"));
+    if (OutcomeOf(first) == "run" && OutcomeOf(resend) == "run") {
+      CHECK(first.mResponse.mBody == resend.mResponse.mBody);
+    }
+  }
+}
+
 TEST_CASE_METHOD(ClaimsFixture,
                  "Claims, resend after the answer, gets the first answer",
                  "[processes]")
--- a/tests/processes/faults_test.cpp
+++ b/tests/processes/faults_test.cpp
@@ -98,6 +98,21 @@
   }
 }
 
+// Guards against work at a backend server for a caller that has gone away.
+TEST_CASE_METHOD(FaultsFixture,
+                 "Faults, caller closes its connection, backend server sees the end",
+                 "[processes]")
+{
+  const net::HttpRequest request{ "GET", "/s/vardia/slow", { { "X-Service-Ms", "3000" } }, "", {} };
+  const auto result = Cluster::Call(mCluster.EntryHttp(2), request, Millis(300));
+  CHECK(result.mStage == net::ExchangeStage::NoAnswer);
+  CHECK(Cluster::Eventually([this] {
+    const auto count =
+      Cluster::Call(mCluster.StandinAddress("sk", "k1"), { "GET", "/count", {}, "", {} });
+    return count.mResponse.mBody.find("\"gone\":1,") != std::string::npos;
+  }));
+}
+
 /// What callers with open connections saw.
 struct Seen
 {
