--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -106,6 +106,7 @@
                                         aOptions.mIncarnation };
     state.mClaims = claims::MakeHolder(holder, true);
     state.mStartedEmpty = startedEmpty;
+    state.mShifts.mChart = LoadShiftChart(aOptions.mCharts);
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
