--- a/tests/measure/load.cpp
+++ b/tests/measure/load.cpp
@@ -48,8 +48,10 @@
 std::vector<Target>
 ParseTargets()
 {
+  const auto pairs = ParsePairs(FLAGS_targets);
   std::vector<Target> targets;
-  for (const auto& [name, text] : ParsePairs(FLAGS_targets)) {
+  targets.reserve(pairs.size());
+  for (const auto& [name, text] : pairs) {
     const auto n = text.find('/');
     targets.push_back({ name, ParseEndpoint(text.substr(0, n)).value(), text.substr(n), 0, {} });
   }
@@ -61,6 +63,7 @@
 RunCaller(net::FiberLoop& aLoop, std::vector<Target>& aTargets, int& aLeft)
 {
   std::vector<std::unique_ptr<net::HttpConnection>> connections;
+  connections.reserve(aTargets.size());
   for (const Target& it : aTargets) {
     connections.push_back(std::make_unique<net::HttpConnection>(aLoop, it.mEndpoint));
   }
@@ -90,6 +93,17 @@
   }
 }
 
+std::vector<double>
+CpuSecondsOf(const std::vector<std::pair<std::string, std::string>>& aPids)
+{
+  std::vector<double> seconds;
+  seconds.reserve(aPids.size());
+  for (const auto& [name, pid] : aPids) {
+    seconds.push_back(CpuSeconds(std::stoi(pid)));
+  }
+  return seconds;
+}
+
 } // namespace
 
 void
@@ -97,10 +111,7 @@
 {
   auto targets = ParseTargets();
   const auto pids = ParsePairs(FLAGS_pids);
-  std::vector<double> before;
-  for (const auto& [name, pid] : pids) {
-    before.push_back(CpuSeconds(std::stoi(pid)));
-  }
+  const auto before = CpuSecondsOf(pids);
   net::FiberLoop loop;
   const Instant start = std::chrono::steady_clock::now();
   loop.Run([&] { RunCallers(loop, targets); });
@@ -125,10 +136,7 @@
 MeasureProcesses()
 {
   const auto pids = ParsePairs(FLAGS_pids);
-  std::vector<double> before;
-  for (const auto& [name, pid] : pids) {
-    before.push_back(CpuSeconds(std::stoi(pid)));
-  }
+  const auto before = CpuSecondsOf(pids);
   std::this_thread::sleep_for(std::chrono::duration<double>(FLAGS_seconds));
   for (std::size_t n = 0; n < pids.size(); ++n) {
     const int pid = std::stoi(pids[n].second);
--- a/tests/measure/members.cpp
+++ b/tests/measure/members.cpp
@@ -1,3 +1,4 @@
+#include "entry_model.hpp"
 #include "fighold/membership/protocol.hpp"
 #include "fighold/routing/route.hpp"
 #include "fighold/wire/codec.hpp"
@@ -64,6 +65,23 @@
   Report("route_us", micros / kRoutes);
 }
 
+/// A look-up names every entry, so that its cost follows their number.
+void
+MeasureLookups(const membership::Configuration& aConfiguration)
+{
+  constexpr int kLookups = 100;
+  EntryModel model(aConfiguration);
+  model.Grant(aConfiguration);
+  const std::uint32_t client = aConfiguration.mPlan->mClientBlocks.front().mAddress;
+  int good = 0;
+  const double micros = MeanMicros([&] {
+    for (int n = 0; n < kLookups; ++n) {
+      good += model.LookUp(client) ? 1 : 0;
+    }
+  });
+  Report("lookup_decision_us", good > 0 ? micros / kLookups : -1);
+}
+
 } // namespace
 
 void
@@ -83,6 +101,7 @@
   Report("apply_change_us", MeanMicros([&] { (void)membership::Apply(configuration, change, 2); }));
   Report("build_table_us", MeanMicros([&] { (void)routing::BuildTable(configuration); }));
   MeasureRoute(configuration);
+  MeasureLookups(configuration);
 }
 
 } // namespace fighold::measure
--- a/tests/measure/parts.cpp
+++ b/tests/measure/parts.cpp
@@ -3,6 +3,7 @@
 #include "report.hpp"
 #include "subjects.hpp"
 
+#include <algorithm>
 #include <set>
 #include <thread>
 
@@ -50,6 +51,26 @@
   return registry;
 }
 
+/// @return for each state the events that it has transitions for
+std::vector<std::vector<std::size_t>>
+EventsByState(const chart::Chart& aChart, const chart::Registry<Scope>& aRegistry)
+{
+  std::vector<std::vector<std::size_t>> events;
+  events.reserve(aChart.mStates.size());
+  for (const chart::State& state : aChart.mStates) {
+    auto& own = events.emplace_back();
+    for (std::size_t n = 0; n < aRegistry.mEvents.size(); ++n) {
+      const auto has = [&](const chart::Transition& it) {
+        return it.mEvent == aRegistry.mEvents[n];
+      };
+      if (std::any_of(state.mTransitions.begin(), state.mTransitions.end(), has)) {
+        own.push_back(n);
+      }
+    }
+  }
+  return events;
+}
+
 void
 MeasureChart()
 {
@@ -61,12 +82,14 @@
   const auto registry = CountingRegistry(*chart.mValue);
   const auto bound = chart::LoadBound(path, registry);
   Scope scope;
-  const std::size_t events = registry.mEvents.size();
+  const auto events = EventsByState(*chart.mValue, registry);
   std::size_t state = bound.mTable.mInitial;
   std::uint64_t taken = 0;
   const Instant start = std::chrono::steady_clock::now();
   for (int n = 0; n < kChartEvents; ++n) {
-    const auto fired = chart::Fire(bound, state, static_cast<std::size_t>(n) % events, scope);
+    const auto& known = events[state];
+    const auto fired =
+      chart::Fire(bound, state, known[static_cast<std::size_t>(n) % known.size()], scope);
     taken += fired.mTaken ? 1 : 0;
     state = chart.mValue->mStates[fired.mState].mFinal ? bound.mTable.mInitial : fired.mState;
   }
@@ -83,7 +106,7 @@
   std::thread echo([&] {
     while (!there.Finished()) {
       if (auto n = there.PopUntil(Instant::max() - std::chrono::hours(1))) {
-        back.TryPush(std::move(*n));
+        back.TryPush(int{ *n });
       }
     }
   });
