Tick a control process only when one of its timers is due

Cause: the decide thread of a control process woke every 50 ms, while its timers (heartbeat, renewal) are 250 ms apart. Change: NextTick takes the next timer of the state; only a waiting operator's call keeps the tick of 50 ms, because what is in force may change at any time.

--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -132,6 +132,10 @@
 Instant
 QuorumAt(const Node& aNode);
 
+/// @return time at which the node needs its next tick
+Instant
+NextTimer(const Node& aNode);
+
 /// Handles one event.
 /// @param aNode state, changed in place
 /// @param aEvent event
--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -233,6 +233,12 @@
   return aNode.mQuorumAt;
 }
 
+Instant
+NextTimer(const Node& aNode)
+{
+  return IsLeader(aNode) ? aNode.mNextHeartbeat : Instant::max();
+}
+
 std::vector<Effect>
 Step(Node& aNode, const Event& aEvent, Instant aNow)
 {
--- a/packages/control/include/fighold/control/decide.hpp
+++ b/packages/control/include/fighold/control/decide.hpp
@@ -22,7 +22,13 @@
 std::vector<Effect>
 Step(State& aState, Event aEvent, Instant aNow);
 
-/// Time between two ticks.
+/// Time between two ticks while an operator waits for an answer.
 constexpr Millis kTickInterval{ 50 };
 
+/// @param aState state
+/// @param aNow monotonic time
+/// @return time of the next tick: the next timer of the state, or kTickInterval while a call waits
+Instant
+NextTick(const State& aState, Instant aNow);
+
 } // namespace fighold::control
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -131,6 +131,16 @@
   return std::move(context.mEffects);
 }
 
+Instant
+NextTick(const State& aState, Instant aNow)
+{
+  if (!aState.mCalls.empty()) {
+    return aNow + kTickInterval;
+  }
+  const Instant timer = agreement::NextTimer(aState.mNode);
+  return agreement::IsLeader(aState.mNode) ? timer : std::min(timer, aState.mNextRenew);
+}
+
 chart::BoundChart<CallScope>
 LoadCallChart(const std::filesystem::path& aFolder)
 {
--- a/packages/control/src/decide_thread.cpp
+++ b/packages/control/src/decide_thread.cpp
@@ -62,8 +62,10 @@
 DecideThread(Wiring& aWiring, State aState)
 {
   Performer performer{ aWiring };
-  Instant nextTick = std::chrono::steady_clock::now();
+  Instant lastTick = std::chrono::steady_clock::now();
   while (!aWiring.mInbox.Finished()) {
+    // A call that arrives shortens the wait, so the time is computed anew after each event.
+    const Instant nextTick = NextTick(aState, lastTick);
     auto event = aWiring.mInbox.PopUntil(nextTick);
     const Instant now = std::chrono::steady_clock::now();
     if (event) {
@@ -71,7 +73,7 @@
     }
     if (now >= nextTick) {
       performer.Perform(Step(aState, Tick{}, now));
-      nextTick = now + kTickInterval;
+      lastTick = now;
     }
   }
 }
