--- a/packages/control/include/fighold/control/decide.hpp
+++ b/packages/control/include/fighold/control/decide.hpp
@@ -7,7 +7,7 @@
 /// Decisions of a control process; no I/O and no clock.
 namespace fighold::control {
 
-/// @param aNode log of this process as recovered from storage
+/// @param aNode agreement of this process as recovered from storage
 /// @param aCodec encoding of changes
 /// @param aChart bound charts/plan_change.scxml
 /// @return state at start
@@ -22,12 +22,12 @@
 std::vector<Effect>
 Step(State& aState, Event aEvent, Instant aNow);
 
-/// Time between two ticks while an operator waits for an answer.
+/// Least time between two ticks, and the time between them while an operator waits for an answer.
 constexpr Millis kTickInterval{ 50 };
 
 /// @param aState state
-/// @param aNow monotonic time
-/// @return time of the next tick: the next timer of the state, or kTickInterval while a call waits
+/// @param aNow time of the last tick
+/// @return time of the next tick: that of the next timer, but at least kTickInterval later
 Instant
 NextTick(const State& aState, Instant aNow);
 
--- /dev/null
+++ b/packages/control/src/decide_test.cpp
@@ -0,0 +1,43 @@
+#include "fighold/control/decide.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::control {
+namespace {
+
+struct NextTickFixture
+{
+  Instant mNow{ std::chrono::hours(1) };
+  State mState;
+
+  NextTickFixture() { mState.mNode.mRole = agreement::Role::Follower; }
+};
+
+// Guards against an idle process that wakes more often than its timers need.
+TEST_CASE_METHOD(NextTickFixture, "NextTick, nothing waits, is the next timer", "[control]")
+{
+  mState.mNextRenew = mNow + Millis(250);
+  mState.mNode.mElectionDeadline = mNow + Millis(900);
+  CHECK(NextTick(mState, mNow) == mNow + Millis(250));
+  mState.mNode.mElectionDeadline = mNow + Millis(100);
+  CHECK(NextTick(mState, mNow) == mNow + Millis(100));
+}
+
+TEST_CASE_METHOD(NextTickFixture, "NextTick, operator waits, is one interval later", "[control]")
+{
+  mState.mNextRenew = mNow + Millis(250);
+  mState.mNode.mElectionDeadline = mNow + Millis(900);
+  mState.mCalls[1] = PendingCall{};
+  CHECK(NextTick(mState, mNow) == mNow + kTickInterval);
+}
+
+// Guards against a thread that spins on a timer that nobody sets again.
+TEST_CASE_METHOD(NextTickFixture, "NextTick, timer in the past, is one interval later", "[control]")
+{
+  mState.mNode.mElectionDeadline = mNow - Millis(5000);
+  mState.mNextRenew = mNow + Millis(250);
+  CHECK(NextTick(mState, mNow) == mNow + kTickInterval);
+}
+
+} // namespace
+} // namespace fighold::control
