--- a/tests/measure/load.cpp
+++ b/tests/measure/load.cpp
@@ -85,6 +85,7 @@
 {
   int left = FLAGS_requests;
   std::vector<boost::fibers::fiber> fibers;
+  fibers.reserve(static_cast<std::size_t>(FLAGS_callers));
   for (int n = 0; n < FLAGS_callers; ++n) {
     fibers.emplace_back([&] { RunCaller(aLoop, aTargets, left); });
   }
--- a/tests/measure/parts.cpp
+++ b/tests/measure/parts.cpp
@@ -60,8 +60,8 @@
   for (const chart::State& state : aChart.mStates) {
     auto& own = events.emplace_back();
     for (std::size_t n = 0; n < aRegistry.mEvents.size(); ++n) {
-      const auto has = [&](const chart::Transition& it) {
-        return it.mEvent == aRegistry.mEvents[n];
+      const auto has = [&](const chart::Transition& aTransition) {
+        return aTransition.mEvent == aRegistry.mEvents[n];
       };
       if (std::any_of(state.mTransitions.begin(), state.mTransitions.end(), has)) {
         own.push_back(n);
