--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -268,6 +268,10 @@
 Instant
 QuorumAt(const Node& aNode);
 
+/// @return time at which the node needs its next tick
+Instant
+NextTimer(const Node& aNode);
+
 /// @return name of a role, as in the chart
 std::string
 RoleName(Role aRole);
--- a/packages/control/include/fighold/control/decide.hpp
+++ b/packages/control/include/fighold/control/decide.hpp
@@ -22,7 +22,13 @@
 std::vector<Effect>
 Step(State& aState, Event aEvent, Instant aNow);
 
-/// Time between two ticks.
+/// Least time between two ticks, and the time between them while an operator waits for an answer.
 constexpr Millis kTickInterval{ 50 };
 
+/// @param aState state
+/// @param aNow time of the last tick
+/// @return time of the next tick: that of the next timer, but at least kTickInterval later
+Instant
+NextTick(const State& aState, Instant aNow);
+
 } // namespace fighold::control
--- a/packages/control/src/decide_test.cpp
+++ b/packages/control/src/decide_test.cpp
@@ -41,7 +41,7 @@
                          return wire::DecodeConfiguration(aBytes);
                        } };
     mState = std::make_unique<State>(
-      MakeState(agreement::MakeNode(options, mDisk), codec, LoadCallChart(FIGHOLD_CHARTS_DIR)));
+      MakeState(agreement::MakeNode(options, mDisk), codec, LoadCharts(FIGHOLD_CHARTS_DIR)));
   }
 
   void Do(const Event& aEvent)
