--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -2,13 +2,16 @@
 
 #include "fighold/agreement/node.hpp"
 #include "fighold/chart/bound_chart.hpp"
+#include "fighold/claims/holder.hpp"
 #include "fighold/control/event.hpp"
 #include "fighold/membership/backend_life.hpp"
+#include "fighold/routing/shift.hpp"
 
 #include <deque>
 #include <filesystem>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -62,7 +65,38 @@
   friend auto operator<=>(const ControlView&, const ControlView&) = default;
 };
 
+/// States of charts/shift.scxml, in the order of its registry.
+enum class ShiftStage : std::uint8_t
+{
+  Steady,
+  Stepping,
+  Waiting,
+};
+
+/// Shift of one service as the leader follows it.
+struct ServiceShift
+{
+  ShiftStage mStage = ShiftStage::Steady;
+  std::uint64_t mStep = 0; ///< last step seen in the configuration
+  Instant mProposedAt{};
+
+  friend auto operator<=>(const ServiceShift&, const ServiceShift&) = default;
+};
+
 struct CallScope;
+struct ShiftScope;
+
+using SharedChart = std::shared_ptr<const chart::BoundChart<ShiftScope>>;
+
+/// Shifts of all services; used only while this process leads.
+struct ShiftKeeping
+{
+  SharedChart mChart; ///< bound charts/shift.scxml; without it no step is taken
+  std::map<ServiceId, ServiceShift> mServices;
+  routing::LastSteps mLastSteps;
+  Instant mNextCheck{};
+  bool mLeads = false; ///< led at the last tick
+};
 
 /// The charts of a control process.
 struct Charts
@@ -90,6 +124,8 @@
   agreement::Node mNode;
   Codec mCodec;
   Charts mCharts;
+  claims::Holder mClaims;
+  bool mStartedEmpty = false; ///< no state was found at start
   SharedValue<membership::Configuration> mConfiguration;
   std::map<EntryId, EntryView> mEntries;
   std::map<BackendServerId, membership::BackendLife> mBackends;
@@ -114,6 +150,7 @@
   std::uint64_t mStamp = 0;                           ///< last one of the leader
   ControlId mStampFrom;
   Instant mStampAt{};
+  ShiftKeeping mShifts;
 };
 
 /// Loads the charts of a control process.
@@ -121,4 +158,9 @@
 Charts
 LoadCharts(const std::filesystem::path& aFolder);
 
+/// Loads charts/shift.scxml.
+/// @throws FindingsError with every finding
+SharedChart
+LoadShiftChart(const std::filesystem::path& aFolder);
+
 } // namespace fighold::control
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -21,6 +21,7 @@
       options.mPeers[id.mValue] = endpoint;
     }
   }
+  options.mKeys = aOptions.mKeys;
   return options;
 }
 
@@ -39,6 +40,14 @@
     push(FromControl{ { aEnvelope.mFrom }, std::move(*controlRenew) });
   } else if (auto* controlGrant = std::get_if<membership::ControlGrant>(&aEnvelope.mBody)) {
     push(FromControl{ { aEnvelope.mFrom }, std::move(*controlGrant) });
+  } else if (auto* claimAsk = std::get_if<claims::Ask>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*claimAsk) });
+  } else if (auto* claimResult = std::get_if<claims::Result>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*claimResult) });
+  } else if (auto* copyAsk = std::get_if<claims::CopyAsk>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*copyAsk) });
+  } else if (auto* copyPage = std::get_if<claims::CopyPage>(&aEnvelope.mBody)) {
+    push(FromControl{ { aEnvelope.mFrom }, std::move(*copyPage) });
   }
 }
 
@@ -55,6 +64,16 @@
   return options;
 }
 
+std::vector<ControlId>
+HoldersOf(const DaemonOptions& aOptions)
+{
+  std::vector<ControlId> holders;
+  for (const auto& [id, endpoint] : aOptions.mControls) {
+    holders.push_back(id);
+  }
+  return holders;
+}
+
 Codec
 WireCodec()
 {
@@ -77,9 +96,18 @@
     agreement::Recovered recovered;
     auto storage = agreement::OpenStorage(
       aOptions.mData, agreement::PosixFileOps(), aOptions.mIncarnation, recovered);
+    const bool startedEmpty = recovered.mLog.empty() && recovered.mSnapshot->mIndex == 0;
     auto state = MakeState(agreement::MakeNode(std::move(options), std::move(recovered)),
                            WireCodec(),
                            std::move(charts));
+    // A process that finds no state may still have granted claims before it lost its disk; only the
+    // founding of the group shows that there are none.
+    const claims::HolderOptions holder{ aOptions.mSelf,
+                                        HoldersOf(aOptions),
+                                        aOptions.mIncarnation };
+    state.mClaims = claims::MakeHolder(holder, true);
+    state.mStartedEmpty = startedEmpty;
+    state.mShifts.mChart = LoadShiftChart(aOptions.mCharts);
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
     mMessageThread = std::thread([this] {
       mSockets.Run([this](wire::Envelope aEnvelope) { Deliver(mWiring, std::move(aEnvelope)); });
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -2,7 +2,9 @@
 
 #include "backend_servers.hpp"
 #include "calls.hpp"
+#include "claim_holding.hpp"
 #include "leases.hpp"
+#include "shifts.hpp"
 
 namespace fighold::control {
 namespace {
@@ -127,6 +129,9 @@
 void
 Handle(const FromEntry& aMessage, Context& aContext)
 {
+  if (HandleClaimMessage(aContext, aMessage)) {
+    return;
+  }
   if (const auto* renew = std::get_if<membership::Renew>(&aMessage.mBody)) {
     HandleRenew(aContext, aMessage.mFrom, *renew);
   } else {
@@ -137,6 +142,9 @@
 void
 Handle(const FromControl& aMessage, Context& aContext)
 {
+  if (HandleClaimMessage(aContext, aMessage)) {
+    return;
+  }
   if (const auto* message = std::get_if<agreement::Message>(&aMessage.mBody)) {
     const bool sameGroup = message->mGroup == aContext.mState.mNode.mMembers.mGroup;
     if (const auto* forward = std::get_if<agreement::Forward>(&message->mBody);
@@ -165,7 +173,9 @@
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
   TickBackends(aContext);
+  TickShifts(aContext);
   TickCalls(aContext);
+  TickClaims(aContext);
   const Instant now = aContext.mNow;
   DropWhere(aContext.mState.mProposed, [now](const auto& aItem) { return now >= aItem.second; });
   DropWhere(aContext.mState.mAsks, [now](const auto& aItem) { return now >= aItem.second.mUntil; });
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "fighold/chart/bound_chart.hpp"
+#include "fighold/claims/asker.hpp"
 #include "fighold/entry/event.hpp"
 #include "fighold/membership/lease.hpp"
+#include "fighold/plan/client_table.hpp"
 #include "fighold/routing/route.hpp"
 
 #include <cstdint>
@@ -18,6 +20,7 @@
 enum class RequestState : std::uint8_t
 {
   Received,
+  Claiming,
   Dispatched,
   Answered,
   NotRun,
@@ -58,6 +61,7 @@
   std::uint64_t mDispatch = 0;
   BackendServerId mServer;
   Instant mDispatchedAt{};
+  Instant mClaimUntil = Instant::max(); ///< end of the claim, for a request that needs one
 };
 
 /// A change asked of the control group on behalf of a backend server.
@@ -85,6 +89,7 @@
   Charts mCharts;
   SharedValue<membership::Configuration> mConfiguration;
   routing::Table mTable;
+  plan::ClientTable mClients; ///< client blocks of the plan in use
   membership::Lease mLease;
   EntryStage mStage = EntryStage::Starting;
   Instant mDrainStarted{};
@@ -104,6 +109,7 @@
   ControlId mStampFrom;
   Instant mStampAt{};
   std::uint64_t mRandom = 1;
+  claims::Asker mAsker;
 };
 
 /// Loads the charts of an entry.
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -25,9 +25,7 @@
 }
 
 void
-SendToControl(State& aState,
-              std::variant<membership::Renew, membership::ChangeAsk> aBody,
-              std::vector<Effect>& aEffects)
+SendToControl(State& aState, decltype(SendControl::mBody) aBody, std::vector<Effect>& aEffects)
 {
   aEffects.emplace_back(SendControl{ ControlInUse(aState), std::move(aBody) });
 }
@@ -230,6 +228,11 @@
   aState.mStampAt = aNow;
   if (grant.mConfiguration && (*grant.mConfiguration)->mVersion > aState.mConfiguration->mVersion) {
     const auto previous = aState.mConfiguration;
+    const plan::Plan& next = *(*grant.mConfiguration)->mPlan;
+    if (aState.mConfiguration->mPlan->mNumber != next.mNumber ||
+        aState.mConfiguration->mPlanDigest != (*grant.mConfiguration)->mPlanDigest) {
+      aState.mClients = plan::BuildClientTable(next);
+    }
     aState.mConfiguration = *grant.mConfiguration;
     DropUnknownServers(aState, *previous);
     BuildTable(aState);
--- a/packages/entry/src/state.cpp
+++ b/packages/entry/src/state.cpp
@@ -19,6 +19,7 @@
   state.mRandom = aOptions.mSeed;
   // A late grant to an earlier process must not answer an ask of this one.
   state.mNextAsk = aOptions.mEntry.mIncarnation;
+  state.mAsker.mOptions = { aOptions.mId, aOptions.mEntry.mIncarnation, aOptions.mControls };
   state.mOptions = std::move(aOptions);
   state.mCharts = std::move(aCharts);
   return state;
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -1,6 +1,7 @@
 #include "fighold/wire/codec.hpp"
 
 #include "agreement_convert.hpp"
+#include "claim_codec.hpp"
 #include "convert.hpp"
 
 namespace fighold::wire {
@@ -219,6 +220,13 @@
   return grant;
 }
 
+template<typename ClaimBody>
+void
+PutBody(const ClaimBody& aBody, pb::Envelope& aOut)
+{
+  detail::PutClaim(aBody, aOut);
+}
+
 void
 PutBody(const agreement::Message& aMessage, pb::Envelope& aOut)
 {
@@ -250,6 +258,12 @@
       return GetBody(aEnvelope.control_grant());
     case pb::Envelope::kAgreement:
       return GetBody(aEnvelope.agreement());
+    case pb::Envelope::kClaimAsk:
+    case pb::Envelope::kClaimReply:
+    case pb::Envelope::kClaimResult:
+    case pb::Envelope::kClaimCopyAsk:
+    case pb::Envelope::kClaimCopyPage:
+      return detail::GetClaim(aEnvelope);
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
