Latency of dispatches that sent nothing is not recorded; count silent connections

Cause: a dispatch that found its connection share used up ended at once and made the server look fast, so more requests went there.

--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -108,6 +108,9 @@
 Backend::State::RunDispatch(const Dispatch& aDispatch)
 {
   DispatchDone done{ aDispatch.mId, aDispatch.mDispatch, Exchange(aDispatch) };
+  if (done.mResult.mSilent) {
+    mWiring.mMetrics.Count("connections_silent_total");
+  }
   const bool cancelled = mRunning.at(aDispatch.mDispatch).mCancelled;
   mRunning.erase(aDispatch.mDispatch);
   if (!cancelled && !mWiring.mInbox.TryPush(std::move(done))) {
--- a/packages/entry/src/request_chart_test.cpp
+++ b/packages/entry/src/request_chart_test.cpp
@@ -273,6 +273,17 @@
   CHECK(mState.mInFlight.at(1).mTried == std::set{ All<Dispatch>()[1].mServer.mId });
 }
 
+// Guards against a server that looks fast because nothing could be sent to it.
+TEST_CASE_METHOD(RequestFixture, "Request, unsent, leaves the server's latency alone", "[entry]")
+{
+  Arrive(1, "GET", "");
+  const Dispatch dispatch = All<Dispatch>()[0];
+  mState.mServers[dispatch.mServer.mId].mLatency = Millis(80);
+  mNow += Millis(1);
+  End(dispatch, Unsent());
+  CHECK(mState.mServers[dispatch.mServer.mId].mLatency == Millis(80));
+}
+
 // Guards against a second dispatch, a second answer or a missing one in any order of events.
 // Seeds 1 to 300.
 TEST_CASE_METHOD(RequestFixture,
--- a/packages/entry/src/request_dispatch.cpp
+++ b/packages/entry/src/request_dispatch.cpp
@@ -135,7 +135,11 @@
     return;
   }
   InFlight& request = it->second;
-  RecordLatency(ReleaseServer(aState, request), aNow - request.mDispatchedAt);
+  routing::ServerState& server = ReleaseServer(aState, request);
+  // A dispatch that sent nothing ends at once and would make the server look fast.
+  if (aDone.mResult.mStage != net::ExchangeStage::NotSent) {
+    RecordLatency(server, aNow - request.mDispatchedAt);
+  }
   if (aDone.mResult.mSilent && aDone.mResult.mReused) {
     // The connection was at fault, perhaps not the server: it may get the request on a new one.
     request.mTried.erase(request.mServer);
--- a/packages/net/src/http_server_test.cpp
+++ b/packages/net/src/http_server_test.cpp
@@ -190,8 +190,10 @@
                  "[net]")
 {
   const Endpoint address = Start();
+  constexpr int kSockets = 8;
   std::vector<Tcp::socket> sockets;
-  for (int n = 0; n < 8; ++n) {
+  sockets.reserve(kSockets);
+  for (int n = 0; n < kSockets; ++n) {
     sockets.push_back(Connect(address));
   }
   std::this_thread::sleep_for(Millis(100));
--- a/tests/processes/faults_test.cpp
+++ b/tests/processes/faults_test.cpp
@@ -66,6 +66,7 @@
   mCluster.Signal("sa1", SIGSTOP);
   std::vector<net::ExchangeResult> results(12);
   std::vector<std::thread> callers;
+  callers.reserve(results.size());
   for (auto& it : results) {
     callers.emplace_back([this, &it] { it = Get(1); });
   }
@@ -154,6 +155,7 @@
     loop.Run([&] {
       const Instant until = std::chrono::steady_clock::now() + std::chrono::seconds(30);
       std::vector<boost::fibers::fiber> callers;
+      callers.reserve(kCallers);
       for (int n = 0; n < kCallers; ++n) {
         callers.emplace_back([&] { CallUntilRefused(loop, mCluster.EntryHttp(1), until, seen); });
       }
