--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -27,6 +27,10 @@
 /// Random part of the election timeout, so that two processes seldom begin at the same time.
 constexpr Millis kElectionSpread{ 600 };
 
+/// Writes of entries that may wait for the storage. A leader drops proposals beyond that, and a
+/// follower drops entries, which the leader repeats.
+constexpr std::size_t kMaxPendingWrites = 512;
+
 /// States of charts/control_role.scxml, in the order of its registry.
 enum class Role : std::uint8_t
 {
@@ -253,6 +257,11 @@
 std::optional<ControlId>
 Leader(const Node& aNode);
 
+/// @return true when this incarnation is one of the first members of the group, and the log still
+///         reaches back to the founding
+bool
+IsFounder(const Node& aNode);
+
 /// @return start of the last heartbeat round that a majority acknowledged; leases that a leader
 /// grants rest on it. The epoch while the node does not lead or has not yet committed an entry of
 /// its term, because its state machine may be behind until then.
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/chart/bound_chart.hpp"
+#include "fighold/claims/asker.hpp"
 #include "fighold/entry/event.hpp"
 #include "fighold/membership/lease.hpp"
 #include "fighold/plan/client_table.hpp"
@@ -19,6 +20,7 @@
 enum class RequestState : std::uint8_t
 {
   Received,
+  Claiming,
   Dispatched,
   Answered,
   NotRun,
@@ -59,12 +61,13 @@
   std::uint64_t mDispatch = 0;
   BackendServerId mServer;
   Instant mDispatchedAt{};
+  Instant mClaimUntil = Instant::max(); ///< end of the claim, for a request that needs one
 };
 
 /// A change asked of the control group on behalf of a backend server.
 struct PendingChange
 {
-  RequestId mReplyTo = 0;
+  std::vector<RequestId> mReplyTo; ///< calls that wait for it
   membership::Change mChange;
   Instant mUntil{};
 };
@@ -102,7 +105,11 @@
   Instant mNextRenew{};
   Instant mLastGrant{};
   std::size_t mControl = 0; ///< index of the control process in use
+  std::uint64_t mStamp = 0; ///< last one received
+  ControlId mStampFrom;
+  Instant mStampAt{};
   std::uint64_t mRandom = 1;
+  claims::Asker mAsker;
 };
 
 /// Loads the charts of an entry.
--- /dev/null
+++ b/packages/net/src/http_server_test.cpp
@@ -0,0 +1,209 @@
+#include "fighold/net/http_client.hpp"
+#include "fighold/net/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/future.hpp>
+#include <boost/fiber/operations.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+namespace fighold::net {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+/// A server in a thread of its own; the test writes raw bytes to it.
+struct ServerFixture
+{
+  std::atomic<int> mCalls{ 0 };
+  std::atomic<int> mGone{ 0 };
+  int mHandleMs = 0;
+  Headers mAnswerHeaders;
+  FiberLoop mLoop;
+  std::promise<Endpoint> mStarted;
+  std::unique_ptr<boost::fibers::promise<void>> mStop;
+  std::thread mThread;
+  boost::asio::io_context mContext;
+
+  ~ServerFixture() { Stop(); }
+
+  Endpoint Start()
+  {
+    mStop = std::make_unique<boost::fibers::promise<void>>();
+    mThread = std::thread([this] {
+      mLoop.Run([this] {
+        HttpServer server(mLoop,
+                          { { "127.0.0.1", 0 }, 16, 1000, 100 },
+                          WatchedHandler([this](const HttpRequest&, CallerWatch& aWatch) {
+                            ++mCalls;
+                            aWatch.mOnGone = [this] { ++mGone; };
+                            boost::this_fiber::sleep_for(Millis(mHandleMs));
+                            return HttpResponse{ 200, mAnswerHeaders, "ok" };
+                          }));
+        boost::fibers::fiber serve([&server] { server.Serve(); });
+        mStarted.set_value(server.Address());
+        mStop->get_future().wait();
+        server.Stop(std::chrono::steady_clock::now() + std::chrono::seconds(20));
+        serve.join();
+      });
+    });
+    return mStarted.get_future().get();
+  }
+
+  void RequestStop()
+  {
+    mLoop.Post([this] { mStop->set_value(); });
+  }
+
+  void Stop()
+  {
+    if (mThread.joinable()) {
+      RequestStop();
+      mThread.join();
+    }
+  }
+
+  Tcp::socket Connect(const Endpoint& aAddress)
+  {
+    Tcp::socket socket(mContext);
+    socket.connect({ boost::asio::ip::make_address_v4(aAddress.mHost), aAddress.mPort });
+    return socket;
+  }
+
+  /// @return all that the server sends until it closes
+  static std::string ReadAll(Tcp::socket& aSocket)
+  {
+    std::string text;
+    boost::system::error_code ec;
+    boost::asio::read(aSocket, boost::asio::dynamic_buffer(text), ec);
+    return text;
+  }
+};
+
+/// A request that must be refused before anything is done with it.
+struct RefusedRow
+{
+  const char* mName;
+  std::string mText;
+  const char* mStatus;
+};
+
+// Guards against requests whose end two readers see at different places, and against requests
+// without bounds.
+TEST_CASE_METHOD(ServerFixture, "HttpServer, request at fault, is refused and not handled", "[net]")
+{
+  const std::string post = "POST /s/x HTTP/1.1\r\nHost: h\r\n";
+  const std::vector<RefusedRow> rows{
+    { "two lengths", post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400" },
+    { "two equal lengths", post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "400" },
+    { "length and chunks",
+      post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "400" },
+    { "chunks and length",
+      post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+      "400" },
+    { "two encodings",
+      post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "400" },
+    { "length is no number", post + "Content-Length: 3x\r\n\r\nabc", "400" },
+    { "negative length", post + "Content-Length: -3\r\n\r\nabc", "400" },
+    { "header over the limit", post + "X: " + std::string(2000, 'a') + "\r\n\r\n", "431" },
+    { "body over the limit", post + "Content-Length: 101\r\n\r\n" + std::string(101, 'a'), "413" },
+    { "chunks over the limit",
+      post + "Transfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'a') + "\r\n0\r\n\r\n",
+      "413" },
+    { "no HTTP", "what?\r\n\r\n", "400" },
+  };
+  const Endpoint address = Start();
+  for (const RefusedRow& row : rows) {
+    INFO(row.mName);
+    auto socket = Connect(address);
+    boost::asio::write(socket, boost::asio::buffer(row.mText));
+    const std::string answer = ReadAll(socket);
+    CHECK(answer.substr(0, 12) == std::string("HTTP/1.1 ") + row.mStatus);
+    CHECK(answer.find("Fighold-Outcome: not-run") != std::string::npos);
+  }
+  CHECK(mCalls == 0);
+}
+
+// Guards against work for a caller that has gone away.
+TEST_CASE_METHOD(ServerFixture, "HttpServer, caller closes during a request, tells it", "[net]")
+{
+  mHandleMs = 400;
+  const Endpoint address = Start();
+  {
+    auto socket = Connect(address);
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    std::this_thread::sleep_for(Millis(100));
+  }
+  Stop();
+  CHECK(mCalls == 1);
+  CHECK(mGone == 1);
+}
+
+TEST_CASE_METHOD(ServerFixture, "HttpServer, caller waits for its answer, is not gone", "[net]")
+{
+  mHandleMs = 50;
+  auto socket = Connect(Start());
+  boost::asio::write(
+    socket,
+    boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+  CHECK(ReadAll(socket).find("\r\n\r\nok") != std::string::npos);
+  CHECK(mGone == 0);
+}
+
+// Guards against pipelined bytes that are taken for the end of the stream.
+TEST_CASE_METHOD(ServerFixture, "HttpServer, two requests at once, answers both in order", "[net]")
+{
+  mHandleMs = 20;
+  auto socket = Connect(Start());
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n";
+  boost::asio::write(socket,
+                     boost::asio::buffer(request + "\r\n" + request + "Connection: close\r\n\r\n"));
+  const std::string answer = ReadAll(socket);
+  CHECK(answer.find("ok") != answer.rfind("ok"));
+  CHECK(mCalls == 2);
+  CHECK(mGone == 0);
+}
+
+TEST_CASE_METHOD(ServerFixture, "HttpServer, answer says close, closes after it", "[net]")
+{
+  mAnswerHeaders = { { "Connection", "close" } };
+  auto socket = Connect(Start());
+  boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  const std::string answer = ReadAll(socket);
+  CHECK(answer.find("Connection: close") == answer.rfind("Connection: close"));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a stop that cuts off a request whose bytes arrived just before it.
+TEST_CASE_METHOD(ServerFixture,
+                 "HttpServer, stop right after a request was sent, answers it",
+                 "[net]")
+{
+  const Endpoint address = Start();
+  std::vector<Tcp::socket> sockets;
+  for (int n = 0; n < 8; ++n) {
+    sockets.push_back(Connect(address));
+  }
+  std::this_thread::sleep_for(Millis(100));
+  for (Tcp::socket& it : sockets) {
+    boost::asio::write(it, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  }
+  RequestStop();
+  for (Tcp::socket& it : sockets) {
+    CHECK(ReadAll(it).find("\r\n\r\nok") != std::string::npos);
+  }
+  mThread.join();
+}
+
+} // namespace
+} // namespace fighold::net
--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -51,10 +51,11 @@
   std::vector<Envelope> Envelopes() const
   {
     Grant grant{
-      4, Millis(1500), 5, SharedValue(mConfiguration), { { { "s1" }, 5, Millis(900), 2 } }
+      4, Millis(1500), 5, SharedValue(mConfiguration), { { { "s1" }, 5, Millis(900), 2 } }, 20
     };
     Configuration sent = mConfiguration;
     sent.mAnswers.clear();
+    sent.mHistory.clear();
     grant.mConfiguration = SharedValue(sent);
     return {
       { "e1",
@@ -64,12 +65,16 @@
                mConfiguration.mEntries.at({ "e1" }),
                5,
                true,
-               { { { "s1" }, 5, Millis(7), 1 } } } },
+               { { { "s1" }, 5, Millis(7), 1 } },
+               { 17, Millis(250) },
+               6 } },
       { "c1", 1, grant },
       { "e1", 3, ChangeAsk{ 2, Change{ { "x" }, RemoveBackendServer{ { "s1" }, 5 } } } },
       { "c1", 1, ChangeDone{ 2, ChangeAnswer{ Verdict::Conflict, 8, 12, "digest", "message" } } },
-      { "c2", 1, ControlRenew{ 3, 8, { { { "e1" }, { 3, 5, Millis(20) } } }, {} } },
-      { "c1", 1, ControlGrant{ 3, Millis(1800), 5, 4, { { { "s1" }, 5, Millis(900), 2 } } } },
+      { "c2",
+        1,
+        ControlRenew{ 3, 8, { { { "e1" }, { 3, 5, Millis(20), 4 } } }, {}, { 18, Millis(251) } } },
+      { "c1", 1, ControlGrant{ 3, Millis(1800), 5, 4, { { { "s1" }, 5, Millis(900), 2 } }, 19 } },
       Agreed(agreement::VoteAsk{ 3, true, 2, 1, 9 }),
       Agreed(agreement::VoteReply{ 3, true, true }),
       Agreed(agreement::Append{
@@ -80,6 +85,22 @@
       Agreed(agreement::EmptyAsk{}),
       Agreed(agreement::EmptyReply{ 5, true }),
       Agreed(agreement::Forward{ "payload" }),
+      { "e1", 3, claims::Ask{ "vardia/k", "digest", { { "e1" }, 3, 9 } } },
+      { "c1",
+        1,
+        claims::Reply{ { { "e1" }, 3, 9 },
+                       claims::Verdict::Answered,
+                       { { "e2" }, 4, 1 },
+                       claims::KeptAnswer{ 201, { { "X", "y" } }, std::string("a\0\xff", 3) } } },
+      { "e1", 3, claims::Result{ "vardia/k", { { "e1" }, 3, 9 }, true, std::nullopt } },
+      { "c1", 1, claims::CopyAsk{ 7, "vardia/k" } },
+      { "c2",
+        1,
+        claims::CopyPage{ 7,
+                          "vardia/k",
+                          true,
+                          { { "l", "digest", claims::Attempt{ { "e1" }, 3, 9 }, Millis(5) },
+                            { "m", "digest", std::nullopt, Millis(6) } } } },
     };
   }
 };
--- a/tests/support/backend_standin.cpp
+++ b/tests/support/backend_standin.cpp
@@ -68,6 +68,7 @@
   std::uint64_t mIncarnation = 1;
   int mRunning = 0;
   std::uint64_t mRan = 0;
+  std::uint64_t mGone = 0; ///< requests whose connection was closed before their answer
   std::map<std::string, int> mRunsByKey;
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mFree;
@@ -77,7 +78,7 @@
 
 /// The answer names the request, so that the caller can tell that it is its own.
 net::HttpResponse
-RunRequest(Server& aServer, const net::HttpRequest& aRequest)
+RunRequest(Server& aServer, const net::HttpRequest& aRequest, net::CallerWatch& aWatch)
 {
   if (aRequest.mTarget == "/count") {
     json::object runs;
@@ -85,8 +86,11 @@
       runs[key] = count;
     }
     return net::JsonResponse(
-      200, json::serialize(json::object{ { "ran", aServer.mRan }, { "keys", runs } }));
+      200,
+      json::serialize(
+        json::object{ { "ran", aServer.mRan }, { "gone", aServer.mGone }, { "keys", runs } }));
   }
+  aWatch.mOnGone = [&aServer] { ++aServer.mGone; };
   std::unique_lock lock(aServer.mMutex);
   aServer.mFree.wait(lock, [&aServer] { return aServer.mRunning < aServer.mSlots; });
   ++aServer.mRunning;
@@ -161,7 +165,9 @@
       server->mHttp = std::make_unique<net::HttpServer>(
         mLoop,
         net::ServerOptions{ { "127.0.0.1", 0 } },
-        [pointer](const net::HttpRequest& aRequest) { return RunRequest(*pointer, aRequest); });
+        net::WatchedHandler([pointer](const net::HttpRequest& aRequest, net::CallerWatch& aWatch) {
+          return RunRequest(*pointer, aRequest, aWatch);
+        }));
       server->mServe = boost::fibers::fiber([pointer] { pointer->mHttp->Serve(); });
       std::cout << "server " << server->mId << " " << ToText(server->mHttp->Address()) << std::endl;
       mServers.push_back(std::move(server));
