--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -91,14 +91,15 @@
     : mSockets(MessageOptionsOf(aOptions), mWiring.mMessagesOut)
     , mFront(mWiring, aOptions.mServer, aOptions.mToken)
   {
-    auto chart = LoadCallChart(aOptions.mCharts);
+    auto charts = LoadCharts(aOptions.mCharts);
     auto options = AgreementOptionsOf(aOptions);
     agreement::Recovered recovered;
     auto storage = agreement::OpenStorage(
       aOptions.mData, agreement::PosixFileOps(), aOptions.mIncarnation, recovered);
     const bool startedEmpty = recovered.mLog.empty() && recovered.mSnapshot->mIndex == 0;
-    auto state = MakeState(
-      agreement::MakeNode(std::move(options), std::move(recovered)), WireCodec(), std::move(chart));
+    auto state = MakeState(agreement::MakeNode(std::move(options), std::move(recovered)),
+                           WireCodec(),
+                           std::move(charts));
     // A process that finds no state may still have granted claims before it lost its disk; only the
     // founding of the group shows that there are none.
     const claims::HolderOptions holder{ aOptions.mSelf,
--- a/packages/control/src/shifts_test.cpp
+++ b/packages/control/src/shifts_test.cpp
@@ -20,7 +20,7 @@
 
   LeaderFixture()
   {
-    mDisk.mIncarnation = 1;
+    mDisk.mIncarnation = 7;
     Start();
     plan::Plan plan;
     plan.mNumber = 1;
@@ -52,20 +52,17 @@
     codec.mEncode = wire::EncodeChange;
     codec.mDecode = [](const std::string& aBytes) { return wire::DecodeChange(aBytes); };
     mState = MakeState(
-      agreement::MakeNode(options, mDisk), std::move(codec), LoadCallChart(FIGHOLD_CHARTS_DIR));
+      agreement::MakeNode(options, mDisk), std::move(codec), LoadCharts(FIGHOLD_CHARTS_DIR));
     mState.mShifts.mChart = LoadShiftChart(FIGHOLD_CHARTS_DIR);
-    for (int n = 0; n < 400 && !mState.mShifts.mLeads; ++n) {
+    for (int n = 0; n < 200 && !agreement::IsLeader(mState.mNode); ++n) {
       Tick();
     }
-    REQUIRE(mState.mShifts.mLeads);
+    REQUIRE(agreement::IsLeader(mState.mNode));
   }
 
-  void Write(const agreement::Write& aWrite)
+  void Save(const agreement::Write& aWrite)
   {
     mDisk.mTermVote = aWrite.mTermVote.value_or(mDisk.mTermVote);
-    if (!aWrite.mEntries.empty()) {
-      mDisk.mLog.resize(aWrite.mEntries.front().mIndex - 1);
-    }
     mDisk.mLog.insert(mDisk.mLog.end(), aWrite.mEntries.begin(), aWrite.mEntries.end());
   }
 
@@ -77,7 +74,7 @@
       events.pop_back();
       for (const Effect& it : Step(mState, event, mNow)) {
         if (const auto* store = std::get_if<Store>(&it)) {
-          Write(store->mWrite);
+          Save(store->mWrite);
           events.emplace_back(Stored{ store->mWrite.mWrite });
         }
       }
@@ -92,7 +89,12 @@
   void Tick()
   {
     for (const RegionId& it : mLiving) {
-      mState.mBackends[{ it.mValue + "-1" }] = { 0, mNow + membership::kBackendServerLease, 0 };
+      mState.mBackends[{ it.mValue + "-1" }] =
+        membership::Renewed(mState.mCharts.mBackend,
+                            membership::StartLife(0, mNow),
+                            mNow + membership::kBackendServerLease,
+                            0,
+                            mNow);
     }
     mNow += kTickInterval;
     Do(control::Tick{});
--- a/packages/ctl/include/fighold/ctl/command.hpp
+++ b/packages/ctl/include/fighold/ctl/command.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/core/finding.hpp"
+#include "fighold/core/time.hpp"
 #include "fighold/net/http.hpp"
 
 #include <functional>
@@ -26,6 +27,7 @@
   std::function<Findings(const std::string&)> mNewKeys; ///< makes key files
   std::function<void(const std::string&)> mPrint;       ///< standard output
   std::function<void(const std::string&)> mError;       ///< standard error
+  std::function<void(Millis)> mWait;
 };
 
 /// Options that are given as flags.
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -16,15 +16,19 @@
 /// before the lease ends.
 constexpr Millis kSwitchControl{ 700 };
 
-/// Renewals whose grants may still arrive; older ones have no use for a lease of four renewals.
-constexpr std::uint64_t kAsksKept = 16;
+/// Renewals whose grants are still accepted.
+constexpr std::size_t kMaxAsked = 16;
+
+const ControlId&
+ControlInUse(const State& aState)
+{
+  return aState.mOptions.mControls[aState.mControl % aState.mOptions.mControls.size()];
+}
 
 void
 SendToControl(State& aState, decltype(SendControl::mBody) aBody, std::vector<Effect>& aEffects)
 {
-  const ControlId& to =
-    aState.mOptions.mControls[aState.mControl % aState.mOptions.mControls.size()];
-  aEffects.emplace_back(SendControl{ to, std::move(aBody) });
+  aEffects.emplace_back(SendControl{ ControlInUse(aState), std::move(aBody) });
 }
 
 std::vector<membership::BackendReport>
@@ -32,7 +36,7 @@
 {
   std::vector<membership::BackendReport> reports;
   for (auto& [id, report] : aState.mReports) {
-    report.first.mAge = std::chrono::duration_cast<Millis>(aNow - report.second);
+    report.first.mAge = std::chrono::ceil<Millis>(aNow - report.second);
     reports.push_back(report.first);
   }
   aState.mReports.clear();
@@ -48,10 +52,16 @@
   renew.mEntry = aState.mOptions.mEntry;
   renew.mHeld = aState.mConfiguration->mVersion;
   renew.mLeaving = aState.mStage == EntryStage::Draining;
-  renew.mReports = TakeReports(aState, aNow);
+  renew.mInFlight = static_cast<std::uint32_t>(aState.mInFlight.size());
+  // Without a stamp the control process cannot tell how old the reports are; they wait for the next
+  // renewal.
+  if (aState.mStampFrom == ControlInUse(aState)) {
+    renew.mStamp = { aState.mStamp, std::chrono::duration_cast<Millis>(aNow - aState.mStampAt) };
+    renew.mReports = TakeReports(aState, aNow);
+  }
   aState.mAsked[renew.mAsk] = aNow;
-  if (renew.mAsk > kAsksKept) {
-    aState.mAsked.erase(aState.mAsked.begin(), aState.mAsked.upper_bound(renew.mAsk - kAsksKept));
+  if (aState.mAsked.size() > kMaxAsked) {
+    aState.mAsked.erase(aState.mAsked.begin());
   }
   SendToControl(aState, std::move(renew), aEffects);
 }
@@ -65,15 +75,24 @@
   aEffects.emplace_back(Reply{ aId, BackendAnswer{ aVerdict, aMessage } });
 }
 
+void
+AnswerAll(const PendingChange& aPending,
+          BackendVerdict aVerdict,
+          const std::string& aMessage,
+          std::vector<Effect>& aEffects)
+{
+  for (const RequestId it : aPending.mReplyTo) {
+    AnswerBackend(it, aVerdict, aMessage, aEffects);
+  }
+}
+
 void
 ResendChanges(State& aState, std::vector<Effect>& aEffects, Instant aNow)
 {
   for (auto it = aState.mPendingChanges.begin(); it != aState.mPendingChanges.end();) {
     if (aNow >= it->second.mUntil) {
-      AnswerBackend(it->second.mReplyTo,
-                    BackendVerdict::Busy,
-                    "the control group did not decide in time",
-                    aEffects);
+      AnswerAll(
+        it->second, BackendVerdict::Busy, "the control group did not decide in time", aEffects);
       it = aState.mPendingChanges.erase(it);
       continue;
     }
@@ -89,26 +108,39 @@
              std::vector<Effect>& aEffects,
              Instant aNow)
 {
-  const std::uint64_t ask = aState.mNextAsk++;
   const membership::Change change{ {}, std::move(aBody) };
-  aState.mPendingChanges[ask] = PendingChange{ aReplyTo, change, aNow + kChangeTimeout };
+  for (auto& [ask, pending] : aState.mPendingChanges) {
+    if (pending.mChange == change) {
+      pending.mReplyTo.push_back(aReplyTo);
+      return;
+    }
+  }
+  const std::uint64_t ask = aState.mNextAsk++;
+  aState.mPendingChanges[ask] = PendingChange{ { aReplyTo }, change, aNow + kChangeTimeout };
   SendToControl(aState, membership::ChangeAsk{ ask, change }, aEffects);
 }
 
 /// Forgets what is known of backend servers that the configuration no longer has, unless requests
-/// still run there.
+/// still run there. The lease of an incarnation ends with it.
 void
-DropUnknownServers(State& aState)
+DropUnknownServers(State& aState, const membership::Configuration& aPrevious)
 {
+  for (const auto& [id, server] : aPrevious.mBackendServers) {
+    const auto now = aState.mConfiguration->mBackendServers.find(id);
+    const bool same = now != aState.mConfiguration->mBackendServers.end() &&
+                      now->second.mIncarnation == server.mIncarnation;
+    if (const auto known = aState.mServers.find(id); !same && known != aState.mServers.end()) {
+      known->second.mAliveUntil = {};
+    }
+  }
   const auto& servers = aState.mConfiguration->mBackendServers;
   for (auto it = aState.mServers.begin(); it != aState.mServers.end();) {
     const bool keep = servers.count(it->first) > 0 || it->second.mOutstanding > 0;
     it = keep ? std::next(it) : aState.mServers.erase(it);
   }
   for (auto it = aState.mDeparted.begin(); it != aState.mDeparted.end();) {
-    const auto server = servers.find(it->first);
-    const bool keep = server != servers.end() && server->second.mIncarnation == it->second;
-    it = keep ? std::next(it) : aState.mDeparted.erase(it);
+    const bool committed = HasDeparted(*aState.mConfiguration, it->first, it->second);
+    it = committed ? aState.mDeparted.erase(it) : std::next(it);
   }
 }
 
@@ -142,13 +174,26 @@
   }
 }
 
+BackendVerdict
+ToBackendVerdict(membership::Verdict aVerdict)
+{
+  switch (aVerdict) {
+    case membership::Verdict::Accepted:
+      return BackendVerdict::Accepted;
+    case membership::Verdict::Conflict:
+      return BackendVerdict::Busy;
+    case membership::Verdict::Refused:
+      break;
+  }
+  return BackendVerdict::Refused;
+}
+
 bool
 MayServe(const State& aState)
 {
   const auto it = aState.mConfiguration->mEntries.find(aState.mOptions.mId);
-  const bool registered = it != aState.mConfiguration->mEntries.end() &&
-                          it->second.mIncarnation == aState.mOptions.mEntry.mIncarnation;
-  return registered || aState.mStage == EntryStage::Draining;
+  return it != aState.mConfiguration->mEntries.end() &&
+         it->second.mIncarnation == aState.mOptions.mEntry.mIncarnation;
 }
 
 } // namespace
@@ -176,14 +221,22 @@
     return;
   }
   const Instant askedAt = asked->second;
+  // What waited for a stamp goes out at once.
+  if (aState.mStampFrom != aGrant.mFrom) {
+    aState.mNextRenew = aNow;
+  }
+  aState.mStamp = grant.mStamp;
+  aState.mStampFrom = aGrant.mFrom;
+  aState.mStampAt = aNow;
   if (grant.mConfiguration && (*grant.mConfiguration)->mVersion > aState.mConfiguration->mVersion) {
     const plan::Plan& next = *(*grant.mConfiguration)->mPlan;
     if (aState.mConfiguration->mPlan->mNumber != next.mNumber ||
         aState.mConfiguration->mPlanDigest != (*grant.mConfiguration)->mPlanDigest) {
       aState.mClients = plan::BuildClientTable(next);
     }
+    const auto previous = aState.mConfiguration;
     aState.mConfiguration = *grant.mConfiguration;
-    DropUnknownServers(aState);
+    DropUnknownServers(aState, *previous);
     BuildTable(aState);
   }
   // A grant for a version that this entry does not have would let it serve an old configuration.
@@ -214,21 +267,26 @@
   const bool same = known != aState.mConfiguration->mBackendServers.end() &&
                     known->second.mIncarnation == incarnation;
   if ((departed != aState.mDeparted.end() && departed->second == incarnation) ||
-      (same && known->second.mLeaving)) {
+      HasDeparted(*aState.mConfiguration, aRenewal.mServerId, incarnation)) {
     AnswerBackend(
       aRenewal.mId, BackendVerdict::Refused, "this incarnation announced its departure", aEffects);
     return;
   }
   if (!same) {
-    AskForChange(aState,
-                 aRenewal.mId,
-                 membership::AnnounceBackendServer{ aRenewal.mServerId, aRenewal.mServer },
-                 aEffects,
-                 aNow);
+    AskForChange(
+      aState,
+      aRenewal.mId,
+      membership::AnnounceBackendServer{
+        aRenewal.mServerId,
+        aRenewal.mServer,
+        known == aState.mConfiguration->mBackendServers.end() ? 0 : known->second.mIncarnation },
+      aEffects,
+      aNow);
   } else {
     AnswerBackend(aRenewal.mId, BackendVerdict::Accepted, "", aEffects);
+    // The renewal of a newer incarnation must not keep the one in the configuration alive.
+    aState.mServers[aRenewal.mServerId].mAliveUntil = aNow + membership::kBackendServerLease;
   }
-  aState.mServers[aRenewal.mServerId].mAliveUntil = aNow + membership::kBackendServerLease;
   aState.mReports[aRenewal.mServerId] = {
     { aRenewal.mServerId, incarnation, Millis(0), aRenewal.mInFlight }, aNow
   };
@@ -257,9 +315,7 @@
   if (it == aState.mPendingChanges.end()) {
     return;
   }
-  const bool accepted = aDone.mAnswer.mVerdict == membership::Verdict::Accepted;
-  const auto verdict = accepted ? BackendVerdict::Accepted : BackendVerdict::Refused;
-  AnswerBackend(it->second.mReplyTo, verdict, aDone.mAnswer.mMessage, aEffects);
+  AnswerAll(it->second, ToBackendVerdict(aDone.mAnswer.mVerdict), aDone.mAnswer.mMessage, aEffects);
   aState.mPendingChanges.erase(it);
 }
 
--- a/packages/routing/src/choice.cpp
+++ b/packages/routing/src/choice.cpp
@@ -158,11 +158,12 @@
   if (aResult == Result::Refused) {
     return next;
   }
-  // An overdue request shows a lower bound of its latency before it ends.
-  const bool longer = aResult == Result::Answered || aLatency > next.mLatency;
+  // A request without an answer shows only a lower bound. One that could not be sent ends at once
+  // and must not make the server look fast.
+  const bool answered = aResult == Result::Answered;
   if (next.mLatency == Duration::zero()) {
-    next.mLatency = aLatency;
-  } else if (longer) {
+    next.mLatency = answered ? aLatency : next.mLatency;
+  } else if (answered || aLatency > next.mLatency) {
     next.mLatency += (aLatency - next.mLatency) / kLatencyDecay;
   }
   if (aResult == Result::Answered) {
--- a/packages/routing/src/choice_test.cpp
+++ b/packages/routing/src/choice_test.cpp
@@ -118,6 +118,14 @@
   CHECK(mStates[{ "a" }].mEjectedUntil == mNow + kFirstEjection);
 }
 
+// Guards against a server that cannot be reached and looks fast, since its failures end at once.
+TEST_CASE_METHOD(ChoiceFixture, "RecordResult, failures, do not lower the latency", "[choice]")
+{
+  Record("a", Result::Failed, Millis(0));
+  CHECK(mStates[{ "a" }].mLatency == Millis(20));
+  CHECK(RecordResult(ServerState{}, Result::Failed, Millis(1), mNow).mLatency == Duration::zero());
+}
+
 TEST_CASE_METHOD(ChoiceFixture,
                  "RecordResult, fails after an ejection, ejects for twice as long",
                  "[choice]")
