Hold every dispatch to the shares of the plan's limits

Cause: the allocator and the holder of shares were decided and tested, but no request of the daemons passed through them, so nothing kept many entries together from taking a region or link past its capacity. Ruled out: sending the report through the control process in use and on to the leader, which adds a hop to each lease; entries are connected to every control process, and only the leader answers.

--- a/packages/control/include/fighold/control/event.hpp
+++ b/packages/control/include/fighold/control/event.hpp
@@ -5,6 +5,7 @@
 #include "fighold/core/decision_record.hpp"
 #include "fighold/core/time.hpp"
 #include "fighold/membership/protocol.hpp"
+#include "fighold/routing/share_message.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -40,7 +41,12 @@
 struct FromEntry
 {
   EntryId mFrom;
-  std::variant<membership::Renew, membership::ChangeAsk, claims::Ask, claims::Result> mBody;
+  std::variant<membership::Renew,
+               membership::ChangeAsk,
+               claims::Ask,
+               claims::Result,
+               routing::ShareReport>
+    mBody;
 
   friend bool operator==(const FromEntry&, const FromEntry&) = default;
 };
@@ -156,7 +162,8 @@
 struct SendEntry
 {
   EntryId mTo;
-  std::variant<membership::Grant, membership::ChangeDone, claims::Reply> mBody;
+  std::variant<membership::Grant, membership::ChangeDone, claims::Reply, routing::ShareAnswer>
+    mBody;
 
   friend bool operator==(const SendEntry&, const SendEntry&) = default;
 };
--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -98,6 +98,16 @@
   bool mLeads = false; ///< led at the last tick
 };
 
+/// Shares of the plan's limits. Every control process knows the limits; only the leader allocates.
+struct ShareKeeping
+{
+  routing::AllocatorState mAllocator;
+  std::string mPlanDigest;  ///< plan whose limits are in use
+  std::size_t mEntries = 0; ///< registered entries among which the base parts are divided
+  std::uint64_t mTerm = 0;  ///< term in which this process began to allocate
+  std::map<routing::Holder, std::pair<routing::ShareDemand, Instant>> mReports;
+};
+
 /// The charts of a control process.
 struct Charts
 {
@@ -143,6 +153,7 @@
   Version mInForce = 0; ///< version that is in force everywhere, as far as known here
   std::map<EntryId, Instant> mNextEntryProposal; ///< limits repeated proposals about one entry
   ShiftKeeping mShifts;
+  ShareKeeping mShares;
   std::map<BackendKey, Instant> mNextRemoval;   ///< the same for removals
   std::map<BackendKey, Instant> mDepartedSince; ///< when a departed incarnation was first seen
   std::map<std::string, Instant> mProposed;     ///< payloads that a leader proposed, until when
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -42,6 +42,8 @@
     push(FromControl{ { aEnvelope.mFrom }, std::move(*controlGrant) });
   } else if (auto* claimAsk = std::get_if<claims::Ask>(&aEnvelope.mBody)) {
     push(FromEntry{ { aEnvelope.mFrom }, std::move(*claimAsk) });
+  } else if (auto* report = std::get_if<routing::ShareReport>(&aEnvelope.mBody)) {
+    push(FromEntry{ { aEnvelope.mFrom }, std::move(*report) });
   } else if (auto* claimResult = std::get_if<claims::Result>(&aEnvelope.mBody)) {
     push(FromEntry{ { aEnvelope.mFrom }, std::move(*claimResult) });
   } else if (auto* copyAsk = std::get_if<claims::CopyAsk>(&aEnvelope.mBody)) {
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -4,6 +4,7 @@
 #include "calls.hpp"
 #include "claim_holding.hpp"
 #include "leases.hpp"
+#include "shares.hpp"
 #include "shifts.hpp"
 
 namespace fighold::control {
@@ -35,6 +36,7 @@
     state.mAppliedAt.emplace_back(aConfiguration->mVersion, aContext.mNow);
   }
   state.mConfiguration = aConfiguration;
+  KeepLimits(aContext);
 }
 
 void
@@ -134,6 +136,8 @@
   }
   if (const auto* renew = std::get_if<membership::Renew>(&aMessage.mBody)) {
     HandleRenew(aContext, aMessage.mFrom, *renew);
+  } else if (const auto* report = std::get_if<routing::ShareReport>(&aMessage.mBody)) {
+    HandleShareReport(aContext, aMessage.mFrom, *report);
   } else {
     HandleAsk(aContext, aMessage.mFrom, std::get<membership::ChangeAsk>(aMessage.mBody));
   }
@@ -173,6 +177,7 @@
   Agree(aContext, agreement::Tick{});
   TickLeases(aContext);
   TickBackends(aContext);
+  TickShares(aContext);
   TickShifts(aContext);
   TickCalls(aContext);
   TickClaims(aContext);
--- /dev/null
+++ b/packages/control/src/shares.cpp
@@ -0,0 +1,95 @@
+#include "shares.hpp"
+
+namespace fighold::control {
+namespace {
+
+bool
+MayAllocate(const Context& aContext)
+{
+  return agreement::IsLeader(aContext.mState.mNode) &&
+         GrantRight(aContext.mState, aContext.mNow).has_value();
+}
+
+std::set<routing::Holder>
+RegisteredHolders(const State& aState)
+{
+  std::set<routing::Holder> holders;
+  for (const auto& [id, entry] : aState.mConfiguration->mEntries) {
+    holders.insert({ id, entry.mIncarnation });
+  }
+  return holders;
+}
+
+/// Reports of the holders that were heard within their lease.
+std::map<routing::Holder, routing::ShareDemand>
+CurrentDemands(ShareKeeping& aShares, Instant aNow)
+{
+  std::map<routing::Holder, routing::ShareDemand> demands;
+  for (auto it = aShares.mReports.begin(); it != aShares.mReports.end();) {
+    if (aNow >= it->second.second + routing::kShareLease) {
+      it = aShares.mReports.erase(it);
+      continue;
+    }
+    demands[it->first] = it->second.first;
+    ++it;
+  }
+  return demands;
+}
+
+} // namespace
+
+void
+KeepLimits(Context& aContext)
+{
+  const membership::Configuration& configuration = *aContext.mState.mConfiguration;
+  ShareKeeping& shares = aContext.mState.mShares;
+  const std::size_t entries = configuration.mEntries.size();
+  if (configuration.mPlan->mNumber == 0 ||
+      (shares.mPlanDigest == configuration.mPlanDigest && shares.mEntries == entries)) {
+    return;
+  }
+  shares.mPlanDigest = configuration.mPlanDigest;
+  shares.mEntries = entries;
+  routing::SetLimits(shares.mAllocator, *configuration.mPlan, entries, aContext.mNow);
+}
+
+void
+TickShares(Context& aContext)
+{
+  KeepLimits(aContext);
+  ShareKeeping& shares = aContext.mState.mShares;
+  const std::uint64_t term = aContext.mState.mNode.mTermVote.mTerm;
+  if (!MayAllocate(aContext) || shares.mTerm == term) {
+    return;
+  }
+  shares.mTerm = term;
+  shares.mReports.clear();
+  const bool fresh = aContext.mState.mConfiguration->mPlan->mNumber == 0;
+  routing::StartAllocating(shares.mAllocator, term, fresh, aContext.mNow);
+}
+
+void
+HandleShareReport(Context& aContext, const EntryId& aFrom, const routing::ShareReport& aReport)
+{
+  ShareKeeping& shares = aContext.mState.mShares;
+  const bool leads = MayAllocate(aContext) && shares.mTerm == aContext.mState.mNode.mTermVote.mTerm;
+  if (!leads || aReport.mHolder.mId != aFrom || shares.mPlanDigest.empty()) {
+    return;
+  }
+  const auto known = shares.mReports.find(aReport.mHolder);
+  if (known != shares.mReports.end() && known->second.first.mReport > aReport.mDemand.mReport) {
+    return;
+  }
+  shares.mReports[aReport.mHolder] = { aReport.mDemand, aContext.mNow };
+  const auto grants = routing::Allocate(shares.mAllocator,
+                                        RegisteredHolders(aContext.mState),
+                                        CurrentDemands(shares, aContext.mNow),
+                                        aContext.mNow);
+  const auto grant = grants.find(aReport.mHolder);
+  if (grant != grants.end()) {
+    aContext.mEffects.emplace_back(
+      SendEntry{ aFrom, routing::ShareAnswer{ aReport.mAsk, grant->second } });
+  }
+}
+
+} // namespace fighold::control
--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -9,6 +9,7 @@
 #include "fighold/membership/protocol.hpp"
 #include "fighold/net/http.hpp"
 #include "fighold/net/http_client.hpp"
+#include "fighold/routing/share_message.hpp"
 #include "fighold/routing/table.hpp"
 
 #include <compare>
@@ -118,6 +119,14 @@
   friend auto operator<=>(const CallerGone&, const CallerGone&) = default;
 };
 
+/// The leader granted shares.
+struct ShareAnswerReceived
+{
+  routing::ShareAnswer mAnswer;
+
+  friend auto operator<=>(const ShareAnswerReceived&, const ShareAnswerReceived&) = default;
+};
+
 /// Time passed.
 struct Tick
 {
@@ -141,7 +150,8 @@
                            ClaimReplyReceived,
                            CallerGone,
                            Tick,
-                           Stop>;
+                           Stop,
+                           ShareAnswerReceived>;
 
 /// Answer to a caller's request.
 struct CallerAnswer
@@ -246,7 +256,12 @@
 struct SendControl
 {
   ControlId mTo;
-  std::variant<membership::Renew, membership::ChangeAsk, claims::Ask, claims::Result> mBody;
+  std::variant<membership::Renew,
+               membership::ChangeAsk,
+               claims::Ask,
+               claims::Result,
+               routing::ShareReport>
+    mBody;
 
   friend bool operator==(const SendControl&, const SendControl&) = default;
 };
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -5,7 +5,9 @@
 #include "fighold/entry/event.hpp"
 #include "fighold/membership/lease.hpp"
 #include "fighold/plan/client_table.hpp"
+#include "fighold/routing/queue.hpp"
 #include "fighold/routing/route.hpp"
+#include "fighold/routing/share.hpp"
 
 #include <cstdint>
 #include <filesystem>
@@ -21,6 +23,7 @@
 {
   Received,
   Claiming,
+  Queued,
   Dispatched,
   Answered,
   NotRun,
@@ -61,7 +64,8 @@
   std::uint64_t mDispatch = 0;
   BackendServerId mServer;
   Instant mDispatchedAt{};
-  Instant mClaimUntil = Instant::max(); ///< end of the claim, for a request that needs one
+  std::optional<routing::ShareRequest> mShare; ///< shares that the running dispatch uses
+  Instant mClaimUntil = Instant::max();        ///< end of the claim, for a request that needs one
 };
 
 /// A change asked of the control group on behalf of a backend server.
@@ -110,6 +114,9 @@
   Instant mStampAt{};
   std::uint64_t mRandom = 1;
   claims::Asker mAsker;
+  routing::ShareState mShares;
+  std::map<std::uint64_t, Instant> mShareAsked; ///< reports sent, by number
+  routing::Queue mQueue;
 };
 
 /// Loads the charts of an entry.
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -30,6 +30,8 @@
     aWiring.mInbox.TryPush(GrantReceived{ { aEnvelope.mFrom }, std::move(*grant) }, kInboxReserve);
   } else if (auto* done = std::get_if<membership::ChangeDone>(&aEnvelope.mBody)) {
     aWiring.mInbox.TryPush(ChangeDoneReceived{ std::move(*done) }, kInboxReserve);
+  } else if (auto* answer = std::get_if<routing::ShareAnswer>(&aEnvelope.mBody)) {
+    aWiring.mInbox.TryPush(ShareAnswerReceived{ std::move(*answer) }, kInboxReserve);
   } else if (auto* reply = std::get_if<claims::Reply>(&aEnvelope.mBody)) {
     aWiring.mInbox.TryPush(ClaimReplyReceived{ { aEnvelope.mFrom }, std::move(*reply) },
                            kInboxReserve);
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -2,6 +2,7 @@
 
 #include "claiming.hpp"
 #include "lease_keeping.hpp"
+#include "queueing.hpp"
 #include "request_chart.hpp"
 #include "stage_chart.hpp"
 
@@ -13,6 +14,9 @@
 /// Time between two checks whether a drain has ended.
 constexpr Millis kDrainCheck{ 100 };
 
+/// Time between two looks at requests that wait, to end the wait of those that are late.
+constexpr Millis kQueueCheck{ 20 };
+
 /// One step in progress.
 struct Context
 {
@@ -132,6 +136,12 @@
              aContext.mNow);
 }
 
+void
+Handle(const ShareAnswerReceived& aReceived, Context& aContext)
+{
+  HandleShareAnswer(aContext.mState, aReceived.mAnswer);
+}
+
 void
 Handle(const CallerGone& aGone, Context& aContext)
 {
@@ -174,6 +184,9 @@
     FireStage(aState, StageEvent::LeaseLost, context.mEffects, aNow);
   }
   std::visit([&](auto& aBody) { Handle(std::move(aBody), context); }, aEvent);
+  if (!routing::IsEmpty(aState.mQueue)) {
+    SendWaiting(aState, context.mEffects, aNow);
+  }
   if (aState.mStage == EntryStage::Draining || aState.mStage == EntryStage::Stopped) {
     MarkRepliesLast(context.mEffects);
   }
@@ -186,6 +199,9 @@
   const bool draining = aState.mStage == EntryStage::Draining;
   const Instant next =
     draining ? std::min(aState.mNextRenew, aNow + kDrainCheck) : aState.mNextRenew;
+  if (!routing::IsEmpty(aState.mQueue)) {
+    return std::min(next, aNow + kQueueCheck);
+  }
   return std::min(next, claims::NextAskerTick(aState.mAsker).value_or(next));
 }
 
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -1,6 +1,7 @@
 #include "lease_keeping.hpp"
 
 #include "admission.hpp"
+#include "queueing.hpp"
 #include "stage_chart.hpp"
 
 #include <algorithm>
@@ -209,6 +210,7 @@
     ++aState.mControl;
   }
   SendRenewal(aState, aEffects, aNow);
+  ReportShares(aState, aEffects, aNow);
   ResendChanges(aState, aEffects, aNow);
 }
 
@@ -238,6 +240,7 @@
     aState.mConfiguration = *grant.mConfiguration;
     DropUnknownServers(aState, *previous);
     BuildTable(aState);
+    TakeLimits(aState);
   }
   // A grant for a version that this entry does not have would let it serve an old configuration.
   if (aState.mConfiguration->mVersion < grant.mVersion) {
@@ -250,6 +253,7 @@
   }
   const Instant until = membership::LeaseEnd(askedAt, grant.mLength);
   aState.mLease = membership::Lease{ grant.mVersion, std::max(aState.mLease.mUntil, until) };
+  routing::KeepBase(aState.mShares, aState.mLease.mUntil, aNow);
   if (membership::Holds(aState.mLease, aNow)) {
     FireStage(aState, StageEvent::Granted, aEffects, aNow);
   }
--- /dev/null
+++ b/packages/entry/src/queueing.cpp
@@ -0,0 +1,186 @@
+#include "queueing.hpp"
+
+namespace fighold::entry {
+namespace {
+
+/// Reports whose answers are still accepted: those of one lease.
+constexpr std::size_t kMaxShareAsks = 8;
+
+const plan::Service&
+ServiceOf(const State& aState, const ServiceId& aId)
+{
+  static const plan::Service unknown;
+  const auto it = aState.mConfiguration->mPlan->mServices.find(aId);
+  return it == aState.mConfiguration->mPlan->mServices.end() ? unknown : it->second;
+}
+
+routing::ShareRequest
+ShareRequestFor(const State& aState, const ServiceId& aService, const RegionId& aRegion)
+{
+  return { aService, aState.mOptions.mEntry.mRegion, aRegion, ServiceOf(aState, aService).mClass, 0,
+           0 };
+}
+
+routing::ShareRequest
+ShareRequestOf(const RequestScope& aScope)
+{
+  const CallerRequest& request = aScope.mRequest.mRequest;
+  auto share = ShareRequestFor(aScope.mState, request.mService, aScope.mRoute.mRegion);
+  share.mBytes = request.mPayload->mBody.size();
+  return share;
+}
+
+/// A claimed request must be dispatched while its claim lasts.
+Instant
+WaitUntil(const InFlight& aRequest)
+{
+  return std::min(aRequest.mUntil, aRequest.mClaimUntil);
+}
+
+routing::Waiting
+WaitingOf(const RequestScope& aScope)
+{
+  const InFlight& request = aScope.mRequest;
+  return { request.mRequest.mId,
+           { request.mRequest.mService, aScope.mRoute.mRegion },
+           ServiceOf(aScope.mState, request.mRequest.mService).mClass,
+           WaitUntil(request),
+           {} };
+}
+
+bool
+HasFreeSlot(const State& aState, const routing::GroupKey& aGroup, RequestClass aClass, Instant aNow)
+{
+  const auto group = aState.mTable.mGroups.find(aGroup);
+  if (group == aState.mTable.mGroups.end()) {
+    return true; // lets the request find out that it has no route
+  }
+  const routing::ChoiceRequest request{
+    aClass, {}, routing::EntriesSharing(*aState.mConfiguration, aGroup.mRegion), true
+  };
+  const auto choice =
+    routing::ChooseBackendServer(group->second, aState.mServers, request, 0, 0, aNow);
+  return choice.mReason != routing::kNoFreeSlot;
+}
+
+void
+FireWaiting(State& aState,
+            const routing::Waiting& aWaiting,
+            RequestEvent aEvent,
+            std::vector<Effect>& aEffects,
+            Instant aNow)
+{
+  const auto it = aState.mInFlight.find(aWaiting.mId);
+  if (it == aState.mInFlight.end()) {
+    return;
+  }
+  RequestScope scope{ aState, it->second, aEffects, aNow, {}, {} };
+  if (aEvent == RequestEvent::ShareFreed) {
+    scope.mRoute = RouteNow(aState, it->second, aNow, aWaiting.mGroup.mRegion);
+  }
+  FireRequest(scope, aEvent);
+}
+
+} // namespace
+
+bool
+MustWait(const RequestScope& aScope)
+{
+  if (!aScope.mRoute.mCandidate) {
+    return aScope.mRoute.mRecord.mReason == routing::kNoFreeSlot;
+  }
+  return !routing::FitsShare(aScope.mState.mShares, ShareRequestOf(aScope), aScope.mNow);
+}
+
+bool
+CannotWait(const RequestScope& aScope)
+{
+  if (!MustWait(aScope)) {
+    return false;
+  }
+  const routing::Waiting waiting = WaitingOf(aScope);
+  const std::size_t count = routing::CountWaiting(aScope.mState.mQueue, waiting.mClass);
+  return count >= routing::kMaxWaiting || aScope.mNow >= waiting.mUntil;
+}
+
+void
+EnqueueRequest(RequestScope& aScope)
+{
+  routing::Enqueue(aScope.mState.mQueue, WaitingOf(aScope), aScope.mNow);
+  routing::CountUnmet(aScope.mState.mShares, ShareRequestOf(aScope), aScope.mNow);
+}
+
+bool
+TakeShare(RequestScope& aScope)
+{
+  routing::ShareRequest share = ShareRequestOf(aScope);
+  if (!routing::AdmitToShare(aScope.mState.mShares, share, aScope.mNow).mAdmitted) {
+    return false;
+  }
+  aScope.mRequest.mShare = share;
+  return true;
+}
+
+void
+GiveShareBack(State& aState, InFlight& aRequest, std::uint64_t aAnswerBytes, Instant aNow)
+{
+  if (aRequest.mShare) {
+    routing::Release(aState.mShares, *aRequest.mShare, aAnswerBytes, aNow);
+    aRequest.mShare.reset();
+  }
+}
+
+void
+SendWaiting(State& aState, std::vector<Effect>& aEffects, Instant aNow)
+{
+  for (const routing::Waiting& it : routing::TakeExpired(aState.mQueue, aNow)) {
+    FireWaiting(aState, it, RequestEvent::WaitExpired, aEffects, aNow);
+  }
+  const auto isOpen = [&](const routing::GroupKey& aGroup, RequestClass aClass) {
+    const auto share = ShareRequestFor(aState, aGroup.mService, aGroup.mRegion);
+    return routing::FitsShare(aState.mShares, share, aNow) &&
+           HasFreeSlot(aState, aGroup, aClass, aNow);
+  };
+  while (const auto next = routing::NextToDispatch(aState.mQueue, isOpen, aNow)) {
+    FireWaiting(aState, *next, RequestEvent::ShareFreed, aEffects, aNow);
+  }
+}
+
+void
+TakeLimits(State& aState)
+{
+  const membership::Configuration& configuration = *aState.mConfiguration;
+  if (configuration.mPlan->mNumber != 0) {
+    routing::TakeLimits(aState.mShares, *configuration.mPlan, configuration.mEntries.size());
+  }
+}
+
+void
+ReportShares(State& aState, std::vector<Effect>& aEffects, Instant aNow)
+{
+  if (aState.mConfiguration->mPlan->mNumber == 0) {
+    return;
+  }
+  routing::ShareReport report;
+  report.mAsk = aState.mNextAsk++;
+  report.mHolder = { aState.mOptions.mId, aState.mOptions.mEntry.mIncarnation };
+  report.mDemand = routing::ReportDemand(aState.mShares, aNow);
+  aState.mShareAsked[report.mAsk] = aNow;
+  if (aState.mShareAsked.size() > kMaxShareAsks) {
+    aState.mShareAsked.erase(aState.mShareAsked.begin());
+  }
+  for (const ControlId& it : aState.mOptions.mControls) {
+    aEffects.emplace_back(SendControl{ it, report });
+  }
+}
+
+void
+HandleShareAnswer(State& aState, const routing::ShareAnswer& aAnswer)
+{
+  const auto asked = aState.mShareAsked.find(aAnswer.mAsk);
+  if (asked != aState.mShareAsked.end()) {
+    routing::TakeShares(aState.mShares, aAnswer.mGrant, asked->second);
+  }
+}
+
+} // namespace fighold::entry
--- a/packages/entry/src/request_chart.cpp
+++ b/packages/entry/src/request_chart.cpp
@@ -1,6 +1,7 @@
 #include "request_chart.hpp"
 
 #include "claiming.hpp"
+#include "queueing.hpp"
 
 #include <algorithm>
 
@@ -25,15 +26,17 @@
 bool
 NoRoute(const RequestScope& aScope)
 {
-  return !aScope.mRoute.mCandidate.has_value();
+  return !aScope.mRoute.mCandidate.has_value() &&
+         aScope.mRoute.mRecord.mReason != routing::kNoFreeSlot;
 }
 
 bool
 MayTryAgain(const RequestScope& aScope)
 {
   // A claim may be too old for another dispatch.
-  return !NoLease(aScope) && !NoRoute(aScope) && aScope.mNow < aScope.mRequest.mClaimUntil &&
-         aScope.mRequest.mAttempts < kMaxAttempts && aScope.mNow < aScope.mRequest.mUntil;
+  return !NoLease(aScope) && !NoRoute(aScope) && !MustWait(aScope) &&
+         aScope.mNow < aScope.mRequest.mClaimUntil && aScope.mRequest.mAttempts < kMaxAttempts &&
+         aScope.mNow < aScope.mRequest.mUntil;
 }
 
 bool
@@ -98,6 +101,19 @@
   ReplyWith(aScope, Outcome::NotRun, aScope.mRoute.mRecord.mReason);
 }
 
+void
+AnswerNoShare(RequestScope& aScope)
+{
+  DecisionRecord record = aScope.mRoute.mRecord;
+  record.mKind = "route";
+  record.mSubject = std::to_string(aScope.mRequest.mRequest.mId);
+  record.mService = aScope.mRequest.mRequest.mService.mValue;
+  record.mChoice.clear();
+  record.mReason = "no-share-of-the-limits";
+  ReplyWith(aScope, Outcome::NotRun, record.mReason);
+  aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
+}
+
 void
 AnswerRefused(RequestScope& aScope)
 {
@@ -185,13 +201,15 @@
 chart::Registry<RequestScope>
 RequestRegistry()
 {
-  return { { "received", "claiming", "dispatched", "answered", "not_run", "unknown" },
+  return { { "received", "claiming", "queued", "dispatched", "answered", "not_run", "unknown" },
            { "arrived",
              "claim_granted",
              "claim_answered",
              "claim_dispatched",
              "claim_mismatch",
              "claim_undecided",
+             "share_freed",
+             "wait_expired",
              "answered",
              "refused",
              "unsent",
@@ -200,6 +218,8 @@
            { { "no_lease", NoLease },
              { "not_admitted", NotAdmitted },
              { "no_route", NoRoute },
+             { "must_wait", MustWait },
+             { "cannot_wait", CannotWait },
              { "key_missing", KeyMissing },
              { "claims_full", ClaimsFull },
              { "needs_claim", NeedsClaim },
@@ -208,6 +228,8 @@
            { { "answer_no_lease", AnswerNoLease },
              { "answer_overload", AnswerOverload },
              { "answer_no_route", AnswerNoRoute },
+             { "answer_no_share", AnswerNoShare },
+             { "enqueue", EnqueueRequest },
              { "answer_refused", AnswerRefused },
              { "answer_unknown", AnswerUnknown },
              { "answer_whole", AnswerWhole },
@@ -239,7 +261,8 @@
   const RequestState state =
     chart::Fire(aScope.mState.mCharts.mRequest, aScope.mRequest.mState, aEvent, aScope).mState;
   aScope.mRequest.mState = state;
-  if (state == RequestState::Claiming || state == RequestState::Dispatched) {
+  if (state == RequestState::Claiming || state == RequestState::Queued ||
+      state == RequestState::Dispatched) {
     return;
   }
   aScope.mState.mInFlight.erase(id);
--- a/packages/entry/src/request_chart.hpp
+++ b/packages/entry/src/request_chart.hpp
@@ -14,6 +14,8 @@
   ClaimDispatched,
   ClaimMismatch,
   ClaimUndecided,
+  ShareFreed,
+  WaitExpired,
   Answered,
   Refused,
   Unsent,
@@ -43,9 +45,13 @@
 bool
 IsRepeatable(const RequestScope& aScope);
 
+/// @param aPinned region that was chosen when the request began to wait
 /// @return where a request would be sent now
 routing::RouteDecision
-RouteNow(State& aState, const InFlight& aRequest, Instant aNow);
+RouteNow(State& aState,
+         const InFlight& aRequest,
+         Instant aNow,
+         std::optional<RegionId> aPinned = std::nullopt);
 
 /// Sends the request to the server that scope.mRoute names.
 void
--- a/packages/entry/src/request_chart_test.cpp
+++ b/packages/entry/src/request_chart_test.cpp
@@ -47,6 +47,9 @@
     mState.mLease = { 1, mNow + std::chrono::hours(1) };
     mState.mStage = EntryStage::Serving;
     mState.mNextRenew = mNow + std::chrono::hours(1);
+    routing::TakeLimits(mState.mShares, plan, 1);
+    routing::TakeShares(mState.mShares, { { 1, 1 }, true, {} }, mNow);
+    routing::KeepBase(mState.mShares, mNow + std::chrono::hours(1), mNow);
   }
 
   void Do(Event aEvent)
@@ -158,6 +161,89 @@
   CHECK(All<Dispatch>().empty());
 }
 
+/// The fixture's region with a capacity of 2 for one entry, of which the base share is 1.
+struct ShareFixture : RequestFixture
+{
+  ShareFixture()
+  {
+    plan::Plan plan = *mState.mConfiguration->mPlan;
+    plan.mRegions[{ "attiki" }] = 2;
+    plan.mMaxEntries = 1;
+    routing::TakeLimits(mState.mShares, plan, 1);
+  }
+
+  void DemandShare(std::uint64_t aUnits)
+  {
+    routing::ShareGrant grant{ { 1, ++mGrants }, true, {} };
+    grant.mDemand[{ routing::LimitKind::Region, { "attiki" }, {}, {} }] = { aUnits, 1 };
+    grant.mDemand[{ routing::LimitKind::Service, { "attiki" }, {}, { "vardia" } }] = { aUnits, 1 };
+    mState.mShareAsked[mGrants] = mNow;
+    Do(ShareAnswerReceived{ { mGrants, grant } });
+  }
+
+  std::uint64_t mGrants = 1;
+};
+
+// Guards against an entry that takes a region past its capacity.
+TEST_CASE_METHOD(ShareFixture,
+                 "Request, share of the region used up, waits until one ends",
+                 "[entry]")
+{
+  Arrive(1, "GET", "");
+  Arrive(2, "GET", "");
+  REQUIRE(All<Dispatch>().size() == 1);
+  CHECK(All<Reply>().empty());
+  End(All<Dispatch>()[0], Whole());
+  REQUIRE(All<Dispatch>().size() == 2);
+  CHECK(All<Dispatch>()[1].mId == 2);
+}
+
+TEST_CASE_METHOD(ShareFixture,
+                 "Request, waits and a demand share is granted, is dispatched",
+                 "[entry]")
+{
+  Arrive(1, "GET", "");
+  Arrive(2, "GET", "");
+  Arrive(3, "GET", "");
+  DemandShare(1);
+  CHECK(All<Dispatch>().size() == 2);
+}
+
+// Guards against a request that waits for ever, or is sent although its answer would be late.
+TEST_CASE_METHOD(ShareFixture,
+                 "Request, waits until its deadline, is answered as not run",
+                 "[entry]")
+{
+  Arrive(1, "GET", "");
+  Arrive(2, "GET", "");
+  mNow += Millis(5001);
+  Do(Tick{});
+  CHECK(LastAnswer().mOutcome == Outcome::NotRun);
+  CHECK(LastAnswer().mReason == "no-share-of-the-limits");
+  End(All<Dispatch>()[0], Lost());
+  CHECK(All<Dispatch>().size() == 1);
+}
+
+// Guards against a share that stays in use after its request was given up.
+TEST_CASE_METHOD(ShareFixture, "Request, caller goes away, gives its share to the next", "[entry]")
+{
+  Arrive(1, "GET", "");
+  Arrive(2, "GET", "");
+  Do(CallerGone{ 1 });
+  CHECK(All<Dispatch>().size() == 2);
+}
+
+// Guards against an entry that goes on with its base share when it has lost its leases.
+TEST_CASE_METHOD(ShareFixture,
+                 "Request, right to the base share has run out, is not dispatched",
+                 "[entry]")
+{
+  mNow += std::chrono::hours(1);
+  mState.mLease.mUntil = mNow + std::chrono::hours(1);
+  Arrive(1, "GET", "");
+  CHECK(All<Dispatch>().empty());
+}
+
 /// How the dispatch of a request ends, and what follows.
 struct EndRow
 {
--- a/packages/entry/src/request_dispatch.cpp
+++ b/packages/entry/src/request_dispatch.cpp
@@ -1,7 +1,9 @@
 #include "admission.hpp"
+#include "queueing.hpp"
 #include "request_chart.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace fighold::entry {
 namespace {
@@ -78,11 +80,15 @@
 } // namespace
 
 routing::RouteDecision
-RouteNow(State& aState, const InFlight& aRequest, Instant aNow)
+RouteNow(State& aState, const InFlight& aRequest, Instant aNow, std::optional<RegionId> aPinned)
 {
-  const routing::RouteRequest request{
-    aRequest.mRequest.mId, aRequest.mRequest.mService, aRequest.mOrigin, aRequest.mTried
-  };
+  const routing::RouteRequest request{ aRequest.mRequest.mId,
+                                       aRequest.mRequest.mService,
+                                       aRequest.mOrigin,
+                                       aRequest.mTried,
+                                       // A request that was tried before has waited long enough.
+                                       aRequest.mAttempts == 0,
+                                       std::move(aPinned) };
   const routing::Draws draws{ Draw(aState), Draw(aState), Draw(aState) };
   return routing::Route(
     *aState.mConfiguration, aState.mTable, aState.mServers, request, draws, aNow);
@@ -93,6 +99,9 @@
 {
   InFlight& request = aScope.mRequest;
   const routing::Candidate& server = *aScope.mRoute.mCandidate;
+  if (!TakeShare(aScope)) {
+    throw std::logic_error("a request without a share of the limits was to be dispatched");
+  }
   request.mDispatch = aScope.mState.mNextDispatch++;
   request.mServer = server.mId;
   request.mTried.insert(server.mId);
@@ -114,6 +123,7 @@
 CancelRunning(RequestScope& aScope)
 {
   ReleaseServer(aScope.mState, aScope.mRequest);
+  GiveShareBack(aScope.mState, aScope.mRequest, 0, aScope.mNow);
   aScope.mEffects.emplace_back(CancelDispatch{ aScope.mRequest.mDispatch });
 }
 
@@ -127,6 +137,7 @@
   InFlight& request = it->second;
   const RequestEvent event = EventOf(aDone.mResult);
   RecordEnd(ReleaseServer(aState, request), event, aNow - request.mDispatchedAt, aNow);
+  GiveShareBack(aState, request, aDone.mResult.mResponse.mBody.size(), aNow);
   if (aDone.mResult.mSilent && aDone.mResult.mReused) {
     // The connection was at fault, perhaps not the server: it may get the request on a new one.
     request.mTried.erase(request.mServer);
--- a/packages/routing/include/fighold/routing/choice.hpp
+++ b/packages/routing/include/fighold/routing/choice.hpp
@@ -39,6 +39,9 @@
 /// to wait while slots of the others' shares are free.
 constexpr std::uint32_t kSlotOvercommitPercent = 150;
 
+/// Reason of a choice that has to wait for a slot.
+inline constexpr std::string_view kNoFreeSlot = "no-free-slot";
+
 /// What an entry knows of one backend server.
 struct ServerState
 {
--- a/packages/routing/include/fighold/routing/queue.hpp
+++ b/packages/routing/include/fighold/routing/queue.hpp
@@ -41,6 +41,14 @@
   friend bool operator==(const Queue&, const Queue&) = default;
 };
 
+/// @return number of waiting requests of a class
+std::size_t
+CountWaiting(const Queue& aQueue, RequestClass aClass);
+
+/// @return true when nothing waits
+bool
+IsEmpty(const Queue& aQueue);
+
 /// @param aClass class of the service
 /// @param aFinishBy time of day by which deferred work must be done
 /// @param aTimeOfDay time of day now
--- a/packages/routing/include/fighold/routing/route.hpp
+++ b/packages/routing/include/fighold/routing/route.hpp
@@ -22,6 +22,7 @@
   RegionId mOrigin;                        ///< region that the caller belongs to
   std::set<BackendServerId> mAlreadyTried; ///< not chosen again
   bool mMayWait = false;                   ///< true: without a free slot no server is chosen
+  std::optional<RegionId> mPinned;         ///< region chosen earlier, kept while the split has it
 
   friend auto operator<=>(const RouteRequest&, const RouteRequest&) = default;
 };
@@ -44,6 +45,11 @@
   friend auto operator<=>(const RouteDecision&, const RouteDecision&) = default;
 };
 
+/// @return entries that share the slots of a region's servers: those of the region, or all where it
+/// has none
+std::uint32_t
+EntriesSharing(const membership::Configuration& aConfiguration, const RegionId& aRegion);
+
 /// @param aRow parts of the origin's traffic by serving region; must not be empty
 /// @param aDraw uniform random number
 /// @return region, chosen with its part as the probability
--- a/packages/routing/src/choice.cpp
+++ b/packages/routing/src/choice.cpp
@@ -142,7 +142,7 @@
     }
   }
   if (open.empty() && aRequest.mMayWait) {
-    choice.mReason = "no-free-slot";
+    choice.mReason = kNoFreeSlot;
     return choice;
   }
   const std::vector<Usable>& from = open.empty() ? usable : open;
--- a/packages/routing/src/queue.cpp
+++ b/packages/routing/src/queue.cpp
@@ -13,6 +13,28 @@
 
 } // namespace
 
+std::size_t
+CountWaiting(const Queue& aQueue, RequestClass aClass)
+{
+  const auto groups = aQueue.mWaiting.find(aClass);
+  if (groups == aQueue.mWaiting.end()) {
+    return 0;
+  }
+  std::size_t waiting = 0;
+  for (const auto& [group, requests] : groups->second) {
+    waiting += requests.size();
+  }
+  return waiting;
+}
+
+bool
+IsEmpty(const Queue& aQueue)
+{
+  return std::all_of(aQueue.mWaiting.begin(), aQueue.mWaiting.end(), [&](const auto& aItem) {
+    return CountWaiting(aQueue, aItem.first) == 0;
+  });
+}
+
 RequestClass
 EffectiveClass(RequestClass aClass,
                std::optional<std::chrono::minutes> aFinishBy,
@@ -29,15 +51,11 @@
 bool
 Enqueue(Queue& aQueue, const Waiting& aWaiting, Instant aNow)
 {
-  auto& groups = aQueue.mWaiting[aWaiting.mClass];
-  std::size_t waiting = 0;
-  for (const auto& [group, requests] : groups) {
-    waiting += requests.size();
-  }
-  if (waiting >= kMaxWaiting || !IsWorthSending(aWaiting, aNow)) {
+  const bool full = CountWaiting(aQueue, aWaiting.mClass) >= kMaxWaiting;
+  if (full || !IsWorthSending(aWaiting, aNow)) {
     return false;
   }
-  groups[aWaiting.mGroup].push_back(aWaiting);
+  aQueue.mWaiting[aWaiting.mClass][aWaiting.mGroup].push_back(aWaiting);
   return true;
 }
 
--- a/packages/routing/src/route.cpp
+++ b/packages/routing/src/route.cpp
@@ -5,8 +5,15 @@
 namespace fighold::routing {
 namespace {
 
-/// Entries that share the slots of a region's servers: those of the region, or all where it has
-/// none.
+RouteDecision
+NotRouted(RouteDecision aDecision, const std::string& aReason)
+{
+  aDecision.mRecord.mReason = aReason;
+  return aDecision;
+}
+
+} // namespace
+
 std::uint32_t
 EntriesSharing(const membership::Configuration& aConfiguration, const RegionId& aRegion)
 {
@@ -18,15 +25,6 @@
                                               : aConfiguration.mEntries.size());
 }
 
-RouteDecision
-NotRouted(RouteDecision aDecision, const std::string& aReason)
-{
-  aDecision.mRecord.mReason = aReason;
-  return aDecision;
-}
-
-} // namespace
-
 RegionId
 ChooseRegion(const plan::SplitRow& aRow, std::uint64_t aDraw)
 {
@@ -60,7 +58,8 @@
   if (row == shift->second.mInUse.end()) {
     return NotRouted(decision, "unknown-origin");
   }
-  decision.mRegion = ChooseRegion(row->second, aDraws.mRegion);
+  const bool pinned = aRequest.mPinned && row->second.count(*aRequest.mPinned) > 0;
+  decision.mRegion = pinned ? *aRequest.mPinned : ChooseRegion(row->second, aDraws.mRegion);
   const auto group = aTable.mGroups.find(GroupKey{ aRequest.mService, decision.mRegion });
   if (group == aTable.mGroups.end()) {
     return NotRouted(decision, "no-backend-server-in-region");
--- a/packages/routing/src/route_test.cpp
+++ b/packages/routing/src/route_test.cpp
@@ -9,7 +9,7 @@
 {
   membership::Configuration mConfiguration;
   ServerStates mStates;
-  RouteRequest mRequest{ 1, { "vardia" }, { "attiki" }, {} };
+  RouteRequest mRequest{ 1, { "vardia" }, { "attiki" }, {}, false, std::nullopt };
   Instant mNow{ std::chrono::hours(1) };
 
   RouteFixture()
--- /dev/null
+++ b/packages/routing/src/share_message.cpp
@@ -0,0 +1,1 @@
+#include "fighold/routing/share_message.hpp"
--- a/packages/wire/include/fighold/wire/body.hpp
+++ b/packages/wire/include/fighold/wire/body.hpp
@@ -3,6 +3,7 @@
 #include "fighold/agreement/message.hpp"
 #include "fighold/claims/message.hpp"
 #include "fighold/membership/protocol.hpp"
+#include "fighold/routing/share_message.hpp"
 
 #include <string>
 #include <variant>
@@ -21,7 +22,9 @@
                           claims::Reply,
                           claims::Result,
                           claims::CopyAsk,
-                          claims::CopyPage>;
+                          claims::CopyPage,
+                          routing::ShareReport,
+                          routing::ShareAnswer>;
 
 /// A message with its sender.
 struct Envelope
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -3,6 +3,7 @@
 #include "agreement_convert.hpp"
 #include "claim_codec.hpp"
 #include "convert.hpp"
+#include "share_codec.hpp"
 
 namespace fighold::wire {
 namespace {
@@ -220,6 +221,25 @@
   return grant;
 }
 
+void
+PutBody(const routing::ShareReport& aReport, pb::Envelope& aOut)
+{
+  *aOut.mutable_share_report() = detail::ToPb(aReport);
+}
+
+void
+PutBody(const routing::ShareAnswer& aAnswer, pb::Envelope& aOut)
+{
+  *aOut.mutable_share_answer() = detail::ToPb(aAnswer);
+}
+
+template<typename T>
+std::optional<Body>
+AsBody(std::optional<T> aValue)
+{
+  return aValue ? std::optional<Body>(std::move(*aValue)) : std::nullopt;
+}
+
 template<typename ClaimBody>
 void
 PutBody(const ClaimBody& aBody, pb::Envelope& aOut)
@@ -264,6 +284,10 @@
     case pb::Envelope::kClaimCopyAsk:
     case pb::Envelope::kClaimCopyPage:
       return detail::GetClaim(aEnvelope);
+    case pb::Envelope::kShareReport:
+      return AsBody(detail::FromPb(aEnvelope.share_report()));
+    case pb::Envelope::kShareAnswer:
+      return AsBody(detail::FromPb(aEnvelope.share_answer()));
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- a/tests/measure/members.cpp
+++ b/tests/measure/members.cpp
@@ -56,7 +56,7 @@
   for (const auto& [id, server] : aConfiguration.mBackendServers) {
     states[id] = { now + Millis(1000), 0, {} };
   }
-  const routing::RouteRequest request{ 1, { "vardia" }, { "region-0" }, {} };
+  const routing::RouteRequest request{ 1, { "vardia" }, { "region-0" }, {}, false, std::nullopt };
   const double micros = MeanMicros([&] {
     for (std::uint64_t n = 0; n < kRoutes; ++n) {
       (void)routing::Route(aConfiguration, table, states, request, { n, n, n }, now);
