--- a/packages/control/src/decide_test.cpp
+++ b/packages/control/src/decide_test.cpp
@@ -101,6 +101,7 @@
   }
   const membership::Configuration before = *mState->mConfiguration;
   CHECK(before.mAnswers.size() == 12);
+  CHECK(before.mDrains.mEntries.size() == 12);
   const agreement::Index snapshot = mDisk.mSnapshot->mIndex;
   REQUIRE(snapshot > 0);
   CHECK(mDisk.mLog.size() < kSnapshotEvery);
