A stop answers connections that wait to be accepted

Closing the listener resets connections that wait to be accepted, and the entry stops at a moment when nothing is in flight, which is when callers are between connections.

Change: HttpServer::Stop accepts what waits before it closes the listener. A connection opened just before the stop has 500 ms for its first request.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -33,6 +33,9 @@
 
 constexpr std::size_t kReadSize = 4096;
 
+/// Time for the first request of a connection that was opened just before a stop.
+constexpr Millis kLastRequestWait{ 500 };
+
 struct Connection
 {
   explicit Connection(Tcp::socket aSocket)
@@ -42,6 +45,7 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  bool mFresh = true; ///< no request has begun
   bool mBusy = false; ///< a request is being read, handled or answered
 };
 
@@ -75,6 +79,7 @@
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
   bool mStopping = false;
+  int mStarting = 0; ///< connections whose fiber has not run yet
 };
 
 namespace {
@@ -85,7 +90,7 @@
 ReadFirstBytes(Connection& aConnection, bool aStopping)
 {
   beast::error_code ec;
-  if (aStopping && aConnection.mStream.socket().available(ec) == 0) {
+  if (aStopping && !aConnection.mFresh && aConnection.mStream.socket().available(ec) == 0) {
     return false;
   }
   const auto read = [&aConnection] {
@@ -96,7 +101,8 @@
   };
   auto first = read();
   if (first.mError == asio::error::operation_aborted &&
-      aConnection.mStream.socket().available(ec) > 0) {
+      (aConnection.mFresh || aConnection.mStream.socket().available(ec) > 0)) {
+    aConnection.mStream.expires_after(kLastRequestWait);
     first = read();
   }
   aConnection.mBuffer.commit(first.mError ? 0 : first.mSize);
@@ -112,13 +118,14 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(aOptions.mMaxHeaderBytes));
   parser.body_limit(aOptions.mMaxBodyBytes);
-  aConnection.mStream.expires_after(aOptions.mIdleTimeout);
+  aConnection.mStream.expires_after(aStopping ? kLastRequestWait : aOptions.mIdleTimeout);
   if (aConnection.mBuffer.size() == 0) {
     if (!ReadFirstBytes(aConnection, aStopping)) {
       return { 0, {} };
     }
   }
   aConnection.mBusy = true;
+  aConnection.mFresh = false;
   aConnection.mStream.expires_after(aOptions.mReadTimeout);
   const auto read = Await([&](auto aHandler) {
     http::async_read(aConnection.mStream, aConnection.mBuffer, parser, std::move(aHandler));
@@ -232,6 +239,20 @@
   aState->mChanged.notify_all();
 }
 
+template<typename State>
+void
+StartConnection(const std::shared_ptr<State>& aState, Tcp::socket aSocket)
+{
+  // Counted at once, so that a stop waits for it.
+  ++aState->mStarting;
+  boost::fibers::fiber(boost::fibers::launch::post,
+                       [aState, socket = std::move(aSocket)]() mutable {
+                         --aState->mStarting;
+                         RunConnection(aState, std::move(socket));
+                       })
+    .detach();
+}
+
 } // namespace
 
 HttpServer::HttpServer(FiberLoop& aLoop, ServerOptions aOptions, Handler aHandler)
@@ -277,7 +298,7 @@
     Tcp::socket socket(state->mAcceptor.get_executor());
     const auto accepted =
       Await([&](auto aHandler) { state->mAcceptor.async_accept(socket, std::move(aHandler)); });
-    if (state->mStopping) {
+    if (accepted.mError && state->mStopping) {
       break;
     }
     if (accepted.mError) {
@@ -287,10 +308,7 @@
     if (state->mConnections.size() >= state->mOptions.mMaxConnections) {
       continue;
     }
-    boost::fibers::fiber(
-      boost::fibers::launch::post,
-      [state, socket = std::move(socket)]() mutable { RunConnection(state, std::move(socket)); })
-      .detach();
+    StartConnection(state, std::move(socket));
   }
 }
 
@@ -298,7 +316,16 @@
 HttpServer::Stop(Instant aUntil)
 {
   mState->mStopping = true;
+  // Closing the listener resets the connections that wait to be accepted.
   beast::error_code ec;
+  mState->mAcceptor.non_blocking(true, ec);
+  while (!ec) {
+    Tcp::socket socket(mState->mAcceptor.get_executor());
+    mState->mAcceptor.accept(socket, ec);
+    if (!ec) {
+      StartConnection(mState, std::move(socket));
+    }
+  }
   mState->mAcceptor.close(ec);
   for (Connection* it : mState->mConnections) {
     if (!it->mBusy) {
@@ -306,7 +333,8 @@
     }
   }
   std::unique_lock lock(mState->mMutex);
-  return mState->mChanged.wait_until(lock, aUntil, [this] { return mState->mConnections.empty(); });
+  return mState->mChanged.wait_until(
+    lock, aUntil, [this] { return mState->mConnections.empty() && mState->mStarting == 0; });
 }
 
 void
