--- a/packages/control/src/context.hpp
+++ b/packages/control/src/context.hpp
@@ -19,8 +19,8 @@
 void
 Agree(Context& aContext, const agreement::Event& aEvent);
 
-/// Proposes a change, wherever the leader is; a leader drops a change that alters nothing or that it
-/// has proposed already.
+/// Proposes a change, wherever the leader is; a leader drops a change that alters nothing or that
+/// it has proposed already.
 void
 Propose(Context& aContext, const membership::Change& aChange);
 
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -234,6 +234,8 @@
       aState.mClients = plan::BuildClientTable(next);
     }
     aState.mConfiguration = *grant.mConfiguration;
+    // An early renewal confirms the version, which may otherwise take a renewal interval longer.
+    aState.mNextRenew = aNow;
     DropUnknownServers(aState, *previous);
     BuildTable(aState);
   }
--- a/packages/membership/include/fighold/membership/backend_life.hpp
+++ b/packages/membership/include/fighold/membership/backend_life.hpp
@@ -74,8 +74,8 @@
 
 /// @param aIncarnation incarnation that was announced
 /// @param aNow time of the first news of it
-/// @return life at its start; it has no lease until a renewal is heard, since the announcement may be
-/// late
+/// @return life at its start; it has no lease until a renewal is heard, since the announcement may
+/// be late
 BackendLife
 StartLife(Incarnation aIncarnation, Instant aNow);
 
--- a/tests/model/world_run.cpp
+++ b/tests/model/world_run.cpp
@@ -191,9 +191,10 @@
 World::UpdateIsolation()
 {
   for (auto& [name, process] : mEntries) {
-    const bool hears = std::any_of(mControls.begin(), mControls.end(), [&](const auto& aControl) {
-      return mCut.count({ aControl.first, name }) == 0;
-    });
+    const bool hears =
+      std::any_of(mControls.begin(), mControls.end(), [this, &entry = name](const auto& aControl) {
+        return mCut.count({ aControl.first, entry }) == 0;
+      });
     if (hears) {
       process.mIsolatedSince = {};
     } else if (process.mIsolatedSince == Duration{}) {
--- a/tests/processes/plan_test.cpp
+++ b/tests/processes/plan_test.cpp
@@ -184,8 +184,10 @@
 {
   constexpr int kOperators = 20;
   constexpr int kChanges = 25;
+  constexpr std::uint64_t kAll = 500;
   std::vector<std::thread> operators;
-  std::atomic<int> accepted{ 0 };
+  operators.reserve(kOperators);
+  std::atomic<std::uint64_t> accepted{ 0 };
   for (int n = 0; n < kOperators; ++n) {
     operators.emplace_back([&, n] {
       for (int i = 0; i < kChanges; ++i) {
@@ -200,11 +202,11 @@
   for (std::thread& it : operators) {
     it.join();
   }
-  CHECK(accepted == kOperators * kChanges);
+  CHECK(accepted == kAll);
   REQUIRE(SubmitInForce(2, { 1, 2, 3 }));
   const std::string digest = Digest(1);
   const std::uint64_t version = Number(Status(1), "version");
-  CHECK(version > kOperators * kChanges);
+  CHECK(version > kAll);
   RestartControls();
   std::vector<bool> current(4);
   CHECK(Cluster::Eventually([&] {
