--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -28,7 +28,9 @@
 {
   const Node& node = aContext.mNode;
   if (IsLeader(node)) {
-    AppendOwn(aContext, EntryKind::Change, aPropose.mPayload);
+    if (node.mPendingWrites.size() < kMaxPendingWrites) {
+      AppendOwn(aContext, EntryKind::Change, aPropose.mPayload);
+    }
   } else if (node.mLeader) {
     SendTo(aContext, *node.mLeader, Forward{ aPropose.mPayload });
   }
@@ -246,6 +248,20 @@
   return IsLeader(aNode) && aNode.mCommitted >= aNode.mTermStart ? aNode.mQuorumAt : Instant{};
 }
 
+Instant
+NextTimer(const Node& aNode)
+{
+  switch (aNode.mRole) {
+    case Role::Learner:
+      return aNode.mNextHeartbeat;
+    case Role::Leader:
+      return std::min(aNode.mNextHeartbeat,
+                      std::max(aNode.mQuorumAt, aNode.mLeaderSince) + kElectionTimeout);
+    default:
+      return aNode.mElectionDeadline;
+  }
+}
+
 std::vector<Effect>
 Step(Node& aNode, const Event& aEvent, Instant aNow)
 {
--- a/packages/agreement/src/node_test.cpp
+++ b/packages/agreement/src/node_test.cpp
@@ -213,6 +213,22 @@
   CHECK(Effects<Commit>() == std::vector<Commit>{ { { 5, 3, "c" } } });
 }
 
+// Guards against a slow disk that fills the ring towards the storage.
+TEST_CASE_METHOD(NodeFixture, "Step, storage far behind, takes no more entries", "[agreement]")
+{
+  for (Index n = 4; n < 4 + 2 * kMaxPendingWrites; ++n) {
+    Receive({ kSecond, 2 }, Append{ 3, n - 1, n == 4 ? 2U : 3U, 0, 7, { { n, 3, "x" } } });
+  }
+  CHECK(mNode.mPendingWrites.size() == kMaxPendingWrites);
+  Sync();
+  CHECK(mNode.mSynced == 3 + kMaxPendingWrites);
+  Lead();
+  for (std::size_t n = 0; n < 2 * kMaxPendingWrites; ++n) {
+    Do(Propose{ "c" });
+  }
+  CHECK(mNode.mPendingWrites.size() == kMaxPendingWrites);
+}
+
 // Guards against an acknowledgement of entries that a crash would lose.
 TEST_CASE_METHOD(NodeFixture, "Step, entries received, acknowledges after the sync", "[agreement]")
 {
@@ -294,10 +310,41 @@
   CHECK_FALSE(IsLeader(mNode));
   CHECK(QuorumAt(mNode) == Instant{});
   Lead();
+  Receive({ kSecond, 2 }, AppendReply{ 4, true, 5, 0 });
+  REQUIRE(mNode.mCommitted == 5);
+  CHECK(QuorumAt(mNode) == Instant{});
   Acknowledge({ kSecond, 2 }, 5);
+  CHECK(QuorumAt(mNode) == mNode.mLeaderSince);
   CHECK(QuorumAt(mNode) > first);
 }
 
+// Guards against a snapshot put together from two encodings of the same state, against one that is
+// acknowledged before it is synced, and against one that is older than what was applied.
+TEST_CASE_METHOD(NodeFixture,
+                 "Step, snapshot parts of two leaders, installs the whole one of the later leader",
+                 "[agreement]")
+{
+  const Members members{ 1, { { kSelf, 1 }, { kSecond, 2 }, { kThird, 3 } } };
+  const std::string encoded = EncodeMembers(members);
+  Receive({ kSecond, 2 }, SnapshotPart{ 3, 7, 9, 3, encoded, 0, 4, "aa" });
+  Sync();
+  CHECK(Sent<SnapshotReply>() == std::vector<SnapshotReply>{ { 3, 7, 9, 2 } });
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 9, 3, encoded, 2, 4, "bb" });
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 9, 3, encoded, 0, 4, "bb" });
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 9, 3, encoded, 0, 4, "bb" });
+  CHECK(Effects<Restore>().empty());
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 9, 3, encoded, 2, 4, "bb" });
+  REQUIRE(Effects<Restore>().size() == 1);
+  CHECK(*Effects<Restore>().front().mSnapshot == Snapshot{ 9, 3, members, "bbbb" });
+  CHECK(Sent<AppendReply>().empty());
+  Sync();
+  CHECK(Sent<AppendReply>() == std::vector<AppendReply>{ { 4, true, 9, 8 } });
+
+  Receive({ kThird, 3 }, SnapshotPart{ 4, 8, 8, 3, encoded, 0, 1, "c" });
+  CHECK(mEffects.size() == 1);
+  CHECK(mNode.mCommitted == 9);
+}
+
 // Guards against messages of a group that another first process formed.
 TEST_CASE_METHOD(NodeFixture, "Step, message of another group, is ignored", "[agreement]")
 {
--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -142,15 +142,15 @@
   Instant mNextRenew{};
   Version mInForce = 0; ///< version that is in force everywhere, as far as known here
   std::map<EntryId, Instant> mNextEntryProposal; ///< limits repeated proposals about one entry
-  std::map<BackendKey, Instant> mNextRemoval;    ///< the same for removals
-  std::map<BackendKey, Instant> mDepartedSince;  ///< when a departed incarnation was first seen
-  std::map<std::string, Instant> mProposed;      ///< payloads that a leader proposed, until when
+  ShiftKeeping mShifts;
+  std::map<BackendKey, Instant> mNextRemoval;   ///< the same for removals
+  std::map<BackendKey, Instant> mDepartedSince; ///< when a departed incarnation was first seen
+  std::map<std::string, Instant> mProposed;     ///< payloads that a leader proposed, until when
   std::deque<std::pair<Version, Instant>> mAppliedAt; ///< versions that may not be in force yet
   std::optional<Instant> mStartedAt;                  ///< time of the first event
   std::uint64_t mStamp = 0;                           ///< last one of the leader
   ControlId mStampFrom;
   Instant mStampAt{};
-  ShiftKeeping mShifts;
 };
 
 /// Loads the charts of a control process.
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -245,6 +245,20 @@
   return std::move(context.mEffects);
 }
 
+Instant
+NextTick(const State& aState, Instant aNow)
+{
+  if (!aState.mCalls.empty()) {
+    return aNow + kTickInterval;
+  }
+  const Instant timer = agreement::NextTimer(aState.mNode);
+  const Instant next =
+    agreement::IsLeader(aState.mNode) ? timer : std::min(timer, aState.mNextRenew);
+  // A timer that stays in the past, such as that of a halted process, must not make the thread
+  // spin.
+  return std::max(next, aNow + kTickInterval);
+}
+
 Charts
 LoadCharts(const std::filesystem::path& aFolder)
 {
--- a/packages/control/src/shifts_test.cpp
+++ b/packages/control/src/shifts_test.cpp
@@ -89,10 +89,12 @@
   void Tick()
   {
     for (const RegionId& it : mLiving) {
-      membership::BackendLife life = membership::StartLife(0, mNow);
-      life.mStage = membership::BackendStage::Serving;
-      life.mAliveUntil = mNow + membership::kBackendServerLease;
-      mState.mBackends[{ it.mValue + "-1" }] = life;
+      mState.mBackends[{ it.mValue + "-1" }] =
+        membership::Renewed(mState.mCharts.mBackend,
+                            membership::StartLife(0, mNow),
+                            mNow + membership::kBackendServerLease,
+                            0,
+                            mNow);
     }
     mNow += kTickInterval;
     Do(control::Tick{});
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -1,5 +1,6 @@
 #include "lease_keeping.hpp"
 
+#include "admission.hpp"
 #include "stage_chart.hpp"
 
 #include <algorithm>
@@ -166,6 +167,7 @@
     const auto server = aState.mConfiguration->mBackendServers.find(it.mId);
     if (server != aState.mConfiguration->mBackendServers.end() &&
         server->second.mIncarnation == it.mIncarnation) {
+      TakeLoad(aState.mServers[it.mId], it, aAskedAt);
       Instant& until = aState.mServers[it.mId].mAliveUntil;
       until = std::max(until, membership::LeaseEnd(aAskedAt, it.mLeft));
     }
@@ -227,12 +229,12 @@
   aState.mStampFrom = aGrant.mFrom;
   aState.mStampAt = aNow;
   if (grant.mConfiguration && (*grant.mConfiguration)->mVersion > aState.mConfiguration->mVersion) {
-    const auto previous = aState.mConfiguration;
     const plan::Plan& next = *(*grant.mConfiguration)->mPlan;
     if (aState.mConfiguration->mPlan->mNumber != next.mNumber ||
         aState.mConfiguration->mPlanDigest != (*grant.mConfiguration)->mPlanDigest) {
       aState.mClients = plan::BuildClientTable(next);
     }
+    const auto previous = aState.mConfiguration;
     aState.mConfiguration = *grant.mConfiguration;
     // An early renewal confirms the version, which may otherwise take a renewal interval longer.
     aState.mNextRenew = aNow;
--- a/packages/routing/src/choice.cpp
+++ b/packages/routing/src/choice.cpp
@@ -106,8 +106,7 @@
 std::uint32_t
 SlotShare(std::uint32_t aSlots, std::uint32_t aEntries)
 {
-  const std::uint32_t entries = std::max(aEntries, 1U);
-  return (aSlots * kSlotOvercommitPercent / 100 + entries - 1) / entries;
+  return std::max(1U, aSlots * kSlotOvercommitPercent / 100 / std::max(aEntries, 1U));
 }
 
 double
@@ -159,11 +158,12 @@
   if (aResult == Result::Refused) {
     return next;
   }
-  // An overdue request shows a lower bound of its latency before it ends.
-  const bool longer = aResult == Result::Answered || aLatency > next.mLatency;
+  // A request without an answer shows only a lower bound. One that could not be sent ends at once
+  // and must not make the server look fast.
+  const bool answered = aResult == Result::Answered;
   if (next.mLatency == Duration::zero()) {
-    next.mLatency = aLatency;
-  } else if (longer) {
+    next.mLatency = answered ? aLatency : next.mLatency;
+  } else if (answered || aLatency > next.mLatency) {
     next.mLatency += (aLatency - next.mLatency) / kLatencyDecay;
   }
   if (aResult == Result::Answered) {
