Leave every entry a unit of each limit, and report demand at once while requests wait

Cause: requests of antikatastasi waited up to their deadline of 2 s for a share in the demonstration. Its limit of 18 in a region leaves a base share of 0 for 11 entries, the demand part went to the entries that were active, and a unit comes back only two reports after its holder is told. A caller that resent then met its own claim and was told "unknown". Ruled out: a base share of at least 1, which would leave 7 of 18 for demand; slot shares, leases and the claims themselves, by the reasons in the log. Change: the allocator gives every holder that reports one unit before it divides the rest, an entry reports each 100 ms while requests wait, and the log states why a request that waited too long found no place.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -116,6 +116,7 @@
   claims::Asker mAsker;
   routing::ShareState mShares;
   std::map<std::uint64_t, Instant> mShareAsked; ///< reports sent, by number
+  Instant mShareReportAt{};                     ///< last report
   routing::Queue mQueue;
 };
 
--- a/packages/entry/src/queueing.cpp
+++ b/packages/entry/src/queueing.cpp
@@ -4,7 +4,11 @@
 namespace {
 
 /// Reports whose answers are still accepted: those of one lease.
-constexpr std::size_t kMaxShareAsks = 8;
+constexpr std::size_t kMaxShareAsks = 32;
+
+/// Time between two reports while requests wait. With the renewal's 500 ms alone, a request that
+/// came after a quiet time waited half a second for its share.
+constexpr Millis kReportWhileWaiting{ 100 };
 
 const plan::Service&
 ServiceOf(const State& aState, const ServiceId& aId)
@@ -74,10 +78,8 @@
   if (it == aState.mInFlight.end()) {
     return;
   }
-  RequestScope scope{ aState, it->second, aEffects, aNow, {}, {} };
-  if (aEvent == RequestEvent::ShareFreed) {
-    scope.mRoute = RouteNow(aState, it->second, aNow, aWaiting.mGroup.mRegion);
-  }
+  auto route = RouteNow(aState, it->second, aNow, aWaiting.mGroup.mRegion);
+  RequestScope scope{ aState, it->second, aEffects, aNow, std::move(route), {} };
   FireRequest(scope, aEvent);
 }
 
@@ -144,6 +146,9 @@
   while (const auto next = routing::NextToDispatch(aState.mQueue, isOpen, aNow)) {
     FireWaiting(aState, *next, RequestEvent::ShareFreed, aEffects, aNow);
   }
+  if (!routing::IsEmpty(aState.mQueue) && aNow >= aState.mShareReportAt + kReportWhileWaiting) {
+    ReportShares(aState, aEffects, aNow);
+  }
 }
 
 void
@@ -165,6 +170,7 @@
   report.mAsk = aState.mNextAsk++;
   report.mHolder = { aState.mOptions.mId, aState.mOptions.mEntry.mIncarnation };
   report.mDemand = routing::ReportDemand(aState.mShares, aNow);
+  aState.mShareReportAt = aNow;
   aState.mShareAsked[report.mAsk] = aNow;
   if (aState.mShareAsked.size() > kMaxShareAsks) {
     aState.mShareAsked.erase(aState.mShareAsked.begin());
--- a/packages/entry/src/request_chart.cpp
+++ b/packages/entry/src/request_chart.cpp
@@ -105,11 +105,10 @@
 AnswerNoShare(RequestScope& aScope)
 {
   DecisionRecord record = aScope.mRoute.mRecord;
-  record.mKind = "route";
-  record.mSubject = std::to_string(aScope.mRequest.mRequest.mId);
-  record.mService = aScope.mRequest.mRequest.mService.mValue;
   record.mChoice.clear();
-  record.mReason = "no-share-of-the-limits";
+  if (aScope.mRoute.mCandidate) {
+    record.mReason = "no-share-of-the-limits";
+  }
   ReplyWith(aScope, Outcome::NotRun, record.mReason);
   aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
 }
--- a/packages/routing/src/allocator.cpp
+++ b/packages/routing/src/allocator.cpp
@@ -129,11 +129,16 @@
   for (const auto& [holder, view] : aState.mHolders) {
     sum += CountedUnits(view, aKey, aNow);
   }
+  // With at least one unit each, the first request after a quiet time does not wait until another
+  // holder has given a unit back, which takes two reports.
+  const std::uint64_t least = part >= aDemands.size() ? 1 : 0;
   std::vector<std::uint64_t> wants;
+  wants.reserve(aDemands.size());
   for (const auto& [holder, demand] : aDemands) {
     const auto want = demand.mWants.find(aKey);
     const std::uint64_t base = aState.mHolders.at(holder).mBase ? aState.mLimits.at(aKey).mBase : 0;
-    wants.push_back(want == demand.mWants.end() ? 0 : Less(want->second.mWanted, base));
+    const std::uint64_t more = want == demand.mWants.end() ? 0 : Less(want->second.mWanted, base);
+    wants.push_back(std::max(more, least));
   }
   std::vector<std::uint64_t> fair = DivideFairly(wants, part);
   ShareSurplus(fair, part);
--- a/tests/support/caller_standin.cpp
+++ b/tests/support/caller_standin.cpp
@@ -154,6 +154,7 @@
     Complain(aNumber, aResult.mResponse.mBody);
   } else if (outcome == "unknown") {
     ++aTally.mUnknown;
+    Complain(aNumber, aResult.mResponse.mBody);
   } else {
     const std::string own = aRequest.mMethod + " /item/" + std::to_string(aNumber) + " " +
                             aRequest.mHeaders[0].mValue + "\n";
