Lease model: pass messages about shares on

The model took every message to an entry for a grant or the answer to a change, and ended with an exception once daemons exchanged shares.

--- a/tests/model/world.cpp
+++ b/tests/model/world.cpp
@@ -199,6 +199,8 @@
     process.mHeld.push_back(std::move(aMessage));
   } else if (const auto* grant = std::get_if<entry::GrantReceived>(&aMessage.mBody)) {
     StepEntry(aMessage.mTo, *grant);
+  } else if (const auto* shares = std::get_if<entry::ShareAnswerReceived>(&aMessage.mBody)) {
+    StepEntry(aMessage.mTo, *shares);
   } else {
     StepEntry(aMessage.mTo, std::get<entry::ChangeDoneReceived>(aMessage.mBody));
   }
@@ -225,6 +227,8 @@
     } else if (auto* toEntry = std::get_if<control::SendEntry>(&it)) {
       if (auto* grant = std::get_if<membership::Grant>(&toEntry->mBody)) {
         Send({ aName, toEntry->mTo.mValue, entry::GrantReceived{ { aName }, std::move(*grant) } });
+      } else if (auto* shares = std::get_if<routing::ShareAnswer>(&toEntry->mBody)) {
+        Send({ aName, toEntry->mTo.mValue, entry::ShareAnswerReceived{ std::move(*shares) } });
       } else {
         Send({ aName,
                toEntry->mTo.mValue,
--- a/tests/model/world.hpp
+++ b/tests/model/world.hpp
@@ -35,7 +35,8 @@
   std::variant<control::FromEntry,
                control::FromControl,
                entry::GrantReceived,
-               entry::ChangeDoneReceived>
+               entry::ChangeDoneReceived,
+               entry::ShareAnswerReceived>
     mBody;
 };
 
