--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -102,9 +102,10 @@
 struct ShareKeeping
 {
   routing::AllocatorState mAllocator;
-  std::string mPlanDigest;  ///< plan whose limits are in use
-  std::size_t mEntries = 0; ///< registered entries among which the base parts are divided
-  std::uint64_t mTerm = 0;  ///< term in which this process began to allocate
+  std::string mPlanDigest;          ///< plan whose limits are in use
+  std::size_t mEntries = 0;         ///< registered entries among which the base parts are divided
+  std::uint64_t mTerm = 0;          ///< term in which this process began to allocate
+  std::uint64_t mFirstPlanTerm = 0; ///< term in which the first plan of the group was accepted
   std::map<routing::Holder, std::pair<routing::ShareDemand, Instant>> mReports;
 };
 
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -49,6 +49,9 @@
   }
   const membership::Applied applied =
     membership::Apply(*state.mConfiguration, *change, aEntry.mIndex);
+  if (state.mConfiguration->mPlan->mNumber == 0 && applied.mConfiguration->mPlan->mNumber != 0) {
+    state.mShares.mFirstPlanTerm = aEntry.mTerm;
+  }
   TakeConfiguration(aContext, applied.mConfiguration);
   state.mProposed.erase(aEntry.mPayload);
   const auto [first, last] = state.mAsks.equal_range(aEntry.mPayload);
--- a/packages/control/src/shares.cpp
+++ b/packages/control/src/shares.cpp
@@ -64,7 +64,9 @@
   }
   shares.mTerm = term;
   shares.mReports.clear();
-  const bool fresh = aContext.mState.mConfiguration->mPlan->mNumber == 0;
+  // Without a plan before this term, no earlier leader can have granted anything.
+  const bool fresh =
+    aContext.mState.mConfiguration->mPlan->mNumber == 0 || shares.mFirstPlanTerm == term;
   routing::StartAllocating(shares.mAllocator, term, fresh, aContext.mNow);
 }
 
--- a/packages/entry/src/decide_thread.cpp
+++ b/packages/entry/src/decide_thread.cpp
@@ -1,4 +1,5 @@
 #include "fighold/entry/decide.hpp"
+#include "gauges.hpp"
 #include "threads.hpp"
 
 #include <stdexcept>
@@ -23,10 +24,7 @@
   void Do(Reply& aReply)
   {
     if (const auto* answer = std::get_if<CallerAnswer>(&aReply.mAnswer)) {
-      const telemetry::Labels labels{ { "service", answer->mService.mValue },
-                                      { "outcome", std::string(ToText(answer->mOutcome)) } };
-      mWiring.mMetrics.Observe(
-        "request_seconds", std::chrono::duration<double>(answer->mLatency).count(), labels);
+      ObserveAnswer(mWiring.mMetrics, mState, *answer);
     }
     if (!mWiring.mReplies.TryPush(std::move(aReply))) {
       throw std::logic_error("the ring of replies is full");
@@ -80,6 +78,7 @@
     }
     if (now >= nextTick) {
       performer.Perform(Step(aState, Tick{}, now));
+      SetGauges(aWiring.mMetrics, aState, now);
       nextTick = NextTick(aState, now);
     }
     // An event may have started a claim whose asks are due for repetition before the next tick.
--- /dev/null
+++ b/packages/entry/src/gauges.cpp
@@ -0,0 +1,74 @@
+#include "gauges.hpp"
+
+namespace fighold::entry {
+namespace {
+
+double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+std::string
+KindName(routing::LimitKind aKind)
+{
+  switch (aKind) {
+    case routing::LimitKind::Region:
+      return "region";
+    case routing::LimitKind::Service:
+      return "service";
+    case routing::LimitKind::Link:
+      break;
+  }
+  return "link";
+}
+
+void
+SetShares(telemetry::Metrics& aMetrics, const State& aState, Instant aNow)
+{
+  for (const auto& [key, limit] : aState.mShares.mLimits) {
+    const telemetry::Labels labels{ { "kind", KindName(key.mKind) },
+                                    { "region", key.mRegion.mValue },
+                                    { "from", key.mFrom.mValue },
+                                    { "service", key.mService.mValue } };
+    const auto held = aState.mShares.mShares.find(key);
+    const std::uint64_t used = held == aState.mShares.mShares.end() ? 0 : held->second.mInUse;
+    const auto units = routing::UsableShare(aState.mShares, key, aNow);
+    aMetrics.Set("share_units", static_cast<double>(units), labels);
+    aMetrics.Set("share_in_use", static_cast<double>(used), labels);
+  }
+}
+
+} // namespace
+
+void
+ObserveAnswer(telemetry::Metrics& aMetrics, const State& aState, const CallerAnswer& aAnswer)
+{
+  const bool known = aState.mConfiguration->mPlan->mServices.count(aAnswer.mService) > 0;
+  const double seconds = Seconds(aAnswer.mLatency);
+  aMetrics.Observe("request_seconds",
+                   seconds,
+                   { { "service", known ? aAnswer.mService.mValue : "unknown" },
+                     { "outcome", std::string(ToText(aAnswer.mOutcome)) } });
+  if (known && aAnswer.mOutcome == Outcome::Run && !aAnswer.mServer.mValue.empty()) {
+    aMetrics.Observe(
+      "backend_server_seconds", seconds, { { "backend_server", aAnswer.mServer.mValue } });
+  }
+}
+
+void
+SetGauges(telemetry::Metrics& aMetrics, const State& aState, Instant aNow)
+{
+  aMetrics.Set("lease_left_seconds", std::max(0.0, Seconds(aState.mLease.mUntil - aNow)));
+  aMetrics.Set("configuration_version", static_cast<double>(aState.mConfiguration->mVersion));
+  aMetrics.Set("requests_in_flight", static_cast<double>(aState.mInFlight.size()));
+  for (const RequestClass it :
+       { RequestClass::Urgent, RequestClass::Standard, RequestClass::Deferred }) {
+    aMetrics.Set("requests_waiting",
+                 static_cast<double>(routing::CountWaiting(aState.mQueue, it)),
+                 { { "class", std::string(ToText(it)) } });
+  }
+  SetShares(aMetrics, aState, aNow);
+}
+
+} // namespace fighold::entry
--- /dev/null
+++ b/packages/entry/src/gauges_test.cpp
@@ -0,0 +1,57 @@
+#include "gauges.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::entry {
+namespace {
+
+struct GaugesFixture
+{
+  telemetry::Metrics mMetrics;
+  State mState;
+  Instant mNow{ std::chrono::hours(1) };
+
+  GaugesFixture()
+  {
+    plan::Plan plan;
+    plan.mNumber = 1;
+    plan.mMaxEntries = 1;
+    plan.mRegions[{ "attiki" }] = 60;
+    plan.mServices[{ "vardia" }] = {};
+    membership::Configuration configuration;
+    configuration.mPlan = SharedValue(plan);
+    mState.mConfiguration = SharedValue(configuration);
+    routing::TakeLimits(mState.mShares, plan, 1);
+  }
+
+  bool Shows(const std::string& aText) const
+  {
+    return mMetrics.Text().find(aText) != std::string::npos;
+  }
+};
+
+// Guards against callers that grow the metrics with services of their own invention.
+TEST_CASE_METHOD(GaugesFixture,
+                 "ObserveAnswer, services that no plan names, share a label",
+                 "[entry]")
+{
+  for (int n = 0; n < 20; ++n) {
+    CallerAnswer answer;
+    answer.mService = { "made-up-" + std::to_string(n) };
+    ObserveAnswer(mMetrics, mState, answer);
+  }
+  CHECK(Shows("fighold_request_seconds_count{outcome=\"not-run\",service=\"unknown\"} 20"));
+  CHECK_FALSE(Shows("made-up"));
+}
+
+TEST_CASE_METHOD(GaugesFixture,
+                 "SetGauges, base share held, shows the units of the region",
+                 "[entry]")
+{
+  routing::TakeShares(mState.mShares, { { 1, 1 }, true, {} }, mNow);
+  SetGauges(mMetrics, mState, mNow);
+  CHECK(Shows("fighold_share_units{from=\"\",kind=\"region\",region=\"attiki\",service=\"\"} 30"));
+}
+
+} // namespace
+} // namespace fighold::entry
--- a/packages/routing/src/shift.cpp
+++ b/packages/routing/src/shift.cpp
@@ -85,7 +85,7 @@
   }
   BasisPoints rest = aPart;
   for (const auto& [region, weight] : aWeights) {
-    const auto part = static_cast<BasisPoints>(aPart * weight / sum);
+    const auto part = static_cast<BasisPoints>(sum == 0 ? 0 : aPart * weight / sum);
     aRow[region] += part;
     rest -= part;
   }
