Give idle entries a unit only of what nobody wants

Change: the demand part is divided by what is wanted first; then each holder without a unit gets one of the rest, and the rest goes to those that want something.

--- a/packages/routing/src/allocator.cpp
+++ b/packages/routing/src/allocator.cpp
@@ -101,18 +101,33 @@
   }
 }
 
-/// Gives what nobody wants to those that want something, in equal parts, so that a burst does not
-/// have to wait for the next grant. Parts in proportion would move with every report, and what has
-/// moved counts twice until the holder reports again.
+/// Gives what nobody wants away: a unit to each holder that has none, so that its first request
+/// after a quiet time does not wait until another holder has given a unit back, which takes two
+/// reports; the rest in equal parts to those that want something, so that a burst does not have to
+/// wait for the next grant. Parts in proportion would move with every report, and what has moved
+/// counts twice until the holder reports again.
 void
 ShareSurplus(std::vector<std::uint64_t>& aParts, std::uint64_t aUnits)
 {
-  const std::uint64_t sum = std::accumulate(aParts.begin(), aParts.end(), std::uint64_t{ 0 });
-  const auto active = static_cast<std::uint64_t>(
-    std::count_if(aParts.begin(), aParts.end(), [](std::uint64_t aPart) { return aPart > 0; }));
-  const std::uint64_t takers = active > 0 ? active : std::max<std::uint64_t>(aParts.size(), 1);
+  std::uint64_t left = aUnits - std::accumulate(aParts.begin(), aParts.end(), std::uint64_t{ 0 });
+  std::vector<std::uint64_t*> active;
+  active.reserve(aParts.size());
   for (std::uint64_t& it : aParts) {
-    it += it > 0 || active == 0 ? (aUnits - sum) / takers : 0;
+    if (it > 0) {
+      active.push_back(&it);
+    } else if (left > 0) {
+      it = 1;
+      --left;
+    }
+  }
+  if (active.empty()) {
+    for (std::uint64_t& it : aParts) {
+      active.push_back(&it);
+    }
+  }
+  const std::uint64_t more = left / std::max<std::size_t>(active.size(), 1);
+  for (std::uint64_t* it : active) {
+    *it += more;
   }
 }
 
@@ -129,16 +144,12 @@
   for (const auto& [holder, view] : aState.mHolders) {
     sum += CountedUnits(view, aKey, aNow);
   }
-  // With at least one unit each, the first request after a quiet time does not wait until another
-  // holder has given a unit back, which takes two reports.
-  const std::uint64_t least = part >= aDemands.size() ? 1 : 0;
   std::vector<std::uint64_t> wants;
   wants.reserve(aDemands.size());
   for (const auto& [holder, demand] : aDemands) {
     const auto want = demand.mWants.find(aKey);
     const std::uint64_t base = aState.mHolders.at(holder).mBase ? aState.mLimits.at(aKey).mBase : 0;
-    const std::uint64_t more = want == demand.mWants.end() ? 0 : Less(want->second.mWanted, base);
-    wants.push_back(std::max(more, least));
+    wants.push_back(want == demand.mWants.end() ? 0 : Less(want->second.mWanted, base));
   }
   std::vector<std::uint64_t> fair = DivideFairly(wants, part);
   ShareSurplus(fair, part);
