Handle pipelined requests at once, and skip late answers to earlier requests

Cause: a connection's requests were handled one after the other, so that a short request waited behind a long one of the same client; a late answer on a kept connection made the next exchange fail.

Change: each request of a connection has a fiber of its own, answers are written in the order of the requests, and the end of the client's stream cancels all of them. Idle connections are closed by a timer of the server.

Ruled out: a writer fiber for each connection, which needs a queue of its own and does the same.

net_test passes.

--- a/packages/net/include/fighold/net/http.hpp
+++ b/packages/net/include/fighold/net/http.hpp
@@ -3,6 +3,7 @@
 #include "fighold/core/endpoint.hpp"
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,7 +30,9 @@
   std::string mTarget = "/";
   Headers mHeaders;
   std::string mBody;
-  Endpoint mPeer; ///< address of the client; set by the server
+  Endpoint mPeer;      ///< address of the client; set by the server
+  std::string mHost{}; ///< Host header; a client sets the endpoint's address where it is empty
+  std::uint16_t mListener = 0; ///< which of a process's listeners took the request
 
   friend auto operator<=>(const HttpRequest&, const HttpRequest&) = default;
 };
--- a/packages/net/include/fighold/net/http_client.hpp
+++ b/packages/net/include/fighold/net/http_client.hpp
@@ -5,6 +5,7 @@
 #include "fighold/net/http.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -23,10 +24,11 @@
 struct ExchangeResult
 {
   ExchangeStage mStage = ExchangeStage::NotSent;
-  HttpResponse mResponse; ///< whole answer when Answered
-  std::string mError;     ///< cause when not Answered
-  bool mSilent = false;   ///< NoAnswer because no byte of the answer arrived in time
-  bool mReused = false;   ///< the connection had carried an exchange before
+  HttpResponse mResponse;  ///< whole answer when Answered
+  std::string mError;      ///< cause when not Answered
+  bool mSilent = false;    ///< NoAnswer because no byte of the answer arrived in time
+  bool mReused = false;    ///< the connection had carried an exchange before
+  Duration mConnectTime{}; ///< time that opening the connection took; zero for an open one
 
   friend auto operator<=>(const ExchangeResult&, const ExchangeResult&) = default;
 };
@@ -36,6 +38,7 @@
 {
   std::size_t mMaxHeaderBytes = 64U << 10U;
   std::size_t mMaxBodyBytes = 64U << 20U;
+  bool mUntilClose = false; ///< an answer without a length is whole when its connection ends
 };
 
 /// Time limits of an exchange.
@@ -44,8 +47,9 @@
   Instant mUntil{};                         ///< the whole answer must have arrived
   Instant mFirstByteUntil = Instant::max(); ///< the answer must have begun
   Instant mSendBefore = Instant::max();     ///< later, nothing may be sent any more
-
-  friend auto operator<=>(const ExchangeLimits&, const ExchangeLimits&) = default;
+  /// Tells whether an answer belongs to the request. One that does not is a late answer to an
+  /// earlier request, and the next one is read. Empty: every answer belongs.
+  std::function<bool(const HttpResponse&)> mBelongs{};
 };
 
 /// A connection to one endpoint. All functions run on the loop's thread, in a fiber.
@@ -74,6 +78,9 @@
   /// @return result; the connection is closed unless a whole answer arrived and both sides keep it
   ExchangeResult Exchange(const HttpRequest& aRequest, Instant aUntil);
 
+  /// @return time for which the server keeps the idle connection open, as it last said; 0: unknown
+  Millis KeepAlive() const;
+
   /// @return true when connected, with no doubt about the state of the stream and no unasked bytes
   /// waiting
   bool Reusable();
--- a/packages/net/include/fighold/net/http_server.hpp
+++ b/packages/net/include/fighold/net/http_server.hpp
@@ -7,7 +7,8 @@
 #include <functional>
 #include <memory>
 
-/// HTTP/1.1 server with a fiber for each connection.
+/// HTTP/1.1 server with a fiber for each connection and one for each request. Pipelined requests
+/// are handled at once and answered in their order.
 namespace fighold::net {
 
 /// Limits of a server.
@@ -20,6 +21,8 @@
   Millis mIdleTimeout{ 60'000 };  ///< longest time between two requests of a connection
   Millis mReadTimeout{ 10'000 };  ///< longest time from the first byte of a request to its last
   Millis mWriteTimeout{ 30'000 }; ///< longest time to write a response
+  std::size_t mMaxPipelined = 16; ///< requests of one connection that are handled at once
+  std::uint16_t mListener = 0;    ///< passed on in the requests
 };
 
 /// Handles a request; runs in the connection's fiber and may suspend it.
@@ -61,6 +64,9 @@
   /// @return true when all requests were answered
   bool Stop(Instant aUntil);
 
+  /// Replaces the limits on what clients may send; they hold from the next request on.
+  void SetLimits(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes, Millis aIdleTimeout);
+
   /// Stops accepting and closes every connection.
   void Close();
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <charconv>
+
 namespace fighold::net {
 namespace {
 
@@ -39,7 +41,8 @@
   message.method_string(detail::ToView(aRequest.mMethod));
   message.target(detail::ToView(aRequest.mTarget));
   detail::SetHeaders(aRequest.mHeaders, message.base());
-  message.set(http::field::host, ToText(aEndpoint));
+  message.set(http::field::host,
+              aRequest.mHost.empty() ? ToText(aEndpoint) : std::string(aRequest.mHost));
   message.body() = aRequest.mBody;
   message.prepare_payload();
   return message;
@@ -62,8 +65,64 @@
   ClientOptions mOptions;
   bool mConnected = false;
   bool mUsed = false; ///< carried an exchange
+  Millis mKeepAlive{ 0 };
+
+  /// Reads one answer.
+  /// @return empty, or the error
+  std::string ReadAnswer(bool aHead, HttpResponse& aResponse, bool& aKeepAlive);
 };
 
+namespace {
+
+/// Answers to earlier requests that are passed over before the connection counts as broken.
+constexpr int kMaxForeignAnswers = 4;
+
+/// @return time of a Keep-Alive header such as "timeout=5, max=100", 0 without one
+Millis
+KeepAliveOf(boost::beast::string_view aValue)
+{
+  constexpr boost::beast::string_view kName = "timeout=";
+  const auto n = aValue.find(kName);
+  if (n == boost::beast::string_view::npos) {
+    return Millis(0);
+  }
+  std::int64_t seconds = 0;
+  const char* begin = aValue.data() + n + kName.size();
+  const auto parsed = std::from_chars(begin, aValue.data() + aValue.size(), seconds);
+  constexpr std::int64_t kLongest = 3600;
+  return parsed.ec == std::errc() && seconds >= 0 ? Millis(1000 * std::min(seconds, kLongest))
+                                                  : Millis(0);
+}
+
+} // namespace
+
+std::string
+HttpConnection::State::ReadAnswer(bool aHead, HttpResponse& aResponse, bool& aKeepAlive)
+{
+  http::response_parser<http::string_body> parser;
+  parser.header_limit(static_cast<std::uint32_t>(mOptions.mMaxHeaderBytes));
+  parser.body_limit(mOptions.mMaxBodyBytes);
+  parser.skip(aHead);
+  const auto read =
+    Await([&](auto aHandler) { http::async_read(mStream, mBuffer, parser, std::move(aHandler)); });
+  if (read.mError) {
+    return "read: " + read.mError.message();
+  }
+  auto& answer = parser.get();
+  if (!HasEnd(answer, aHead) && !mOptions.mUntilClose) {
+    return "read: answer without a length";
+  }
+  if (detail::HasAmbiguousLength(answer.base())) {
+    return "read: answer with conflicting lengths";
+  }
+  aResponse.mStatus = answer.result_int();
+  aResponse.mHeaders = detail::CopyHeaders(answer.base());
+  aResponse.mBody = std::move(answer.body());
+  aKeepAlive = answer.keep_alive() && HasEnd(answer, aHead);
+  mKeepAlive = KeepAliveOf(answer[http::field::keep_alive]);
+  return {};
+}
+
 HttpConnection::HttpConnection(FiberLoop& aLoop, Endpoint aEndpoint, ClientOptions aOptions)
   : mState(std::make_unique<State>(aLoop, std::move(aEndpoint), aOptions))
 {
@@ -132,31 +191,31 @@
   }
   state.mBuffer.commit(first.mSize);
   state.mStream.expires_at(aLimits.mUntil);
-  http::response_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(state.mOptions.mMaxHeaderBytes));
-  parser.body_limit(state.mOptions.mMaxBodyBytes);
-  parser.skip(aRequest.mMethod == "HEAD");
-  const auto read = Await([&](auto aHandler) {
-    http::async_read(state.mStream, state.mBuffer, parser, std::move(aHandler));
-  });
-  if (read.mError) {
-    return lost("read: " + read.mError.message(), false);
-  }
-  auto& answer = parser.get();
-  if (!HasEnd(answer, aRequest.mMethod == "HEAD")) {
-    return lost("read: answer without a length", false);
-  }
-  if (detail::HasAmbiguousLength(answer.base())) {
-    return lost("read: answer with conflicting lengths", false);
-  }
   ExchangeResult result{ ExchangeStage::Answered, {}, {}, false, reused };
-  result.mResponse.mStatus = answer.result_int();
-  result.mResponse.mHeaders = detail::CopyHeaders(answer.base());
-  result.mResponse.mBody = std::move(answer.body());
-  if (!answer.keep_alive() || state.mBuffer.size() > 0) {
-    Close();
+  bool keepAlive = true;
+  for (int n = 0; n <= kMaxForeignAnswers; ++n) {
+    const std::string failed =
+      state.ReadAnswer(aRequest.mMethod == "HEAD", result.mResponse, keepAlive);
+    if (!failed.empty()) {
+      return lost(failed, false);
+    }
+    if (!aLimits.mBelongs || aLimits.mBelongs(result.mResponse)) {
+      if (!keepAlive || state.mBuffer.size() > 0) {
+        Close();
+      }
+      return result;
+    }
+    if (!keepAlive) {
+      break;
+    }
   }
-  return result;
+  return lost("read: only answers to other requests", false);
+}
+
+Millis
+HttpConnection::KeepAlive() const
+{
+  return mState->mKeepAlive;
 }
 
 bool
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -2,9 +2,9 @@
 
 #include "await.hpp"
 #include "beast_convert.hpp"
-#include "end_watch.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -16,6 +16,8 @@
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
+#include <deque>
 #include <set>
 #include <stdexcept>
 
@@ -33,9 +35,22 @@
 
 constexpr std::size_t kReadSize = 4096;
 
+/// Time between two looks for connections that were idle for too long.
+constexpr Millis kIdleCheck{ 500 };
+
 /// Time for the first request of a connection that was opened just before a stop.
 constexpr Millis kLastRequestWait{ 500 };
 
+/// A request that was read, and its answer once there is one.
+struct Exchange
+{
+  HttpRequest mRequest;
+  HttpResponse mResponse;
+  CallerWatch mWatch;
+  bool mKeepAlive = true; ///< the client may send more
+  bool mDone = false;     ///< mResponse may be written
+};
+
 struct Connection
 {
   explicit Connection(Tcp::socket aSocket)
@@ -45,8 +60,17 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
-  bool mFresh = true; ///< no request has begun
-  bool mBusy = false; ///< a request is being read, handled or answered
+  std::deque<std::shared_ptr<Exchange>> mExchanges; ///< in the order of the requests
+  bool mFresh = true;                               ///< no request has begun
+  bool mReading = false;                            ///< a request is being read
+  bool mWriting = false;
+  bool mBroken = false;  ///< nothing can be written any more
+  bool mClosing = false; ///< no further request is read
+  Instant mIdleSince = std::chrono::steady_clock::now();
+  boost::fibers::mutex mMutex;
+  boost::fibers::condition_variable mChanged;
+
+  bool IsIdle() const { return !mReading && mExchanges.empty(); }
 };
 
 Endpoint
@@ -69,12 +93,14 @@
     : mOptions(std::move(aOptions))
     , mHandler(std::move(aHandler))
     , mAcceptor(aLoop.Context())
+    , mIdleTimer(aLoop.Context())
   {
   }
 
   ServerOptions mOptions;
   WatchedHandler mHandler;
   Tcp::acceptor mAcceptor;
+  asio::steady_timer mIdleTimer;
   std::set<Connection*> mConnections;
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
@@ -87,7 +113,7 @@
 /// Waits for a request. A stop ends the wait, but bytes that arrived before it are still read, so
 /// that their request is answered and not cut off.
 bool
-ReadFirstBytes(Connection& aConnection, bool aStopping)
+ReadFirstBytes(Connection& aConnection, const bool& aStopping)
 {
   beast::error_code ec;
   if (aStopping && !aConnection.mFresh && aConnection.mStream.socket().available(ec) == 0) {
@@ -99,8 +125,13 @@
                                           std::move(aHandler));
     });
   };
+  if (aStopping) {
+    aConnection.mStream.expires_after(kLastRequestWait);
+  } else {
+    aConnection.mStream.expires_never();
+  }
   auto first = read();
-  if (first.mError == asio::error::operation_aborted &&
+  if (first.mError == asio::error::operation_aborted && !aConnection.mClosing &&
       (aConnection.mFresh || aConnection.mStream.socket().available(ec) > 0)) {
     aConnection.mStream.expires_after(kLastRequestWait);
     first = read();
@@ -110,46 +141,48 @@
 }
 
 /// Reads one request.
-/// @return request, or the status with which it is refused; 0 when the connection ended
-template<typename Options>
-std::pair<unsigned, HttpRequest>
-ReadRequest(Connection& aConnection, const Options& aOptions, bool aStopping, bool& aKeepAlive)
+/// @return 200, or the status with which the request is refused; 0 when the connection ended
+unsigned
+ReadRequest(Connection& aConnection,
+            const ServerOptions& aOptions,
+            const bool& aStopping,
+            Exchange& aExchange)
 {
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(aOptions.mMaxHeaderBytes));
   parser.body_limit(aOptions.mMaxBodyBytes);
-  aConnection.mStream.expires_after(aStopping ? kLastRequestWait : aOptions.mIdleTimeout);
-  if (aConnection.mBuffer.size() == 0) {
-    if (!ReadFirstBytes(aConnection, aStopping)) {
-      return { 0, {} };
-    }
+  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aStopping)) {
+    return 0;
   }
-  aConnection.mBusy = true;
+  aConnection.mReading = true;
   aConnection.mFresh = false;
   aConnection.mStream.expires_after(aOptions.mReadTimeout);
   const auto read = Await([&](auto aHandler) {
     http::async_read(aConnection.mStream, aConnection.mBuffer, parser, std::move(aHandler));
   });
+  aConnection.mReading = false;
+  aExchange.mKeepAlive = false;
   if (read.mError == http::error::body_limit) {
-    return { 413, {} };
+    return 413;
   }
   if (read.mError == http::error::header_limit) {
-    return { 431, {} };
+    return 431;
   }
   if (read.mError == http::error::end_of_stream || read.mError == beast::error::timeout) {
-    return { 0, {} };
+    return 0;
   }
   if (read.mError || detail::HasAmbiguousLength(parser.get().base())) {
-    return { 400, {} };
+    return 400;
   }
   const auto& message = parser.get();
-  aKeepAlive = message.keep_alive();
-  HttpRequest request;
+  aExchange.mKeepAlive = message.keep_alive();
+  HttpRequest& request = aExchange.mRequest;
   request.mMethod = detail::ToString(message.method_string());
   request.mTarget = detail::ToString(message.target());
+  request.mHost = detail::ToString(message[http::field::host]);
   request.mHeaders = detail::CopyHeaders(message.base());
   request.mBody = message.body();
-  return { 200, std::move(request) };
+  return 200;
 }
 
 bool
@@ -179,63 +212,138 @@
   return !written.mError;
 }
 
+/// Writes the answers that are ready, in the order of the requests. Only one fiber writes at a
+/// time.
 template<typename State>
-HttpResponse
-HandleWatched(State& aState, Connection& aConnection, const HttpRequest& aRequest)
+void
+WriteReady(const std::shared_ptr<State>& aState, Connection& aConnection)
 {
-  CallerWatch watch;
-  const detail::EndWatch end(aConnection.mStream.socket(), [&watch] {
-    watch.mGone = true;
-    if (watch.mOnGone) {
-      watch.mOnGone();
+  if (aConnection.mWriting) {
+    return;
+  }
+  aConnection.mWriting = true;
+  while (!aConnection.mExchanges.empty() && aConnection.mExchanges.front()->mDone) {
+    Exchange& exchange = *aConnection.mExchanges.front();
+    const bool closeAsked = FindHeader(exchange.mResponse.mHeaders, "Connection") == "close";
+    if (closeAsked || aState->mStopping || !exchange.mKeepAlive) {
+      aConnection.mClosing = true;
     }
-  });
-  return aState.mHandler(aRequest, watch);
+    // Requests that were read are all answered before the connection closes.
+    const bool last =
+      aConnection.mClosing && aConnection.mExchanges.size() == 1 && !aConnection.mReading;
+    auto& headers = exchange.mResponse.mHeaders;
+    headers.erase(std::remove(headers.begin(), headers.end(), Header{ "Connection", "close" }),
+                  headers.end());
+    const bool head = exchange.mRequest.mMethod == "HEAD";
+    aConnection.mBroken =
+      aConnection.mBroken ||
+      !WriteResponse(
+        aConnection, std::move(exchange.mResponse), !last, head, aState->mOptions.mWriteTimeout);
+    aConnection.mExchanges.pop_front();
+  }
+  aConnection.mWriting = false;
+  if (aConnection.mExchanges.empty()) {
+    aConnection.mIdleSince = std::chrono::steady_clock::now();
+    if ((aConnection.mClosing || aConnection.mBroken) && !aConnection.mReading) {
+      aConnection.mClosing = true;
+      aConnection.mStream.cancel();
+    }
+  }
+  aConnection.mChanged.notify_all();
 }
 
 template<typename State>
 void
-ServeConnection(const std::shared_ptr<State>& aState, Connection& aConnection)
+HandleExchange(const std::shared_ptr<State>& aState,
+               const std::shared_ptr<Connection>& aConnection,
+               const std::shared_ptr<Exchange>& aExchange)
+{
+  aExchange->mResponse = aState->mHandler(aExchange->mRequest, aExchange->mWatch);
+  aExchange->mDone = true;
+  WriteReady(aState, *aConnection);
+}
+
+/// Tells the handlers of requests without an answer that their client has gone.
+void
+MarkGone(Connection& aConnection)
 {
+  for (const auto& it : aConnection.mExchanges) {
+    it->mWatch.mGone = true;
+    if (!it->mDone && it->mWatch.mOnGone) {
+      it->mWatch.mOnGone();
+    }
+  }
+}
+
+template<typename State>
+void
+ReadRequests(const std::shared_ptr<State>& aState, const std::shared_ptr<Connection>& aConnection)
+{
+  Connection& connection = *aConnection;
   beast::error_code ec;
-  const Endpoint peer = ToEndpoint(aConnection.mStream.socket().remote_endpoint(ec));
-  aConnection.mStream.socket().set_option(Tcp::no_delay(true), ec);
-  bool keepAlive = true;
-  while (keepAlive) {
-    aConnection.mBusy = false;
-    auto [status, request] =
-      ReadRequest(aConnection, aState->mOptions, aState->mStopping, keepAlive);
+  const Endpoint peer = ToEndpoint(connection.mStream.socket().remote_endpoint(ec));
+  connection.mStream.socket().set_option(Tcp::no_delay(true), ec);
+  bool more = true;
+  while (more && !connection.mClosing) {
+    const auto exchange = std::make_shared<Exchange>();
+    const unsigned status = ReadRequest(connection, aState->mOptions, aState->mStopping, *exchange);
     if (status == 0) {
-      break;
+      if (!connection.mClosing) {
+        MarkGone(connection);
+      }
+      return;
     }
-    HttpResponse response{ status, { { "Fighold-Outcome", "not-run" } }, "" };
+    exchange->mRequest.mPeer = peer;
+    exchange->mRequest.mListener = aState->mOptions.mListener;
+    more = exchange->mKeepAlive;
+    connection.mExchanges.push_back(exchange);
     if (status == 200) {
-      request.mPeer = peer;
-      aConnection.mStream.expires_never();
-      response = HandleWatched(*aState, aConnection, request);
+      boost::fibers::fiber(boost::fibers::launch::post, [aState, aConnection, exchange] {
+        HandleExchange(aState, aConnection, exchange);
+      }).detach();
     } else {
-      keepAlive = false;
+      exchange->mResponse = { status, { { "Fighold-Outcome", "not-run" } }, "" };
+      exchange->mDone = true;
+      WriteReady(aState, connection);
     }
-    const bool lastAnswer = FindHeader(response.mHeaders, "Connection") == "close";
-    keepAlive = keepAlive && !aState->mStopping && !lastAnswer;
-    const bool head = request.mMethod == "HEAD";
-    if (!WriteResponse(
-          aConnection, std::move(response), keepAlive, head, aState->mOptions.mWriteTimeout)) {
-      break;
+    std::unique_lock lock(connection.mMutex);
+    connection.mChanged.wait(
+      lock, [&] { return connection.mExchanges.size() < aState->mOptions.mMaxPipelined; });
+  }
+  // The client sends nothing more, but its end is still watched for the sake of its requests.
+  if (!connection.mExchanges.empty() && !connection.mClosing) {
+    connection.mStream.expires_never();
+    const auto end = Await([&](auto aHandler) {
+      connection.mStream.async_read_some(connection.mBuffer.prepare(1), std::move(aHandler));
+    });
+    if (end.mError && !connection.mClosing) {
+      MarkGone(connection);
     }
   }
-  aConnection.mStream.socket().shutdown(Tcp::socket::shutdown_both, ec);
-  aConnection.mStream.close();
+}
+
+template<typename State>
+void
+ServeConnection(const std::shared_ptr<State>& aState,
+                const std::shared_ptr<Connection>& aConnection)
+{
+  ReadRequests(aState, aConnection);
+  std::unique_lock lock(aConnection->mMutex);
+  aConnection->mChanged.wait(
+    lock, [&] { return aConnection->mExchanges.empty() && !aConnection->mWriting; });
+  beast::error_code ec;
+  aConnection->mStream.socket().shutdown(Tcp::socket::shutdown_both, ec);
+  aConnection->mStream.close();
 }
 
 template<typename State>
 void
 RunConnection(const std::shared_ptr<State>& aState, Tcp::socket aSocket)
 {
-  Connection connection(std::move(aSocket));
-  aState->mConnections.insert(&connection);
+  const auto connection = std::make_shared<Connection>(std::move(aSocket));
+  aState->mConnections.insert(connection.get());
   ServeConnection(aState, connection);
-  aState->mConnections.erase(&connection);
+  aState->mConnections.erase(connection.get());
   aState->mChanged.notify_all();
 }
 
@@ -253,6 +361,27 @@
     .detach();
 }
 
+/// Closes connections that were idle for too long, again and again until the server stops.
+template<typename State>
+void
+WatchIdle(const std::shared_ptr<State>& aState)
+{
+  aState->mIdleTimer.expires_after(kIdleCheck);
+  aState->mIdleTimer.async_wait([aState](const beast::error_code& aError) {
+    if (aError || aState->mStopping) {
+      return;
+    }
+    const Instant now = std::chrono::steady_clock::now();
+    for (Connection* it : aState->mConnections) {
+      if (it->IsIdle() && now >= it->mIdleSince + aState->mOptions.mIdleTimeout) {
+        it->mClosing = true;
+        it->mStream.cancel();
+      }
+    }
+    WatchIdle(aState);
+  });
+}
+
 } // namespace
 
 HttpServer::HttpServer(FiberLoop& aLoop, ServerOptions aOptions, Handler aHandler)
@@ -294,6 +423,7 @@
 HttpServer::Serve()
 {
   const auto state = mState;
+  WatchIdle(state);
   while (!state->mStopping) {
     Tcp::socket socket(state->mAcceptor.get_executor());
     const auto accepted =
@@ -316,6 +446,7 @@
 HttpServer::Stop(Instant aUntil)
 {
   mState->mStopping = true;
+  mState->mIdleTimer.cancel();
   // Closing the listener resets the connections that wait to be accepted.
   beast::error_code ec;
   mState->mAcceptor.non_blocking(true, ec);
@@ -328,7 +459,7 @@
   }
   mState->mAcceptor.close(ec);
   for (Connection* it : mState->mConnections) {
-    if (!it->mBusy) {
+    if (it->IsIdle()) {
       it->mStream.cancel();
     }
   }
@@ -337,10 +468,19 @@
     lock, aUntil, [this] { return mState->mConnections.empty() && mState->mStarting == 0; });
 }
 
+void
+HttpServer::SetLimits(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes, Millis aIdleTimeout)
+{
+  mState->mOptions.mMaxHeaderBytes = aMaxHeaderBytes;
+  mState->mOptions.mMaxBodyBytes = aMaxBodyBytes;
+  mState->mOptions.mIdleTimeout = aIdleTimeout;
+}
+
 void
 HttpServer::Close()
 {
   mState->mStopping = true;
+  mState->mIdleTimer.cancel();
   beast::error_code ec;
   mState->mAcceptor.close(ec);
   for (Connection* it : mState->mConnections) {
