--- a/packages/agreement/include/fighold/agreement/message.hpp
+++ b/packages/agreement/include/fighold/agreement/message.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -163,6 +164,20 @@
   friend auto operator<=>(const EmptyReply&, const EmptyReply&) = default;
 };
 
+/// A process that follows no leader asks the group to take it in.
+struct JoinAsk
+{
+  friend auto operator<=>(const JoinAsk&, const JoinAsk&) = default;
+};
+
+/// Answers JoinAsk where the answerer does not lead: who else may.
+struct JoinReply
+{
+  std::set<ControlId> mVoters;
+
+  friend auto operator<=>(const JoinReply&, const JoinReply&) = default;
+};
+
 /// Passes a proposal to the leader.
 struct Forward
 {
@@ -179,7 +194,9 @@
                           SnapshotReply,
                           EmptyAsk,
                           EmptyReply,
-                          Forward>;
+                          Forward,
+                          JoinAsk,
+                          JoinReply>;
 
 /// A message with what is known of its sender.
 struct Message
--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -27,6 +27,17 @@
 /// Random part of the election timeout, so that two processes seldom begin at the same time.
 constexpr Millis kElectionSpread{ 600 };
 
+/// Voters beyond which a process that asks to join only replaces one that is lost. Two of five may
+/// lose their disks at once.
+constexpr std::size_t kMaxVoters = 5;
+
+/// Time without a message after which a voter counts as lost when another process waits to take its
+/// place. A voter that is killed or frozen for some seconds is back before.
+constexpr Millis kReplaceVoterAfter{ 6000 };
+
+/// Time after which a process that is no voter and is not heard of is no longer sent anything.
+constexpr Millis kForgetPeerAfter{ 30'000 };
+
 /// Writes of entries that may wait for the storage. A leader drops proposals beyond that, and a
 /// follower drops entries, which the leader repeats.
 constexpr std::size_t kMaxPendingWrites = 512;
@@ -56,7 +67,10 @@
 struct Options
 {
   ControlId mSelf;
-  std::set<ControlId> mConfigured;     ///< all control processes, this one included
+  /// Control processes that are known from the start. The empty ones among them, all together, form
+  /// the group; others join it.
+  std::set<ControlId> mConfigured;
+  bool mMayForm = true; ///< the deployment starts for the first time, so that a group may be formed
   std::uint64_t mSeed = 1;             ///< of the random part of election timeouts
   std::uint64_t mSnapshotEvery = 1000; ///< entries
   std::uint64_t mPartSize = 65'536;    ///< bytes of a part of a snapshot
@@ -187,6 +201,7 @@
   Incarnation mIncarnation = 0;
   Index mSynced = 0;
   Index mNext = 1;
+  Instant mHeardAt{};
   bool mMatched = false;         ///< the log is known to match up to mSynced
   std::uint64_t mRound = 0;      ///< last heartbeat round it acknowledged
   std::uint64_t mFirstRound = 0; ///< first round begun after this incarnation was first heard
@@ -233,6 +248,7 @@
   std::multimap<std::uint64_t, Send> mPendingSends; ///< sent once the write is synced
 
   std::set<ControlId> mVotes;                   ///< for the candidate or pre-candidate
+  std::set<ControlId> mKnown;                   ///< processes that were named as voters by others
   std::map<ControlId, Incarnation> mEmptyPeers; ///< processes known to have empty folders
   std::map<ControlId, Peer> mPeers;
   Index mTermStart = 0; ///< first entry of the leader's term
--- a/packages/agreement/src/context.hpp
+++ b/packages/agreement/src/context.hpp
@@ -161,6 +161,20 @@
 void
 HandleEmptyReply(Context& aContext, const Member& aFrom, const EmptyReply& aReply);
 
+/// Asks the group to take this process in, while it follows no leader.
+void
+AskToJoin(Context& aContext);
+
+void
+HandleJoinAsk(Context& aContext, const Member& aFrom);
+
+void
+HandleJoinReply(Context& aContext, const JoinReply& aReply);
+
+/// Forgets processes that are no voters and have not been heard of for long.
+void
+ForgetLostPeers(Context& aContext);
+
 /// Replaces voters that lost their disk by their new incarnations, one change at a time.
 void
 AdmitLearners(Context& aContext);
--- a/packages/agreement/src/members.cpp
+++ b/packages/agreement/src/members.cpp
@@ -15,7 +15,7 @@
 bool
 MayBootstrap(const Node& aNode)
 {
-  return IsEmpty(aNode) && !aNode.mOptions.mConfigured.empty() &&
+  return aNode.mOptions.mMayForm && IsEmpty(aNode) && !aNode.mOptions.mConfigured.empty() &&
          *aNode.mOptions.mConfigured.begin() == aNode.mOptions.mSelf;
 }
 
@@ -58,6 +58,19 @@
          aPeer.mRound + 1 >= aNode.mRound;
 }
 
+/// @return a voter that was not heard of for long
+std::optional<ControlId>
+LostVoter(const Node& aNode, Instant aNow)
+{
+  for (const auto& [id, incarnation] : aNode.mMembers.mVoters) {
+    const auto it = aNode.mPeers.find(id);
+    if (it != aNode.mPeers.end() && aNow >= it->second.mHeardAt + kReplaceVoterAfter) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 bool
@@ -159,6 +172,68 @@
   BootstrapIfComplete(aContext);
 }
 
+void
+AskToJoin(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  if (aContext.mNow < node.mNextHeartbeat ||
+      (node.mLeader && aContext.mNow < node.mHeardLeaderAt + kElectionTimeout)) {
+    return;
+  }
+  std::set<ControlId> asked = node.mOptions.mConfigured;
+  asked.insert(node.mKnown.begin(), node.mKnown.end());
+  for (const auto& [id, incarnation] : node.mMembers.mVoters) {
+    asked.insert(id);
+  }
+  asked.erase(node.mOptions.mSelf);
+  for (const ControlId& it : asked) {
+    SendTo(aContext, it, JoinAsk{});
+  }
+  if (!MayBootstrap(node)) {
+    node.mNextHeartbeat = aContext.mNow + kHeartbeatInterval;
+  }
+}
+
+void
+HandleJoinAsk(Context& aContext, const Member& aFrom)
+{
+  Node& node = aContext.mNode;
+  if (node.mRole == Role::Leader) {
+    const auto [it, isNew] = node.mPeers.try_emplace(aFrom.mId);
+    if (isNew) {
+      it->second.mHeardAt = aContext.mNow;
+      it->second.mNext = LastIndex(node) + 1;
+      SendAppend(aContext, aFrom.mId);
+    }
+    return;
+  }
+  JoinReply reply;
+  for (const auto& [id, incarnation] : node.mMembers.mVoters) {
+    reply.mVoters.insert(id);
+  }
+  if (!reply.mVoters.empty()) {
+    SendTo(aContext, aFrom.mId, std::move(reply));
+  }
+}
+
+void
+HandleJoinReply(Context& aContext, const JoinReply& aReply)
+{
+  aContext.mNode.mKnown.insert(aReply.mVoters.begin(), aReply.mVoters.end());
+}
+
+void
+ForgetLostPeers(Context& aContext)
+{
+  Node& node = aContext.mNode;
+  for (auto it = node.mPeers.begin(); it != node.mPeers.end();) {
+    const bool keep = node.mMembers.mVoters.count(it->first) > 0 ||
+                      node.mOptions.mConfigured.count(it->first) > 0 ||
+                      aContext.mNow < it->second.mHeardAt + kForgetPeerAfter;
+    it = keep ? std::next(it) : node.mPeers.erase(it);
+  }
+}
+
 void
 HandleEmptyAsk(Context& aContext, const Member& aFrom)
 {
@@ -190,15 +265,23 @@
     return;
   }
   for (const auto& [id, peer] : node.mPeers) {
-    if (node.mOptions.mConfigured.count(id) == 0 || IsVoter(node, { id, peer.mIncarnation }) ||
-        !CaughtUp(node, peer)) {
+    if (IsVoter(node, { id, peer.mIncarnation }) || !CaughtUp(node, peer)) {
+      continue;
+    }
+    const bool former = node.mMembers.mVoters.count(id) > 0;
+    const auto lost = LostVoter(node, aContext.mNow);
+    const bool room = former || node.mMembers.mVoters.size() <
+                                  std::max(kMaxVoters, node.mOptions.mConfigured.size());
+    if (!room && !lost) {
       continue;
     }
     // The former incarnation is removed by a change of its own. A single change that swaps the two
     // would allow two majorities without a common member, because a vote of the former incarnation
     // may still be on its way.
     Members members = node.mMembers;
-    if (members.mVoters.erase(id) == 0) {
+    if (!room) {
+      members.mVoters.erase(*lost);
+    } else if (members.mVoters.erase(id) == 0) {
       members.mVoters[id] = peer.mIncarnation;
     }
     AppendOwn(aContext, EntryKind::Members, EncodeMembers(members));
--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -12,6 +12,7 @@
 {
   switch (aContext.mNode.mRole) {
     case Role::Learner:
+      AskToJoin(aContext);
       TickBootstrap(aContext);
       break;
     case Role::Leader:
@@ -112,6 +113,18 @@
   HandleEmptyReply(aContext, aFrom, aReply);
 }
 
+void
+HandleBody(const Member& aFrom, const JoinAsk& /*aAsk*/, Context& aContext)
+{
+  HandleJoinAsk(aContext, aFrom);
+}
+
+void
+HandleBody(const Member& /*aFrom*/, const JoinReply& aReply, Context& aContext)
+{
+  HandleJoinReply(aContext, aReply);
+}
+
 void
 HandleBody(const Member& /*aFrom*/, const Forward& aForward, Context& aContext)
 {
--- a/packages/agreement/src/replication.cpp
+++ b/packages/agreement/src/replication.cpp
@@ -87,6 +87,7 @@
   for (auto& [id, peer] : node.mPeers) {
     const auto it = node.mMembers.mVoters.find(id);
     peer = Peer{};
+    peer.mHeardAt = aContext.mNow;
     peer.mIncarnation = it == node.mMembers.mVoters.end() ? 0 : it->second;
     peer.mNext = LastIndex(node) + 1;
   }
@@ -104,6 +105,7 @@
     return;
   }
   if (aContext.mNow >= node.mNextHeartbeat) {
+    ForgetLostPeers(aContext);
     StartRound(aContext);
     AdvanceLeader(aContext);
   }
@@ -213,6 +215,7 @@
     peer.mNext = LastIndex(node) + 1;
     peer.mFirstRound = node.mRound + 1;
   }
+  peer.mHeardAt = aContext.mNow;
   peer.mRound = std::max(peer.mRound, aRound);
   return &peer;
 }
--- a/packages/control/include/fighold/control/daemon.hpp
+++ b/packages/control/include/fighold/control/daemon.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fighold/control/front_codec.hpp"
+#include "fighold/control/state.hpp"
 #include "fighold/core/endpoint.hpp"
 #include "fighold/core/id.hpp"
 #include "fighold/net/http_server.hpp"
@@ -23,6 +25,11 @@
   Endpoint mMessageBind;                   ///< where entries and other control processes connect
   std::map<ControlId, Endpoint> mControls; ///< all control processes, this one included
   net::ServerOptions mServer;
+  std::vector<Endpoint>
+    mAlsoListen; ///< further addresses; requests name them by their place, from 1
+  FrontCodec mFront = NativeFrontCodec();
+  Options mDecide;
+  bool mMayForm = true; ///< with an empty data folder this process may found the group
   std::filesystem::path mData;
   std::filesystem::path mCharts;
   std::optional<wire::Keys> mKeys; ///< keys for messages between daemons
--- a/packages/control/include/fighold/control/event.hpp
+++ b/packages/control/include/fighold/control/event.hpp
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,6 +26,7 @@
   CallId mId = 0;
   membership::Change mChange;
   Millis mTimeout{ 10'000 };
+  bool mUntilInForce = true; ///< the call waits until every entry uses the change
 
   friend bool operator==(const ChangeCall&, const ChangeCall&) = default;
 };
@@ -37,6 +39,45 @@
   friend auto operator<=>(const StatusCall&, const StatusCall&) = default;
 };
 
+/// A backend server announces itself, renews, or says that it leaves.
+struct ServerHeartbeat
+{
+  CallId mId = 0;
+  BackendServerId mServerId;
+  membership::BackendServer mServer; ///< of two incarnations the greater one is the later one
+  std::uint64_t mSequence = 0;       ///< rises with each heartbeat of the incarnation
+  Millis mCold{ 0 };                 ///< time for which the server stays cold
+
+  friend auto operator<=>(const ServerHeartbeat&, const ServerHeartbeat&) = default;
+};
+
+/// A backend server withdraws without naming its incarnation.
+struct ServerWithdrawal
+{
+  CallId mId = 0;
+  BackendServerId mServerId;
+
+  friend auto operator<=>(const ServerWithdrawal&, const ServerWithdrawal&) = default;
+};
+
+/// A caller asks which entries to use.
+struct DirectoryCall
+{
+  CallId mId = 0;
+  RegionId mRegion;
+  DataCentreId mDataCentre;
+
+  friend auto operator<=>(const DirectoryCall&, const DirectoryCall&) = default;
+};
+
+/// An operator asks for the route set in use.
+struct RoutesCall
+{
+  CallId mId = 0;
+
+  friend auto operator<=>(const RoutesCall&, const RoutesCall&) = default;
+};
+
 /// A message of an entry.
 struct FromEntry
 {
@@ -79,7 +120,16 @@
   friend auto operator<=>(const Tick&, const Tick&) = default;
 };
 
-using Event = std::variant<ChangeCall, StatusCall, FromEntry, FromControl, Stored, Tick>;
+using Event = std::variant<ChangeCall,
+                           StatusCall,
+                           FromEntry,
+                           FromControl,
+                           Stored,
+                           Tick,
+                           ServerHeartbeat,
+                           ServerWithdrawal,
+                           DirectoryCall,
+                           RoutesCall>;
 
 /// Answer to an operator's change.
 struct ChangeCallAnswer
@@ -133,7 +183,37 @@
   friend bool operator==(const StatusAnswer&, const StatusAnswer&) = default;
 };
 
-using CallAnswer = std::variant<ChangeCallAnswer, StatusAnswer>;
+/// Answer to a backend server.
+struct ServerAnswer
+{
+  bool mDecided = false; ///< false: to be repeated at another control process
+  bool mAccepted = false;
+  std::string mMessage;
+
+  friend auto operator<=>(const ServerAnswer&, const ServerAnswer&) = default;
+};
+
+/// Answer to a caller: entries, nearest first.
+struct DirectoryAnswer
+{
+  std::vector<Endpoint> mEntries;
+  Millis mTimeToLive{ 0 };
+
+  friend auto operator<=>(const DirectoryAnswer&, const DirectoryAnswer&) = default;
+};
+
+/// Answer to RoutesCall.
+struct RoutesAnswer
+{
+  bool mCurrent = false; ///< a majority confirmed that no newer route set was accepted
+  SharedValue<routes::RouteSet> mRoutes;
+  std::optional<ControlId> mLeader; ///< process that can tell, when this one cannot
+
+  friend bool operator==(const RoutesAnswer&, const RoutesAnswer&) = default;
+};
+
+using CallAnswer =
+  std::variant<ChangeCallAnswer, StatusAnswer, ServerAnswer, DirectoryAnswer, RoutesAnswer>;
 
 /// Give the answer to the front.
 struct AnswerCall
--- a/packages/control/include/fighold/control/front_codec.hpp
+++ b/packages/control/include/fighold/control/front_codec.hpp
@@ -3,6 +3,7 @@
 #include "fighold/control/event.hpp"
 #include "fighold/net/http.hpp"
 
+#include <functional>
 #include <string>
 #include <variant>
 
@@ -25,4 +26,15 @@
 net::HttpResponse
 ToResponse(const net::HttpRequest& aRequest, const CallAnswer& aAnswer);
 
+/// Functions of one dialect.
+struct FrontCodec
+{
+  std::function<Parsed(CallId, const net::HttpRequest&, const std::string& aToken)> mParse;
+  std::function<net::HttpResponse(const net::HttpRequest&, const CallAnswer&)> mToResponse;
+};
+
+/// @return the dialect of fighold's own interface
+FrontCodec
+NativeFrontCodec();
+
 } // namespace fighold::control
--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -42,7 +42,8 @@
 {
   EntryId mFrom;
   std::uint64_t mAsk = 0;
-  Instant mUntil{}; ///< the entry gives up before
+  Instant mUntil{};              ///< the asker gives up before
+  std::optional<CallId> mCall{}; ///< a backend server's call in place of an entry's
 };
 
 /// What is known of an entry.
@@ -98,6 +99,32 @@
   bool mLeads = false; ///< led at the last tick
 };
 
+/// A read of the route set that waits for a majority to confirm it.
+struct PendingRead
+{
+  CallId mId = 0;
+  Instant mArrived{};
+
+  friend auto operator<=>(const PendingRead&, const PendingRead&) = default;
+};
+
+/// How long a backend server stays cold, as it last said.
+struct ColdSpell
+{
+  Instant mHeardAt{};
+  Instant mUntil{};
+
+  friend auto operator<=>(const ColdSpell&, const ColdSpell&) = default;
+};
+
+/// Settings of the decisions.
+struct Options
+{
+  /// Time for which a backend server's renewal counts.
+  Millis mServerLease = membership::kBackendServerLease;
+  Millis mDirectoryTimeToLive{ 2000 };
+};
+
 /// Shares of the plan's limits. Every control process knows the limits; only the leader allocates.
 struct ShareKeeping
 {
@@ -132,6 +159,7 @@
 /// The whole state.
 struct State
 {
+  Options mOptions;
   agreement::Node mNode;
   Codec mCodec;
   Charts mCharts;
@@ -142,6 +170,9 @@
   std::map<BackendServerId, membership::BackendLife> mBackends;
   std::map<BackendServerId, std::pair<membership::BackendReport, Instant>>
     mReports; ///< not yet passed on
+  std::map<BackendServerId, ColdSpell> mCold;
+  std::map<BackendKey, std::uint64_t> mSequences; ///< last heartbeat of each incarnation heard here
+  std::vector<PendingRead> mReads;
   std::map<ControlId, ControlView> mControls;
   std::map<CallId, PendingCall> mCalls;
   std::multimap<std::string, PendingAsk> mAsks; ///< by encoded change
--- a/packages/control/src/backend_servers.cpp
+++ b/packages/control/src/backend_servers.cpp
@@ -5,8 +5,6 @@
 namespace fighold::control {
 namespace {
 
-using membership::kBackendServerLease;
-
 /// Time between two proposals to remove or forget one backend server.
 constexpr Millis kRemovalInterval{ 1000 };
 
@@ -64,7 +62,13 @@
     const bool unknown = RegisteredIncarnation(state, it->first) != it->second.mIncarnation;
     const bool old =
       aContext.mNow >= std::max(it->second.mAliveUntil, it->second.mSince) + kKeepUnknown;
-    it = unknown && old ? state.mBackends.erase(it) : std::next(it);
+    if (unknown && old) {
+      state.mCold.erase(it->first);
+      state.mSequences.erase({ it->first, it->second.mIncarnation });
+      it = state.mBackends.erase(it);
+    } else {
+      ++it;
+    }
   }
 }
 
@@ -130,6 +134,25 @@
   }
 }
 
+/// Takes over how long a server stays cold, unless a later word of it is known.
+void
+TakeCold(State& aState, const BackendServerId& aId, Instant aHeardAt, Millis aCold)
+{
+  ColdSpell& spell = aState.mCold[aId];
+  if (aHeardAt >= spell.mHeardAt) {
+    spell = { aHeardAt, aHeardAt + aCold };
+  }
+}
+
+Millis
+ColdLeft(const State& aState, const BackendServerId& aId, Instant aNow)
+{
+  const auto it = aState.mCold.find(aId);
+  return it == aState.mCold.end() || it->second.mUntil <= aNow
+           ? Millis(0)
+           : std::chrono::ceil<Millis>(it->second.mUntil - aNow);
+}
+
 } // namespace
 
 void
@@ -141,7 +164,9 @@
   for (const membership::BackendReport& it : aReports) {
     // The reporter's clock may run slow by the allowance.
     const Instant renewed = aSent - it.mAge - it.mAge / membership::kClockRateParts;
-    TakeLease(aContext, it.mId, it.mIncarnation, renewed + kBackendServerLease, it.mInFlight);
+    TakeLease(
+      aContext, it.mId, it.mIncarnation, renewed + state.mOptions.mServerLease, it.mInFlight);
+    TakeCold(state, it.mId, renewed, it.mCold);
     if (!agreement::IsLeader(state.mNode)) {
       auto& kept = state.mReports[it.mId];
       if (renewed > kept.second) {
@@ -159,6 +184,7 @@
   for (const membership::BackendLease& it : aLeases) {
     TakeLease(
       aContext, it.mId, it.mIncarnation, membership::LeaseEnd(aAskedAt, it.mLeft), it.mInFlight);
+    TakeCold(aContext.mState, it.mId, aAskedAt, it.mCold);
   }
 }
 
@@ -169,7 +195,7 @@
   for (const auto& [id, life] : aState.mBackends) {
     const auto left = std::chrono::duration_cast<Millis>(life.mAliveUntil - aNow);
     if (IsAlive(life, aNow) && left > Millis(0)) {
-      leases.push_back({ id, life.mIncarnation, left, life.mInFlight });
+      leases.push_back({ id, life.mIncarnation, left, life.mInFlight, ColdLeft(aState, id, aNow) });
     }
   }
   return leases;
--- a/packages/control/src/calls.cpp
+++ b/packages/control/src/calls.cpp
@@ -14,6 +14,12 @@
   return aScope.mCall.mAnswer.mVerdict == membership::Verdict::Accepted;
 }
 
+bool
+AnswerWhenDecided(const CallScope& aScope)
+{
+  return !aScope.mCall.mCall.mUntilInForce;
+}
+
 bool
 TimedOut(const CallScope& aScope)
 {
@@ -93,7 +99,8 @@
 {
   return { { "proposed", "accepted", "answered" },
            { "applied", "tick" },
-           { { "was_accepted", WasAccepted },
+           { { "answer_when_decided", AnswerWhenDecided },
+             { "was_accepted", WasAccepted },
              { "timed_out", TimedOut },
              { "retry_due", RetryDue },
              { "is_in_force", IsInForce } },
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -53,12 +53,26 @@
   }
 }
 
+std::vector<net::ServerOptions>
+ListenersOf(const DaemonOptions& aOptions)
+{
+  std::vector<net::ServerOptions> listeners{ aOptions.mServer };
+  for (const Endpoint& it : aOptions.mAlsoListen) {
+    net::ServerOptions options = aOptions.mServer;
+    options.mBind = it;
+    options.mListener = static_cast<std::uint16_t>(listeners.size());
+    listeners.push_back(std::move(options));
+  }
+  return listeners;
+}
+
 agreement::Options
 AgreementOptionsOf(const DaemonOptions& aOptions)
 {
   agreement::Options options;
   options.mSelf = aOptions.mSelf;
   options.mSeed = aOptions.mIncarnation;
+  options.mMayForm = aOptions.mMayForm;
   options.mChart = agreement::LoadRoleChart(aOptions.mCharts);
   for (const auto& [id, endpoint] : aOptions.mControls) {
     options.mConfigured.insert(id);
@@ -91,7 +105,7 @@
 {
   explicit State(const DaemonOptions& aOptions)
     : mSockets(MessageOptionsOf(aOptions), mWiring.mMessagesOut)
-    , mFront(mWiring, aOptions.mServer, aOptions.mToken)
+    , mFront(mWiring, { ListenersOf(aOptions), aOptions.mToken, aOptions.mFront })
   {
     auto charts = LoadCharts(aOptions.mCharts);
     auto options = AgreementOptionsOf(aOptions);
@@ -108,6 +122,7 @@
                                         HoldersOf(aOptions),
                                         aOptions.mIncarnation };
     state.mClaims = claims::MakeHolder(holder, true);
+    state.mOptions = aOptions.mDecide;
     state.mStartedEmpty = startedEmpty;
     state.mShifts.mChart = LoadShiftChart(aOptions.mCharts);
     mLogThread = std::thread([this] { telemetry::LogThread(mWiring.mLog); });
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -3,7 +3,9 @@
 #include "backend_servers.hpp"
 #include "calls.hpp"
 #include "claim_holding.hpp"
+#include "directory.hpp"
 #include "leases.hpp"
+#include "server_calls.hpp"
 #include "shares.hpp"
 #include "shifts.hpp"
 
@@ -56,6 +58,10 @@
   state.mProposed.erase(aEntry.mPayload);
   const auto [first, last] = state.mAsks.equal_range(aEntry.mPayload);
   for (auto it = first; it != last; ++it) {
+    if (it->second.mCall) {
+      AnswerServer(aContext, *it->second.mCall, applied.mAnswer);
+      continue;
+    }
     aContext.mEffects.emplace_back(
       SendEntry{ it->second.mFrom, membership::ChangeDone{ it->second.mAsk, applied.mAnswer } });
   }
@@ -174,6 +180,30 @@
   Agree(aContext, agreement::Stored{ aStored.mWrite });
 }
 
+void
+Handle(const ServerHeartbeat& aHeartbeat, Context& aContext)
+{
+  HandleHeartbeat(aContext, aHeartbeat);
+}
+
+void
+Handle(const ServerWithdrawal& aWithdrawal, Context& aContext)
+{
+  HandleWithdrawal(aContext, aWithdrawal);
+}
+
+void
+Handle(const DirectoryCall& aCall, Context& aContext)
+{
+  AnswerDirectory(aContext, aCall);
+}
+
+void
+Handle(const RoutesCall& aCall, Context& aContext)
+{
+  ReadRoutes(aContext, aCall);
+}
+
 void
 Handle(const Tick& /*aTick*/, Context& aContext)
 {
@@ -186,6 +216,8 @@
   TickClaims(aContext);
   const Instant now = aContext.mNow;
   DropWhere(aContext.mState.mProposed, [now](const auto& aItem) { return now >= aItem.second; });
+  ExpireServerCalls(aContext);
+  AnswerReads(aContext);
   DropWhere(aContext.mState.mAsks, [now](const auto& aItem) { return now >= aItem.second.mUntil; });
 }
 
@@ -256,7 +288,7 @@
 Instant
 NextTick(const State& aState, Instant aNow)
 {
-  if (!aState.mCalls.empty()) {
+  if (!aState.mCalls.empty() || !aState.mReads.empty()) {
     return aNow + kTickInterval;
   }
   const Instant timer = agreement::NextTimer(aState.mNode);
--- a/packages/control/src/front.cpp
+++ b/packages/control/src/front.cpp
@@ -1,4 +1,4 @@
-#include "front_codec.hpp"
+#include "fighold/control/front_codec.hpp"
 #include "threads.hpp"
 
 #include <boost/fiber/fiber.hpp>
@@ -19,13 +19,15 @@
 
 struct Front::State
 {
-  State(Wiring& aWiring, net::ServerOptions aOptions, std::string aToken)
+  State(Wiring& aWiring, const FrontOptions& aOptions)
     : mWiring(aWiring)
-    , mToken(std::move(aToken))
-    , mServer(mLoop, std::move(aOptions), [this](const net::HttpRequest& aRequest) {
-      return Handle(aRequest);
-    })
+    , mToken(aOptions.mToken)
+    , mCodec(aOptions.mCodec)
   {
+    for (const net::ServerOptions& it : aOptions.mListeners) {
+      mServers.push_back(std::make_unique<net::HttpServer>(
+        mLoop, it, [this](const net::HttpRequest& aRequest) { return Handle(aRequest); }));
+    }
     mWiring.mAnswers.SetWakeup([this] { mLoop.Post([this] { DeliverAnswers(); }); });
   }
 
@@ -38,7 +40,7 @@
       return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, mWiring.mMetrics.Text() };
     }
     const CallId id = mNextId++;
-    Parsed parsed = ParseRequest(id, aRequest, mToken);
+    Parsed parsed = mCodec.mParse(id, aRequest, mToken);
     if (auto* response = std::get_if<net::HttpResponse>(&parsed)) {
       return std::move(*response);
     }
@@ -49,7 +51,7 @@
       return net::JsonResponse(503, R"({"error":"busy, not accepted"})");
     }
     mWaiting[id] = &promise;
-    return ToResponse(aRequest, future.get());
+    return mCodec.mToResponse(aRequest, future.get());
   }
 
   void DeliverAnswers()
@@ -65,15 +67,16 @@
 
   Wiring& mWiring;
   std::string mToken;
+  FrontCodec mCodec;
   net::FiberLoop mLoop;
-  net::HttpServer mServer;
+  std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::map<CallId, boost::fibers::promise<CallAnswer>*> mWaiting;
   CallId mNextId = 1;
   boost::fibers::promise<void> mDrain;
 };
 
-Front::Front(Wiring& aWiring, net::ServerOptions aOptions, std::string aToken)
-  : mState(std::make_unique<State>(aWiring, std::move(aOptions), std::move(aToken)))
+Front::Front(Wiring& aWiring, const FrontOptions& aOptions)
+  : mState(std::make_unique<State>(aWiring, aOptions))
 {
 }
 
@@ -82,17 +85,25 @@
 Endpoint
 Front::Address() const
 {
-  return mState->mServer.Address();
+  return mState->mServers.front()->Address();
 }
 
 void
 Front::Run()
 {
   mState->mLoop.Run([this] {
-    boost::fibers::fiber serve([this] { mState->mServer.Serve(); });
+    std::vector<boost::fibers::fiber> serving;
+    for (const auto& it : mState->mServers) {
+      serving.emplace_back([&it] { it->Serve(); });
+    }
     mState->mDrain.get_future().wait();
-    mState->mServer.Stop(std::chrono::steady_clock::now() + kStopTimeout);
-    serve.join();
+    const Instant until = std::chrono::steady_clock::now() + kStopTimeout;
+    for (const auto& it : mState->mServers) {
+      it->Stop(until);
+    }
+    for (auto& it : serving) {
+      it.join();
+    }
   });
 }
 
--- a/packages/control/src/front_codec.cpp
+++ b/packages/control/src/front_codec.cpp
@@ -1,5 +1,6 @@
-#include "front_codec.hpp"
+#include "fighold/control/front_codec.hpp"
 
+#include "fighold/control/route_json.hpp"
 #include "fighold/plan/sheet.hpp"
 
 #include <boost/json/parse.hpp>
@@ -90,6 +91,24 @@
   return call;
 }
 
+/// A call that changes the route set.
+template<typename Body>
+Parsed
+ParseRoutes(CallId aId, const boost::urls::url_view& aUrl, Checked<Body> aChecked)
+{
+  const std::string change = ParameterOr(aUrl, "change", "");
+  if (const auto wrong = CheckChangeId(change)) {
+    return ErrorResponse(400, *wrong);
+  }
+  if (!aChecked.mValue) {
+    return ErrorResponse(422, FormatFindings(aChecked.mFindings));
+  }
+  ChangeCall call;
+  call.mId = aId;
+  call.mChange = { { change }, std::move(*aChecked.mValue) };
+  return call;
+}
+
 std::optional<membership::DrainKind>
 ParseDrainKind(const std::string& aText)
 {
@@ -102,6 +121,9 @@
   if (aText == "region") {
     return membership::DrainKind::Region;
   }
+  if (aText == "data-centre") {
+    return membership::DrainKind::DataCentre;
+  }
   return std::nullopt;
 }
 
@@ -263,6 +285,39 @@
   return net::JsonResponse(200, json::serialize(body));
 }
 
+net::HttpResponse
+Convert(const net::HttpRequest& /*aRequest*/, const ServerAnswer& aAnswer)
+{
+  if (!aAnswer.mDecided) {
+    return ErrorResponse(503, aAnswer.mMessage);
+  }
+  return aAnswer.mAccepted ? net::JsonResponse(200, "{}") : ErrorResponse(409, aAnswer.mMessage);
+}
+
+net::HttpResponse
+Convert(const net::HttpRequest& /*aRequest*/, const DirectoryAnswer& aAnswer)
+{
+  if (aAnswer.mEntries.empty()) {
+    return ErrorResponse(503, "no entry is known");
+  }
+  json::array entries;
+  for (const Endpoint& it : aAnswer.mEntries) {
+    entries.emplace_back(ToText(it));
+  }
+  return net::JsonResponse(200,
+                           json::serialize(json::object{
+                             { "entries", entries }, { "ttl_ms", aAnswer.mTimeToLive.count() } }));
+}
+
+net::HttpResponse
+Convert(const net::HttpRequest& /*aRequest*/, const RoutesAnswer& aAnswer)
+{
+  if (!aAnswer.mCurrent) {
+    return ErrorResponse(503, "not confirmed by a majority; ask the leader");
+  }
+  return net::JsonResponse(200, WriteRouteSet(*aAnswer.mRoutes, {}));
+}
+
 } // namespace
 
 Parsed
@@ -277,7 +332,9 @@
   if (path == "/v1/plan/check" && post) {
     return ParseCheck(aRequest);
   }
-  const bool change = (path == "/v1/plan" || path == "/v1/drains") && post;
+  const bool routes =
+    path == "/v1/routes" && (aRequest.mMethod == "PUT" || aRequest.mMethod == "PATCH");
+  const bool change = routes || ((path == "/v1/plan" || path == "/v1/drains") && post);
   if (change && !aToken.empty() &&
       net::FindHeader(aRequest.mHeaders, "Authorization") != "Bearer " + aToken) {
     return ErrorResponse(401, "this call needs the operator's token");
@@ -288,6 +345,20 @@
   if (path == "/v1/drains" && post) {
     return ParseDrain(aId, *url);
   }
+  if (path == "/v1/routes" && aRequest.mMethod == "PUT") {
+    return ParseRoutes(aId, *url, ReadRouteSet(aRequest.mBody, {}));
+  }
+  if (path == "/v1/routes" && aRequest.mMethod == "PATCH") {
+    return ParseRoutes(aId, *url, ReadRoutePatch(aRequest.mBody, {}));
+  }
+  if (path == "/v1/routes" && aRequest.mMethod == "GET") {
+    return RoutesCall{ aId };
+  }
+  if (path == "/v1/entries" && aRequest.mMethod == "GET") {
+    return DirectoryCall{ aId,
+                          { ParameterOr(*url, "region", "") },
+                          { ParameterOr(*url, "data_centre", "") } };
+  }
   if (path == "/v1/plan" || path == "/v1/plan/history" || path == "/v1/status" ||
       path == "/readyz") {
     return StatusCall{ aId };
@@ -301,4 +372,10 @@
   return std::visit([&aRequest](const auto& aBody) { return Convert(aRequest, aBody); }, aAnswer);
 }
 
+FrontCodec
+NativeFrontCodec()
+{
+  return { ParseRequest, ToResponse };
+}
+
 } // namespace fighold::control
--- a/packages/control/src/front_codec_test.cpp
+++ b/packages/control/src/front_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "front_codec.hpp"
+#include "fighold/control/front_codec.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -105,10 +105,15 @@
 OldestGrantable(const State& aState, Instant aNow)
 {
   Version oldest = aState.mConfiguration->mVersion;
-  for (const ControlId& id : aState.mNode.mOptions.mConfigured) {
-    if (id == aState.mNode.mOptions.mSelf) {
-      continue;
-    }
+  std::set<ControlId> others = aState.mNode.mOptions.mConfigured;
+  for (const auto& [id, incarnation] : aState.mNode.mMembers.mVoters) {
+    others.insert(id);
+  }
+  for (const auto& [id, view] : aState.mControls) {
+    others.insert(id);
+  }
+  others.erase(aState.mNode.mOptions.mSelf);
+  for (const ControlId& id : others) {
     const auto it = aState.mControls.find(id);
     const Instant heard = it == aState.mControls.end()
                             ? aState.mLeaderSince
@@ -231,6 +236,10 @@
   grant.mVersion = state.mConfiguration->mVersion;
   if (aRenew.mHeld < grant.mVersion) {
     grant.mConfiguration = state.mConfiguration;
+    grant.mSameRoutes = aRenew.mRoutesHeld == state.mConfiguration->mRoutes->mNumber;
+  }
+  for (const auto& [id, incarnation] : state.mNode.mMembers.mVoters) {
+    grant.mControls.push_back(id);
   }
   grant.mBackendLeases = LivingBackends(state, aContext.mNow);
   grant.mStamp = membership::GiveStamp(aContext.mNow);
--- /dev/null
+++ b/packages/control/src/route_json.cpp
@@ -0,0 +1,445 @@
+#include "fighold/control/route_json.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include <charconv>
+#include <cmath>
+
+namespace fighold::control {
+namespace {
+
+namespace json = boost::json;
+
+constexpr double kMillisPerSecond = 1000;
+
+/// Largest time in ms that is taken; a day.
+constexpr double kLongestMs = 86'400'000;
+
+/// Reads members and collects what is wrong with them.
+struct Reader
+{
+  const RouteNames& mNames;
+  Findings mFindings{};
+
+  void Fail(const std::string& aPath, const std::string& aMessage)
+  {
+    mFindings.push_back({ Place{ aPath, 0, 0 }, aMessage });
+  }
+
+  const json::value* Find(const json::object& aObject, const std::string& aName) const
+  {
+    const auto* it = aObject.if_contains(aName);
+    return it == nullptr || it->is_null() ? nullptr : it;
+  }
+
+  std::string Text(const json::object& aObject,
+                   const std::string& aPath,
+                   const std::string& aName,
+                   const std::string& aDefault)
+  {
+    const auto* it = Find(aObject, aName);
+    if (it == nullptr) {
+      return aDefault;
+    }
+    if (!it->is_string()) {
+      Fail(aPath + "." + aName, "must be text");
+      return aDefault;
+    }
+    return std::string(it->as_string().data(), it->as_string().size());
+  }
+
+  bool Flag(const json::object& aObject,
+            const std::string& aPath,
+            const std::string& aName,
+            bool aDefault)
+  {
+    const auto* it = Find(aObject, aName);
+    if (it != nullptr && !it->is_bool()) {
+      Fail(aPath + "." + aName, "must be true or false");
+    }
+    return it != nullptr && it->is_bool() ? it->as_bool() : aDefault;
+  }
+
+  double Number(const json::object& aObject,
+                const std::string& aPath,
+                const std::string& aName,
+                double aDefault,
+                double aLargest)
+  {
+    const auto* it = Find(aObject, aName);
+    if (it == nullptr) {
+      return aDefault;
+    }
+    const double value = it->is_number() ? it->to_number<double>() : std::nan("");
+    if (!std::isfinite(value) || value < 0 || value > aLargest) {
+      Fail(aPath + "." + aName, "must be a number from 0 to " + std::to_string(aLargest));
+      return aDefault;
+    }
+    return value;
+  }
+
+  Millis Time(const json::object& aObject,
+              const std::string& aPath,
+              const std::string& aName,
+              Millis aDefault)
+  {
+    const double value =
+      Number(aObject, aPath, aName, static_cast<double>(aDefault.count()), kLongestMs);
+    return Millis(static_cast<std::int64_t>(std::llround(value)));
+  }
+
+  /// Number of a route set, such as 12 or "r12".
+  std::uint64_t SetNumber(const json::object& aObject, const std::string& aName)
+  {
+    const auto* it = Find(aObject, aName);
+    if (it == nullptr) {
+      Fail(aName, "is missing");
+      return 0;
+    }
+    if (it->is_number()) {
+      return static_cast<std::uint64_t>(Number(aObject, "", aName, 0, 1e15));
+    }
+    std::string text = Text(aObject, "", aName, "");
+    if (text.rfind(mNames.mNumberPrefix, 0) == 0) {
+      text.erase(0, mNames.mNumberPrefix.size());
+    }
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+      Fail(aName, "is no number of a route set");
+    }
+    return number;
+  }
+
+  /// Calls a function for each object of a list.
+  template<typename Function>
+  void Each(const json::object& aObject,
+            const std::string& aPath,
+            const std::string& aName,
+            const Function& aFunction)
+  {
+    const auto* list = Find(aObject, aName);
+    if (list == nullptr) {
+      return;
+    }
+    const std::string path = aPath + "." + aName;
+    if (!list->is_array()) {
+      Fail(path, "must be a list");
+      return;
+    }
+    std::size_t n = 0;
+    for (const auto& it : list->as_array()) {
+      aFunction(it, path + "[" + std::to_string(n++) + "]");
+    }
+  }
+
+  template<typename Function>
+  void EachObject(const json::object& aObject,
+                  const std::string& aPath,
+                  const std::string& aName,
+                  const Function& aFunction)
+  {
+    Each(aObject, aPath, aName, [&](const json::value& aValue, const std::string& aItemPath) {
+      if (aValue.is_object()) {
+        aFunction(aValue.as_object(), aItemPath);
+      } else {
+        Fail(aItemPath, "must be an object");
+      }
+    });
+  }
+
+  template<typename Function>
+  void EachText(const json::object& aObject,
+                const std::string& aPath,
+                const std::string& aName,
+                const Function& aFunction)
+  {
+    Each(aObject, aPath, aName, [&](const json::value& aValue, const std::string& aItemPath) {
+      if (aValue.is_string()) {
+        aFunction(std::string(aValue.as_string().data(), aValue.as_string().size()));
+      } else {
+        Fail(aItemPath, "must be text");
+      }
+    });
+  }
+
+  routes::ServiceSettings Service(const json::object& aObject, const std::string& aPath)
+  {
+    routes::ServiceSettings out;
+    out.mHealthPath = Text(aObject, aPath, mNames.mHealthPath, out.mHealthPath);
+    constexpr double kLargestCount = 1e9;
+    out.mMaxConnections =
+      static_cast<std::uint32_t>(Number(aObject, aPath, mNames.mMaxConnections, 0, kLargestCount));
+    out.mProtocol = Text(aObject, aPath, mNames.mProtocol, out.mProtocol);
+    out.mTls = Flag(aObject, aPath, mNames.mTls, false);
+    const double warmUp =
+      Number(aObject, aPath, mNames.mWarmUpSeconds, 0, kLongestMs / kMillisPerSecond);
+    out.mWarmUp = Millis(std::llround(warmUp * kMillisPerSecond));
+    out.mWarmUpPerSecond = Number(aObject, aPath, mNames.mWarmUpPerSecond, 0, kLargestCount);
+    return out;
+  }
+
+  void Services(routes::Route& aRoute, const json::object& aObject, const std::string& aPath)
+  {
+    aRoute.mWeighted = Find(aObject, mNames.mParts) != nullptr;
+    if (!aRoute.mWeighted) {
+      const std::string service = Text(aObject, aPath, mNames.mService, "");
+      aRoute.mServices.push_back({ { service }, 1 });
+      return;
+    }
+    EachObject(
+      aObject, aPath, mNames.mParts, [&](const json::object& aPart, const std::string& aPartPath) {
+        constexpr double kLargestWeight = 1e9;
+        aRoute.mServices.push_back({ { Text(aPart, aPartPath, mNames.mService, "") },
+                                     Number(aPart, aPartPath, mNames.mWeight, 1, kLargestWeight) });
+      });
+  }
+
+  routes::Route RouteOf(const json::object& aObject,
+                        const std::string& aPath,
+                        const std::string& aHost)
+  {
+    routes::Route out;
+    out.mName = Text(aObject, aPath, mNames.mName, "");
+    out.mHost = aHost;
+    out.mPathPrefix = Text(aObject, aPath, mNames.mPathPrefix, "");
+    const std::string kind = Text(aObject, aPath, mNames.mKind, "");
+    out.mRepeatable = kind == mNames.mRepeatable;
+    if (!out.mRepeatable && kind != mNames.mOnce) {
+      Fail(aPath + "." + mNames.mKind, "\"" + kind + "\" is no kind of route");
+    }
+    out.mTimeout = Time(aObject, aPath, mNames.mTimeoutMs, out.mTimeout);
+    out.mTargetLatency = Time(aObject, aPath, mNames.mTargetLatencyMs, out.mTargetLatency);
+    constexpr double kLargestRank = 1e6;
+    out.mPriority =
+      static_cast<std::uint32_t>(Number(aObject, aPath, mNames.mPriority, 0, kLargestRank));
+    Services(out, aObject, aPath);
+    out.mAttempts =
+      static_cast<std::uint32_t>(Number(aObject, aPath, mNames.mAttempts, 1, kLargestRank));
+    out.mAffinity = Flag(aObject, aPath, mNames.mAffinity, false);
+    EachText(aObject, aPath, mNames.mAllowedRegions, [&](const std::string& aRegion) {
+      out.mAllowedRegions.insert({ aRegion });
+    });
+    return out;
+  }
+
+  routes::CallerLimits Limits(const json::object& aObject, const std::string& aPath)
+  {
+    routes::CallerLimits out;
+    constexpr double kLargestBytes = 1e12;
+    const auto bytes = [&](const std::string& aName, std::uint64_t aDefault) {
+      return static_cast<std::uint64_t>(
+        Number(aObject, aPath, aName, static_cast<double>(aDefault), kLargestBytes));
+    };
+    out.mMaxHeaderBytes = bytes(mNames.mMaxHeaderBytes, out.mMaxHeaderBytes);
+    out.mMaxBodyBytes = bytes(mNames.mMaxBodyBytes, out.mMaxBodyBytes);
+    out.mHeaderTimeout = Time(aObject, aPath, mNames.mHeaderTimeoutMs, out.mHeaderTimeout);
+    out.mIdleTimeout = Time(aObject, aPath, mNames.mIdleTimeoutMs, out.mIdleTimeout);
+    return out;
+  }
+
+  /// Items that a route set and a patch have in common.
+  template<typename Value>
+  void Items(const json::object& aObject, const std::string& aPath, Value& aOut)
+  {
+    EachObject(aObject,
+               aPath,
+               mNames.mServices,
+               [&](const json::object& aItem, const std::string& aItemPath) {
+                 const ServiceId id{ Text(aItem, aItemPath, mNames.mName, "") };
+                 if (!aOut.mServices.emplace(id, Service(aItem, aItemPath)).second) {
+                   Fail(aItemPath, "\"" + id.mValue + "\" stands twice");
+                 }
+               });
+    EachObject(
+      aObject, aPath, mNames.mHosts, [&](const json::object& aItem, const std::string& aItemPath) {
+        const std::string host = Text(aItem, aItemPath, mNames.mHost, "");
+        if (host.empty()) {
+          Fail(aItemPath + "." + mNames.mHost, "must not be empty");
+        }
+        aOut.mHosts.insert(host);
+        EachObject(aItem,
+                   aItemPath,
+                   mNames.mRoutes,
+                   [&](const json::object& aRoute, const std::string& aRoutePath) {
+                     routes::Route route = RouteOf(aRoute, aRoutePath, host);
+                     const std::string name = route.mName;
+                     if (!aOut.mRoutes.emplace(name, std::move(route)).second) {
+                       Fail(aRoutePath, "\"" + name + "\" stands twice");
+                     }
+                   });
+      });
+  }
+};
+
+/// @return the root object, or nothing with a finding
+std::optional<json::object>
+Root(const std::string& aJson, Reader& aReader)
+{
+  json::error_code ec;
+  auto value = json::parse(aJson, ec);
+  if (ec || !value.is_object()) {
+    aReader.Fail("body", ec ? "is not JSON: " + ec.message() : "must be an object");
+    return std::nullopt;
+  }
+  return std::move(value.as_object());
+}
+
+json::value
+SetNumberOf(const routes::RouteSet& aSet, const RouteNames& aNames)
+{
+  if (aNames.mNumberPrefix.empty()) {
+    return aSet.mNumber;
+  }
+  return json::value(aNames.mNumberPrefix + std::to_string(aSet.mNumber));
+}
+
+json::object
+ServiceObject(const ServiceId& aId,
+              const routes::ServiceSettings& aService,
+              const RouteNames& aNames)
+{
+  return { { aNames.mName, aId.mValue },
+           { aNames.mHealthPath, aService.mHealthPath },
+           { aNames.mMaxConnections, aService.mMaxConnections },
+           { aNames.mProtocol, aService.mProtocol },
+           { aNames.mTls, aService.mTls },
+           { aNames.mWarmUpSeconds,
+             static_cast<double>(aService.mWarmUp.count()) / kMillisPerSecond },
+           { aNames.mWarmUpPerSecond, aService.mWarmUpPerSecond } };
+}
+
+json::object
+RouteObject(const routes::Route& aRoute, const RouteNames& aNames)
+{
+  json::object out{ { aNames.mName, aRoute.mName },
+                    { aNames.mPathPrefix, aRoute.mPathPrefix },
+                    { aNames.mKind, aRoute.mRepeatable ? aNames.mRepeatable : aNames.mOnce },
+                    { aNames.mTimeoutMs, aRoute.mTimeout.count() },
+                    { aNames.mTargetLatencyMs, aRoute.mTargetLatency.count() },
+                    { aNames.mPriority, aRoute.mPriority } };
+  if (aRoute.mWeighted) {
+    json::array parts;
+    for (const auto& it : aRoute.mServices) {
+      const bool whole = it.mWeight == std::floor(it.mWeight);
+      json::value weight = it.mWeight;
+      if (whole) {
+        weight = static_cast<std::int64_t>(it.mWeight);
+      }
+      parts.push_back(
+        json::object{ { aNames.mService, it.mService.mValue }, { aNames.mWeight, weight } });
+    }
+    out[aNames.mParts] = std::move(parts);
+  } else {
+    out[aNames.mService] = aRoute.mServices.empty() ? "" : aRoute.mServices.front().mService.mValue;
+  }
+  out[aNames.mAttempts] = aRoute.mAttempts;
+  out[aNames.mAffinity] = aRoute.mAffinity;
+  json::array regions;
+  for (const RegionId& it : aRoute.mAllowedRegions) {
+    regions.emplace_back(it.mValue);
+  }
+  out[aNames.mAllowedRegions] = std::move(regions);
+  return out;
+}
+
+} // namespace
+
+Checked<membership::SubmitRoutes>
+ReadRouteSet(const std::string& aJson, const RouteNames& aNames)
+{
+  Reader reader{ aNames };
+  routes::RouteSet set;
+  std::uint64_t base = 0;
+  if (const auto root = Root(aJson, reader)) {
+    set.mNumber = reader.SetNumber(*root, aNames.mNumber);
+    base = reader.Find(*root, aNames.mBase) == nullptr ? 0 : reader.SetNumber(*root, aNames.mBase);
+    reader.Items(*root, "", set);
+    if (const auto* limits = reader.Find(*root, aNames.mLimits)) {
+      if (limits->is_object()) {
+        set.mLimits = reader.Limits(limits->as_object(), aNames.mLimits);
+      } else {
+        reader.Fail(aNames.mLimits, "must be an object");
+      }
+    }
+  }
+  if (!reader.mFindings.empty()) {
+    return { std::nullopt, reader.mFindings };
+  }
+  return { membership::SubmitRoutes{ base, SharedValue(std::move(set)) }, {} };
+}
+
+Checked<membership::PatchRoutes>
+ReadRoutePatch(const std::string& aJson, const RouteNames& aNames)
+{
+  Reader reader{ aNames };
+  routes::RoutePatch patch;
+  std::uint64_t base = 0;
+  if (const auto root = Root(aJson, reader)) {
+    patch.mNumber = reader.SetNumber(*root, aNames.mNumber);
+    base = reader.SetNumber(*root, aNames.mBase);
+    for (const std::string& part : { aNames.mUpsert, aNames.mRemove }) {
+      const auto* it = reader.Find(*root, part);
+      if (it != nullptr && !it->is_object()) {
+        reader.Fail(part, "must be an object");
+      }
+    }
+    const auto* upsert = reader.Find(*root, aNames.mUpsert);
+    if (upsert != nullptr && upsert->is_object()) {
+      reader.Items(upsert->as_object(), aNames.mUpsert, patch);
+      const auto* limits = reader.Find(upsert->as_object(), aNames.mLimits);
+      if (limits != nullptr && limits->is_object()) {
+        patch.mLimits.push_back(reader.Limits(limits->as_object(), aNames.mLimits));
+      }
+    }
+    const auto* remove = reader.Find(*root, aNames.mRemove);
+    if (remove != nullptr && remove->is_object()) {
+      reader.EachText(remove->as_object(),
+                      aNames.mRemove,
+                      aNames.mRemovedRoutes,
+                      [&](const std::string& aName) { patch.mRemovedRoutes.insert(aName); });
+      reader.EachText(remove->as_object(),
+                      aNames.mRemove,
+                      aNames.mServices,
+                      [&](const std::string& aName) { patch.mRemovedServices.insert({ aName }); });
+    }
+  }
+  if (!reader.mFindings.empty()) {
+    return { std::nullopt, reader.mFindings };
+  }
+  return { membership::PatchRoutes{ base, SharedValue(std::move(patch)) }, {} };
+}
+
+std::string
+WriteRouteSet(const routes::RouteSet& aSet, const RouteNames& aNames)
+{
+  json::array services;
+  for (const auto& [id, service] : aSet.mServices) {
+    services.push_back(ServiceObject(id, service, aNames));
+  }
+  std::map<std::string, json::array> byHost;
+  for (const std::string& it : aSet.mHosts) {
+    byHost[it];
+  }
+  for (const auto& [name, route] : aSet.mRoutes) {
+    byHost[route.mHost].push_back(RouteObject(route, aNames));
+  }
+  json::array hosts;
+  for (auto& [host, routes] : byHost) {
+    hosts.push_back(json::object{ { aNames.mHost, host }, { aNames.mRoutes, std::move(routes) } });
+  }
+  const json::object out{ { aNames.mNumber, SetNumberOf(aSet, aNames) },
+                          { aNames.mServices, std::move(services) },
+                          { aNames.mLimits,
+                            json::object{
+                              { aNames.mMaxHeaderBytes, aSet.mLimits.mMaxHeaderBytes },
+                              { aNames.mMaxBodyBytes, aSet.mLimits.mMaxBodyBytes },
+                              { aNames.mHeaderTimeoutMs, aSet.mLimits.mHeaderTimeout.count() },
+                              { aNames.mIdleTimeoutMs, aSet.mLimits.mIdleTimeout.count() } } },
+                          { aNames.mHosts, std::move(hosts) } };
+  return json::serialize(out);
+}
+
+} // namespace fighold::control
--- /dev/null
+++ b/packages/control/src/server_calls.cpp
@@ -0,0 +1,133 @@
+#include "server_calls.hpp"
+
+#include "backend_servers.hpp"
+#include "leases.hpp"
+
+namespace fighold::control {
+namespace {
+
+/// Longest wait for a decision; a backend server asks another process after a second.
+constexpr Millis kServerCallTimeout{ 900 };
+
+void
+Answer(Context& aContext, CallId aId, bool aDecided, bool aAccepted, const std::string& aMessage)
+{
+  aContext.mEffects.emplace_back(AnswerCall{ aId, ServerAnswer{ aDecided, aAccepted, aMessage } });
+}
+
+void
+Record(Context& aContext,
+       const BackendServerId& aId,
+       const ServiceId& aService,
+       const std::string& aChoice,
+       const std::string& aReason)
+{
+  aContext.mEffects.emplace_back(
+    LogRecord{ DecisionRecord{ "heartbeat", aId.mValue, aService.mValue, aChoice, aReason, {} } });
+}
+
+/// Proposes a change and answers the call once it is applied here.
+void
+AskForChange(Context& aContext, CallId aId, const membership::ChangeBody& aBody)
+{
+  State& state = aContext.mState;
+  const membership::Change change{ {}, aBody };
+  const auto settled = membership::AnswerIfSettled(*state.mConfiguration, change);
+  if (settled && GrantRight(state, aContext.mNow)) {
+    AnswerServer(aContext, aId, *settled);
+    return;
+  }
+  if (!agreement::Leader(state.mNode)) {
+    Answer(aContext, aId, false, false, "no leader is known");
+    return;
+  }
+  PendingAsk ask;
+  ask.mCall = aId;
+  ask.mUntil = aContext.mNow + kServerCallTimeout;
+  state.mAsks.emplace(state.mCodec.mEncode(change), ask);
+  Propose(aContext, change);
+}
+
+} // namespace
+
+void
+AnswerServer(Context& aContext, CallId aId, const membership::ChangeAnswer& aAnswer)
+{
+  // A conflict means that a newer incarnation came first; repeating the call would not help.
+  const bool accepted = aAnswer.mVerdict != membership::Verdict::Refused;
+  Answer(aContext, aId, true, accepted, aAnswer.mMessage);
+}
+
+void
+HandleHeartbeat(Context& aContext, const ServerHeartbeat& aHeartbeat)
+{
+  State& state = aContext.mState;
+  const membership::BackendServer& server = aHeartbeat.mServer;
+  const BackendServerId& id = aHeartbeat.mServerId;
+  if (!GrantRight(state, aContext.mNow)) {
+    Answer(aContext, aHeartbeat.mId, false, false, "no contact with the leader");
+    return;
+  }
+  const auto it = state.mConfiguration->mBackendServers.find(id);
+  const Incarnation known =
+    it == state.mConfiguration->mBackendServers.end() ? 0 : it->second.mIncarnation;
+  std::uint64_t& sequence = state.mSequences[{ id, server.mIncarnation }];
+  const bool stale = known > server.mIncarnation || aHeartbeat.mSequence < sequence;
+  if (stale || HasDeparted(*state.mConfiguration, id, server.mIncarnation)) {
+    Record(aContext, id, server.mService, "ignored", stale ? "overtaken" : "departed");
+    Answer(aContext, aHeartbeat.mId, true, true, "");
+    return;
+  }
+  sequence = aHeartbeat.mSequence;
+  if (server.mLeaving) {
+    Record(aContext, id, server.mService, "depart", "announced");
+    AskForChange(
+      aContext, aHeartbeat.mId, membership::DepartBackendServer{ id, server.mIncarnation });
+    return;
+  }
+  const bool cold = state.mCold[id].mUntil > aContext.mNow;
+  if (cold != (aHeartbeat.mCold > Millis(0))) {
+    Record(aContext, id, server.mService, cold ? "warm" : "cold", "announced");
+  }
+  TakeReports(
+    aContext, { { id, server.mIncarnation, Millis(0), 0, aHeartbeat.mCold } }, aContext.mNow);
+  membership::BackendServer registered = server;
+  registered.mConnections = known == 0 ? 0 : it->second.mConnections;
+  if (known == server.mIncarnation && it->second == registered) {
+    Answer(aContext, aHeartbeat.mId, true, true, "");
+    return;
+  }
+  Record(aContext, id, server.mService, "announce", known == 0 ? "new" : "changed");
+  AskForChange(aContext, aHeartbeat.mId, membership::AnnounceBackendServer{ id, server, known });
+}
+
+void
+HandleWithdrawal(Context& aContext, const ServerWithdrawal& aWithdrawal)
+{
+  State& state = aContext.mState;
+  if (!GrantRight(state, aContext.mNow)) {
+    Answer(aContext, aWithdrawal.mId, false, false, "no contact with the leader");
+    return;
+  }
+  const auto it = state.mConfiguration->mBackendServers.find(aWithdrawal.mServerId);
+  if (it == state.mConfiguration->mBackendServers.end()) {
+    Answer(aContext, aWithdrawal.mId, true, true, "");
+    return;
+  }
+  Record(aContext, it->first, it->second.mService, "depart", "withdrawn");
+  AskForChange(aContext,
+               aWithdrawal.mId,
+               membership::DepartBackendServer{ it->first, it->second.mIncarnation });
+}
+
+void
+ExpireServerCalls(Context& aContext)
+{
+  for (const auto& [payload, ask] : aContext.mState.mAsks) {
+    if (ask.mCall && aContext.mNow >= ask.mUntil) {
+      Answer(aContext, *ask.mCall, false, false, "not decided in time");
+    }
+  }
+}
+
+} // namespace fighold::control
--- a/packages/control/src/threads.hpp
+++ b/packages/control/src/threads.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/agreement/storage.hpp"
+#include "fighold/control/front_codec.hpp"
 #include "fighold/control/state.hpp"
 #include "fighold/net/http_server.hpp"
 #include "fighold/ring/bounded_ring.hpp"
@@ -28,17 +29,25 @@
   telemetry::Metrics mMetrics;
 };
 
+/// Settings of the front.
+struct FrontOptions
+{
+  std::vector<net::ServerOptions> mListeners; ///< one server each
+  std::string mToken;                         ///< operators' token; empty: none is needed
+  FrontCodec mCodec = NativeFrontCodec();
+};
+
 /// HTTP towards operators and the platform. Ends after Drain, when every call has been answered.
 class Front
 {
 public:
-  /// @throws std::runtime_error when the address cannot be bound
-  Front(Wiring& aWiring, net::ServerOptions aOptions, std::string aToken);
+  /// @throws std::runtime_error when an address cannot be bound
+  Front(Wiring& aWiring, const FrontOptions& aOptions);
   ~Front();
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
 
-  /// @return address with the port in use
+  /// @return address of the first listener, with the port in use
   Endpoint Address() const;
 
   /// Body of the thread.
--- a/packages/core/include/fighold/core/decision_record.hpp
+++ b/packages/core/include/fighold/core/decision_record.hpp
@@ -16,6 +16,15 @@
   friend auto operator<=>(const Rejected&, const Rejected&) = default;
 };
 
+/// An input of a decision, or a detail of its outcome.
+struct Field
+{
+  std::string mName;
+  std::string mValue;
+
+  friend auto operator<=>(const Field&, const Field&) = default;
+};
+
 /// One decision. `mChoice` is empty when every candidate was rejected.
 struct DecisionRecord
 {
@@ -25,6 +34,7 @@
   std::string mChoice;
   std::string mReason;
   std::vector<Rejected> mRejected;
+  std::vector<Field> mFields{}; ///< written behind the others, in this order
 
   friend auto operator<=>(const DecisionRecord&, const DecisionRecord&) = default;
 };
--- a/packages/core/src/decision_record.cpp
+++ b/packages/core/src/decision_record.cpp
@@ -47,6 +47,9 @@
   AppendPair(out, "choice", aRecord.mChoice);
   AppendPair(out, "reason", aRecord.mReason);
   AppendPair(out, "rejected", rejected);
+  for (const Field& it : aRecord.mFields) {
+    AppendPair(out, it.mName, it.mValue);
+  }
   return out;
 }
 
--- a/packages/entry/include/fighold/entry/daemon.hpp
+++ b/packages/entry/include/fighold/entry/daemon.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fighold/entry/backend_codec.hpp"
+#include "fighold/entry/front_codec.hpp"
 #include "fighold/entry/state.hpp"
 #include "fighold/net/http_server.hpp"
 #include "fighold/wire/key_file.hpp"
@@ -18,6 +20,11 @@
 {
   Options mDecide; ///< mEntry.mAddress is set from the listener when its port is 0
   net::ServerOptions mServer;
+  std::vector<Endpoint>
+    mAlsoListen; ///< further addresses; requests name them by their place, from 1
+  FrontCodec mFront = NativeFrontCodec();
+  BackendCodec mBackend = NativeBackendCodec();
+  net::ClientOptions mClient;
   std::map<ControlId, Endpoint> mControls;
   std::filesystem::path mCharts;
   std::optional<wire::Keys> mKeys; ///< keys for messages between daemons
--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -9,6 +9,8 @@
 #include "fighold/membership/protocol.hpp"
 #include "fighold/net/http.hpp"
 #include "fighold/net/http_client.hpp"
+#include "fighold/routes/placement.hpp"
+#include "fighold/routes/route_set.hpp"
 #include "fighold/routing/share_message.hpp"
 #include "fighold/routing/table.hpp"
 
@@ -35,6 +37,18 @@
   friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
 };
 
+/// A caller's request that the route set sends to a service.
+struct ForwardRequest
+{
+  RequestId mId = 0;
+  std::string mCallerId;           ///< identifier that the caller gave it, for the logs
+  std::optional<Millis> mDeadline; ///< time for which the caller waits
+  std::string mAffinityKey;        ///< object of the request, or empty
+  SharedValue<net::HttpRequest> mPayload;
+
+  friend bool operator==(const ForwardRequest&, const ForwardRequest&) = default;
+};
+
 /// A caller asks which entries to use.
 struct Lookup
 {
@@ -75,12 +89,22 @@
   friend auto operator<=>(const StatusAsk&, const StatusAsk&) = default;
 };
 
+/// What an answer of a backend server means.
+enum class AnswerMeaning : std::uint8_t
+{
+  Result,   ///< the answer to the request
+  NotRun,   ///< the server states that it did not run the request
+  Unusable, ///< not an answer that may be passed on
+};
+
 /// A dispatch ended.
 struct DispatchDone
 {
   RequestId mId = 0;
   std::uint64_t mDispatch = 0;
   net::ExchangeResult mResult;
+  AnswerMeaning mMeaning = AnswerMeaning::Result; ///< of a whole answer
+  std::optional<routes::LoadReport> mLoad{};      ///< that came with the answer
 
   friend auto operator<=>(const DispatchDone&, const DispatchDone&) = default;
 };
@@ -151,7 +175,8 @@
                            CallerGone,
                            Tick,
                            Stop,
-                           ShareAnswerReceived>;
+                           ShareAnswerReceived,
+                           ForwardRequest>;
 
 /// Answer to a caller's request.
 struct CallerAnswer
@@ -167,6 +192,21 @@
   friend auto operator<=>(const CallerAnswer&, const CallerAnswer&) = default;
 };
 
+/// Answer to a request that the route set governs.
+struct ForwardAnswer
+{
+  Outcome mOutcome = Outcome::NotRun;
+  std::string mReason;
+  unsigned mStatus = 503;      ///< status code when mOutcome is not Run
+  Millis mRetryAfter{ 0 };     ///< when room is expected, if the request was not run for lack of it
+  net::HttpResponse mResponse; ///< the backend server's answer when mOutcome is Run
+  ServiceId mService;
+  BackendServerId mServer; ///< backend server of the last dispatch
+  Duration mLatency{};     ///< from arrival to answer
+
+  friend auto operator<=>(const ForwardAnswer&, const ForwardAnswer&) = default;
+};
+
 /// An entry as a caller sees it.
 struct LookupEntry
 {
@@ -217,7 +257,7 @@
   friend auto operator<=>(const StatusAnswer&, const StatusAnswer&) = default;
 };
 
-using Answer = std::variant<CallerAnswer, LookupAnswer, BackendAnswer, StatusAnswer>;
+using Answer = std::variant<CallerAnswer, LookupAnswer, BackendAnswer, StatusAnswer, ForwardAnswer>;
 
 /// Give the answer to the front.
 struct Reply
@@ -237,9 +277,12 @@
   routing::Candidate mServer;
   SharedValue<net::HttpRequest> mPayload;
   Instant mUntil{};
-  Instant mFirstByteUntil{};            ///< without a byte by then, the connection is silent
-  Instant mSendBefore = Instant::max(); ///< end of the claim that the dispatch rests on
-  std::uint32_t mConnectionShare = 1;   ///< connections that this entry may have to the server
+  Instant mFirstByteUntil{};              ///< without a byte by then, the connection is silent
+  Instant mSendBefore = Instant::max();   ///< end of the claim that the dispatch rests on
+  std::uint32_t mConnectionShare = 1;     ///< connections that this entry may have to the server
+  Instant mConnectUntil = Instant::max(); ///< a connection must be open by then
+  Instant mDeadline = Instant::max(); ///< end of the work that the server is told, if before mUntil
+  std::string mCallerId{};            ///< identifier that the caller gave the request
 
   friend bool operator==(const Dispatch&, const Dispatch&) = default;
 };
@@ -274,12 +317,21 @@
   friend auto operator<=>(const LogRecord&, const LogRecord&) = default;
 };
 
+/// Replace the limits on what callers may send.
+struct SetCallerLimits
+{
+  routes::CallerLimits mLimits;
+
+  friend auto operator<=>(const SetCallerLimits&, const SetCallerLimits&) = default;
+};
+
 /// The planned stop is complete: nothing is in flight.
 struct Stopped
 {
   friend auto operator<=>(const Stopped&, const Stopped&) = default;
 };
 
-using Effect = std::variant<Reply, Dispatch, CancelDispatch, SendControl, LogRecord, Stopped>;
+using Effect =
+  std::variant<Reply, Dispatch, CancelDispatch, SendControl, LogRecord, Stopped, SetCallerLimits>;
 
 } // namespace fighold::entry
--- a/packages/entry/include/fighold/entry/front_codec.hpp
+++ b/packages/entry/include/fighold/entry/front_codec.hpp
@@ -3,10 +3,12 @@
 #include "fighold/core/finding.hpp"
 #include "fighold/entry/event.hpp"
 
+#include <functional>
+#include <string>
 #include <variant>
 
-/// HTTP requests to events, and answers to HTTP responses. Another front end would replace this
-/// file only.
+/// HTTP requests to events, and answers to HTTP responses. Another front end replaces the functions
+/// of FrontCodec.
 namespace fighold::entry {
 
 /// An event for the decide thread, or the response to a request that is at fault.
@@ -28,4 +30,17 @@
 net::HttpResponse
 NotRunResponse(const std::string& aReason, unsigned aStatus = 503);
 
+/// Functions of one dialect.
+struct FrontCodec
+{
+  std::function<Parsed(RequestId, const net::HttpRequest&)> mParse;
+  std::function<net::HttpResponse(RequestId, const net::HttpRequest&, const Answer&)> mToResponse;
+  /// Answer when a request cannot be taken in.
+  std::function<net::HttpResponse(const std::string& aReason)> mNotTaken;
+};
+
+/// @return the dialect of fighold's own interface
+FrontCodec
+NativeFrontCodec();
+
 } // namespace fighold::entry
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -5,6 +5,10 @@
 #include "fighold/entry/event.hpp"
 #include "fighold/membership/lease.hpp"
 #include "fighold/plan/client_table.hpp"
+#include "fighold/routes/placement.hpp"
+#include "fighold/routes/region_split.hpp"
+#include "fighold/routes/retry_budget.hpp"
+#include "fighold/routes/route_table.hpp"
 #include "fighold/routing/queue.hpp"
 #include "fighold/routing/route.hpp"
 #include "fighold/routing/share.hpp"
@@ -40,6 +44,16 @@
   Stopped,
 };
 
+/// States of charts/forward.scxml, in the order of its registry.
+enum class ForwardState : std::uint8_t
+{
+  Received,
+  Dispatched,
+  Answered,
+  NotRun,
+  Unknown,
+};
+
 /// Settings of the decisions.
 struct Options
 {
@@ -47,6 +61,10 @@
   membership::Entry mEntry;
   std::vector<ControlId> mControls; ///< control processes, the preferred one first
   Millis mLookupTimeToLive{ 5000 };
+  Millis mLongestDrain{ 60'000 };  ///< after that a planned stop no longer waits for quiet
+  bool mServeUnleased = false;     ///< requests of the route set are served on without a lease
+  double mRetryRatio = 0.1;        ///< second dispatches in one request, of all entries together
+  double mRetrySlack = 20;         ///< second dispatches beyond that in the window, of all entries
   std::size_t mMaxInFlight = 2048; ///< equals the capacity of the ring of dispatches
   std::uint64_t mSeed = 1;         ///< of the random choices
 };
@@ -68,6 +86,34 @@
   Instant mClaimUntil = Instant::max();        ///< end of the claim, for a request that needs one
 };
 
+/// A request of the route set in flight.
+struct Forward
+{
+  ForwardRequest mRequest;
+  ForwardState mState = ForwardState::Received;
+  SharedValue<routes::Route> mRoute;
+  ServiceId mService;
+  std::uint64_t mKey = 0; ///< hash of the affinity key; 0: none
+  Instant mArrived{};
+  Instant mDeadline{}; ///< end of the caller's wait or of the route's time, whichever is first
+  std::set<BackendServerId> mTried;
+  std::uint32_t mSends = 0;  ///< dispatches, the unsent ones included
+  std::uint32_t mUnsent = 0; ///< dispatches of which nothing was sent
+  bool mMayHaveRun = false;  ///< a dispatch was lost after bytes may have left
+  std::uint64_t mDispatch = 0;
+  routes::Server mServer; ///< of the last dispatch
+  bool mWarm = false;     ///< the server had handled the object before
+  Instant mSentAt{};
+};
+
+/// Backend servers of a service of the route set, and how its requests are divided.
+struct ServicePool
+{
+  routes::Pool mPool;
+  routes::RegionSplit mSplit;
+  routes::RetryBudget mRetries;
+};
+
 /// A change asked of the control group on behalf of a backend server.
 struct PendingChange
 {
@@ -77,6 +123,7 @@
 };
 
 struct RequestScope;
+struct ForwardScope;
 struct StageScope;
 
 /// Bound charts; shared by all requests.
@@ -84,6 +131,7 @@
 {
   chart::BoundChart<RequestScope> mRequest;
   chart::BoundChart<StageScope> mStage;
+  chart::BoundChart<ForwardScope> mForward;
 };
 
 /// The whole state.
@@ -98,6 +146,12 @@
   EntryStage mStage = EntryStage::Starting;
   Instant mDrainStarted{};
   std::map<RequestId, InFlight> mInFlight;
+  routes::RouteTable mRoutes;
+  std::map<std::string, routes::WeightedTurn> mRouteTurns; ///< by route
+  std::map<RequestId, Forward> mForwards;
+  std::map<ServiceId, ServicePool> mPools;
+  routes::ServerLoads mLoads;
+  std::map<RegionId, Duration> mRoundTrips; ///< least time to open a connection to a region
   std::uint64_t mNextDispatch = 1;
   routing::ServerStates mServers;
   std::map<BackendServerId, Incarnation> mDeparted; ///< announced their departure here
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -27,17 +27,19 @@
 
 struct Backend::State
 {
-  State(Wiring& aWiring, chart::BoundChart<ConnectionScope> aChart)
+  State(Wiring& aWiring, chart::BoundChart<ConnectionScope> aChart, BackendOptions aOptions)
     : mWiring(aWiring)
+    , mCodec(std::move(aOptions.mCodec))
   {
     mPool.mChart = std::move(aChart);
-    mPool.mMake = [this](const Endpoint& aPath) {
-      return std::make_unique<net::HttpConnection>(mLoop, aPath);
+    mPool.mMake = [this, options = aOptions.mClient](const Endpoint& aPath) {
+      return std::make_unique<net::HttpConnection>(mLoop, aPath, options);
     };
     mWiring.mDispatches.SetWakeup([this] { mLoop.Post([this] { mChanged.notify_all(); }); });
   }
 
   Wiring& mWiring;
+  BackendCodec mCodec;
   net::FiberLoop mLoop;
   ConnectionPool mPool;
   std::map<std::uint64_t, Running> mRunning;
@@ -53,27 +55,6 @@
   void Wait(std::unique_lock<boost::fibers::mutex>& aLock);
 };
 
-namespace {
-
-net::HttpRequest
-WithHeaders(const Dispatch& aDispatch)
-{
-  net::HttpRequest request = *aDispatch.mPayload;
-  const auto left =
-    std::chrono::duration_cast<Millis>(aDispatch.mUntil - std::chrono::steady_clock::now());
-  const auto replaced = [](const net::Header& aHeader) {
-    return aHeader.mName == "Fighold-Deadline-Ms" || aHeader.mName == "Fighold-Request-Id";
-  };
-  auto& headers = request.mHeaders;
-  headers.erase(std::remove_if(headers.begin(), headers.end(), replaced), headers.end());
-  headers.push_back({ "Fighold-Request-Id", std::to_string(aDispatch.mId) });
-  headers.push_back(
-    { "Fighold-Deadline-Ms", std::to_string(std::max<std::int64_t>(0, left.count())) });
-  return request;
-}
-
-} // namespace
-
 net::ExchangeResult
 Backend::State::Exchange(const Dispatch& aDispatch)
 {
@@ -88,18 +69,32 @@
     return { net::ExchangeStage::NotSent, {}, "connection share used up" };
   }
   running.mConnection = connection;
+  Duration connectTime{};
   if (connection->mState == ConnectionState::Connecting) {
-    const std::string error = connection->mHttp->Connect(aDispatch.mUntil);
+    const Instant began = now();
+    const std::string error =
+      connection->mHttp->Connect(std::min(aDispatch.mUntil, aDispatch.mConnectUntil));
     if (!error.empty() || running.mCancelled) {
       FireConnection(mPool, connection, ConnectionEvent::Failed, now());
       return { net::ExchangeStage::NotSent, {}, error };
     }
+    connectTime = now() - began;
+    mWiring.mMetrics.Count("connections_opened_total");
     FireConnection(mPool, connection, ConnectionEvent::Connected, now());
   }
-  const net::ExchangeLimits limits{ aDispatch.mUntil,
-                                    aDispatch.mFirstByteUntil,
-                                    aDispatch.mSendBefore };
-  auto result = connection->mHttp->Exchange(WithHeaders(aDispatch), limits);
+  const net::ExchangeLimits limits{
+    aDispatch.mUntil,
+    aDispatch.mFirstByteUntil,
+    aDispatch.mSendBefore,
+    [this, &aDispatch](const net::HttpResponse& aResponse) {
+      return mCodec.mBelongs(aDispatch, aResponse);
+    },
+  };
+  const auto left =
+    std::chrono::duration_cast<Millis>(std::min(aDispatch.mDeadline, aDispatch.mUntil) - now());
+  const auto request = mCodec.mEncode(aDispatch, std::max(Millis(0), left));
+  auto result = connection->mHttp->Exchange(request, limits);
+  result.mConnectTime = connectTime;
   EndExchange(mPool, connection, result, now());
   return result;
 }
@@ -108,6 +103,10 @@
 Backend::State::RunDispatch(const Dispatch& aDispatch)
 {
   DispatchDone done{ aDispatch.mId, aDispatch.mDispatch, Exchange(aDispatch) };
+  if (done.mResult.mStage == net::ExchangeStage::Answered) {
+    done.mMeaning = mCodec.mMeaning(aDispatch, done.mResult.mResponse);
+    done.mLoad = mCodec.mLoad(done.mResult.mResponse);
+  }
   if (done.mResult.mSilent) {
     mWiring.mMetrics.Count("connections_silent_total");
   }
@@ -168,8 +167,10 @@
   }
 }
 
-Backend::Backend(Wiring& aWiring, chart::BoundChart<ConnectionScope> aChart)
-  : mState(std::make_unique<State>(aWiring, std::move(aChart)))
+Backend::Backend(Wiring& aWiring,
+                 chart::BoundChart<ConnectionScope> aChart,
+                 BackendOptions aOptions)
+  : mState(std::make_unique<State>(aWiring, std::move(aChart), std::move(aOptions)))
 {
 }
 
--- a/packages/entry/src/connection_pool.cpp
+++ b/packages/entry/src/connection_pool.cpp
@@ -9,6 +9,20 @@
 /// Longest time that a connection stays idle. A middlebox may forget it without a word.
 constexpr Millis kMaxIdle{ 15'000 };
 
+/// A request that meets the end of an idle connection is lost; the server may count from a little
+/// earlier, and the request takes its time to arrive.
+constexpr Millis kKeepAliveMargin{ 1000 };
+
+/// @return time for which an idle connection is kept
+Millis
+IdleTime(const net::HttpConnection& aConnection)
+{
+  const Millis keepAlive = aConnection.KeepAlive();
+  return keepAlive == Millis(0)
+           ? kMaxIdle
+           : std::min(kMaxIdle, std::max(Millis(0), keepAlive - kKeepAliveMargin));
+}
+
 bool
 NotProvenSince(const ConnectionScope& aScope)
 {
@@ -82,7 +96,7 @@
     return nullptr;
   };
   while (auto found = idle()) {
-    if (found->mHttp->Reusable()) {
+    if (aNow < found->mProvenAt + IdleTime(*found->mHttp) && found->mHttp->Reusable()) {
       FireConnection(aPool, found, ConnectionEvent::Taken, aNow);
       return found;
     }
@@ -157,7 +171,7 @@
   for (const auto& it : idle) {
     if (!it->mHttp->Reusable()) {
       FireConnection(aPool, it, ConnectionEvent::Failed, aNow);
-    } else if (aNow >= it->mProvenAt + kMaxIdle) {
+    } else if (aNow >= it->mProvenAt + IdleTime(*it->mHttp)) {
       FireConnection(aPool, it, ConnectionEvent::Aged, aNow);
     }
   }
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -21,6 +21,19 @@
   return options;
 }
 
+std::vector<net::ServerOptions>
+ListenersOf(const DaemonOptions& aOptions)
+{
+  std::vector<net::ServerOptions> listeners{ aOptions.mServer };
+  for (const Endpoint& it : aOptions.mAlsoListen) {
+    net::ServerOptions options = aOptions.mServer;
+    options.mBind = it;
+    options.mListener = static_cast<std::uint16_t>(listeners.size());
+    listeners.push_back(std::move(options));
+  }
+  return listeners;
+}
+
 /// Passes messages of control processes on as events; when the inbox is full the message is lost
 /// and will be repeated.
 void
@@ -44,8 +57,10 @@
 {
   explicit State(DaemonOptions aOptions)
     : mSockets(MessageOptionsOf(aOptions), mWiring.mControlOut)
-    , mFront(mWiring, aOptions.mServer)
-    , mBackend(mWiring, LoadConnectionChart(aOptions.mCharts))
+    , mFront(mWiring, ListenersOf(aOptions), aOptions.mFront)
+    , mBackend(mWiring,
+               LoadConnectionChart(aOptions.mCharts),
+               { aOptions.mBackend, aOptions.mClient })
   {
     if (aOptions.mDecide.mEntry.mAddress.mPort == 0) {
       aOptions.mDecide.mEntry.mAddress = mFront.Address();
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -1,7 +1,9 @@
 #include "fighold/entry/decide.hpp"
 
 #include "claiming.hpp"
+#include "forward_chart.hpp"
 #include "lease_keeping.hpp"
+#include "pools.hpp"
 #include "queueing.hpp"
 #include "request_chart.hpp"
 #include "stage_chart.hpp"
@@ -34,7 +36,9 @@
 void
 Handle(DispatchDone aDone, Context& aContext)
 {
-  HandleDispatchDone(aContext.mState, std::move(aDone), aContext.mEffects, aContext.mNow);
+  if (!HandleForwardDone(aContext.mState, aDone, aContext.mEffects, aContext.mNow)) {
+    HandleDispatchDone(aContext.mState, std::move(aDone), aContext.mEffects, aContext.mNow);
+  }
 }
 
 /// Entries of one region first, then the others; within a region in random order, so that callers
@@ -106,12 +110,16 @@
 {
   const State& state = aContext.mState;
   StatusAnswer answer;
-  answer.mReady =
+  const bool leased =
     state.mStage == EntryStage::Serving && membership::Holds(state.mLease, aContext.mNow);
+  // Without a lease an entry is of use as long as it may serve with what it knows.
+  const bool unleased = state.mOptions.mServeUnleased && state.mStage == EntryStage::Unleased &&
+                        state.mRoutes.mSet->mNumber != 0;
+  answer.mReady = leased || unleased;
   answer.mState = StageName(state.mStage);
   answer.mVersion = state.mConfiguration->mVersion;
   answer.mPlanNumber = state.mConfiguration->mPlan->mNumber;
-  answer.mInFlight = state.mInFlight.size();
+  answer.mInFlight = state.mInFlight.size() + state.mForwards.size();
   aContext.mEffects.emplace_back(Reply{ aAsk.mId, answer });
 }
 
@@ -136,6 +144,12 @@
              aContext.mNow);
 }
 
+void
+Handle(ForwardRequest aRequest, Context& aContext)
+{
+  HandleForward(aContext.mState, std::move(aRequest), aContext.mEffects, aContext.mNow);
+}
+
 void
 Handle(const ShareAnswerReceived& aReceived, Context& aContext)
 {
@@ -146,6 +160,7 @@
 Handle(const CallerGone& aGone, Context& aContext)
 {
   HandleCallerGone(aContext.mState, aGone.mId, aContext.mEffects, aContext.mNow);
+  HandleForwardGone(aContext.mState, aGone.mId, aContext.mEffects, aContext.mNow);
 }
 
 void
@@ -153,6 +168,7 @@
 {
   StepClaims(aContext.mState, claims::AskerTick{}, aContext.mEffects, aContext.mNow);
   KeepLease(aContext.mState, aContext.mEffects, aContext.mNow);
+  StepSplits(aContext.mState, aContext.mNow);
   FireStage(aContext.mState, StageEvent::Tick, aContext.mEffects, aContext.mNow);
 }
 
--- a/packages/entry/src/decide_thread.cpp
+++ b/packages/entry/src/decide_thread.cpp
@@ -25,8 +25,10 @@
   {
     if (const auto* answer = std::get_if<CallerAnswer>(&aReply.mAnswer)) {
       ObserveAnswer(mWiring.mMetrics, mState, *answer);
+    } else if (const auto* forwarded = std::get_if<ForwardAnswer>(&aReply.mAnswer)) {
+      ObserveForward(mWiring.mMetrics, *forwarded);
     }
-    if (!mWiring.mReplies.TryPush(std::move(aReply))) {
+    if (!mWiring.mReplies.TryPush(FrontOrder(std::move(aReply)))) {
       throw std::logic_error("the ring of replies is full");
     }
   }
@@ -58,6 +60,13 @@
     }
   }
 
+  void Do(const SetCallerLimits& aLimits)
+  {
+    if (!mWiring.mReplies.TryPush(FrontOrder(aLimits))) {
+      throw std::logic_error("the ring of replies is full");
+    }
+  }
+
   void Do(const LogRecord& aRecord) { telemetry::LogDecision(mWiring.mLog, aRecord.mRecord); }
 
   void Do(const Stopped& /*aStopped*/) { mOnStopped(); }
--- /dev/null
+++ b/packages/entry/src/forward_chart.cpp
@@ -0,0 +1,529 @@
+#include "forward_chart.hpp"
+
+#include "pools.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace fighold::entry {
+namespace {
+
+/// Time that a route's or caller's limit is exceeded at most, so that an answer which the backend
+/// server gives at its deadline still arrives.
+constexpr Millis kAnswerSlack{ 150 };
+
+/// Time to open a connection, besides the round trip. A server that is there answers at once.
+constexpr Millis kConnectTime{ 300 };
+
+/// Part of the time left that a request is expected to take at most; estimates of a busy server are
+/// often too low, and a request that ends too late has taken a slot for nothing.
+constexpr double kPartOfTimeLeft = 0.8;
+
+/// Dispatches of one request of which nothing was sent; more would only show that the network is
+/// down.
+constexpr std::uint32_t kMaxUnsent = 3;
+
+/// Bounds of the time after which a refused caller is told to return.
+constexpr Millis kLeastRetryAfter{ 100 };
+constexpr Millis kLongestRetryAfter{ 1000 };
+
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kGatewayTimeout = 504;
+
+ServicePool&
+PoolOf(ForwardScope& aScope)
+{
+  return aScope.mState.mPools[aScope.mForward.mService];
+}
+
+routes::RetryLimits
+RetryLimitsOf(const State& aState)
+{
+  return routes::ShareOfRetries(aState.mOptions.mRetryRatio,
+                                aState.mOptions.mRetrySlack,
+                                aState.mConfiguration->mEntries.size());
+}
+
+Duration
+TimeLeft(const ForwardScope& aScope)
+{
+  return aScope.mForward.mDeadline - aScope.mNow;
+}
+
+bool
+NotConfigured(const ForwardScope& aScope)
+{
+  const State& state = aScope.mState;
+  return state.mRoutes.mSet->mNumber == 0 ||
+         (!state.mOptions.mServeUnleased && !membership::Holds(state.mLease, aScope.mNow));
+}
+
+bool
+NoSuchRoute(const ForwardScope& aScope)
+{
+  return !aScope.mHasRoute;
+}
+
+bool
+TooMany(const ForwardScope& aScope)
+{
+  return aScope.mState.mForwards.size() + aScope.mState.mInFlight.size() >
+         aScope.mState.mOptions.mMaxInFlight;
+}
+
+bool
+NoServer(const ForwardScope& aScope)
+{
+  return !aScope.mPlacement.mServer.has_value();
+}
+
+bool
+NoTime(const ForwardScope& aScope)
+{
+  const auto expected =
+    std::chrono::duration<double>(aScope.mPlacement.mExpected + aScope.mOnTheWay);
+  return expected > std::chrono::duration<double>(TimeLeft(aScope)) * kPartOfTimeLeft;
+}
+
+bool
+MayHaveRun(const ForwardScope& aScope)
+{
+  return aScope.mForward.mMayHaveRun;
+}
+
+bool
+MaySendAgain(const ForwardScope& aScope)
+{
+  const Forward& forward = aScope.mForward;
+  const auto pool = aScope.mState.mPools.find(forward.mService);
+  const bool sent = forward.mSends > forward.mUnsent;
+  return !NoServer(aScope) && !NoTime(aScope) &&
+         forward.mSends - forward.mUnsent < forward.mRoute->mAttempts &&
+         forward.mUnsent < kMaxUnsent && pool != aScope.mState.mPools.end() &&
+         (!sent || routes::MaySendAgain(pool->second.mRetries));
+}
+
+bool
+MayRepeat(const ForwardScope& aScope)
+{
+  return aScope.mForward.mRoute->mRepeatable && MaySendAgain(aScope);
+}
+
+DecisionRecord
+RecordOf(const ForwardScope& aScope, const std::string& aKind, const std::string& aReason)
+{
+  const Forward& forward = aScope.mForward;
+  DecisionRecord record;
+  record.mKind = aKind;
+  record.mSubject = forward.mRequest.mCallerId;
+  record.mService = forward.mService.mValue;
+  record.mReason = aReason;
+  const auto millis = [](Duration aTime) {
+    return std::to_string(std::chrono::duration_cast<Millis>(aTime).count());
+  };
+  record.mFields = { { "route", forward.mRoute->mName },
+                     { "routes", std::to_string(aScope.mState.mRoutes.mSet->mNumber) },
+                     { "version", std::to_string(aScope.mState.mConfiguration->mVersion) },
+                     { "age_ms", millis(aScope.mNow - aScope.mState.mLastGrant) },
+                     { "elapsed_ms", millis(aScope.mNow - forward.mArrived) },
+                     { "left_ms", millis(forward.mDeadline - aScope.mNow) },
+                     { "sends", std::to_string(forward.mSends) } };
+  return record;
+}
+
+void
+LogPlacement(ForwardScope& aScope, const std::string& aKind)
+{
+  DecisionRecord record = RecordOf(aScope, aKind, aScope.mPlacement.mReason);
+  const routes::Server& server = *aScope.mPlacement.mServer;
+  const routes::ServerLoad& load = aScope.mState.mLoads[server.mId];
+  const auto millis = [](Duration aTime) {
+    return std::to_string(std::chrono::duration_cast<Millis>(aTime).count());
+  };
+  record.mChoice = server.mId.mValue;
+  record.mFields.push_back({ "region", server.mRegion.mValue });
+  record.mFields.push_back({ "expected_ms", millis(aScope.mPlacement.mExpected) });
+  record.mFields.push_back({ "own", std::to_string(load.mOwn) });
+  record.mFields.push_back({ "foreign", std::to_string(static_cast<int>(load.mForeign)) });
+  record.mFields.push_back({ "report_age_ms", millis(aScope.mNow - load.mReportedAt) });
+  aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
+}
+
+void
+Answer(ForwardScope& aScope, ForwardAnswer aAnswer)
+{
+  const Forward& forward = aScope.mForward;
+  aAnswer.mService = forward.mService;
+  aAnswer.mServer = forward.mServer.mId;
+  aAnswer.mLatency = aScope.mNow - forward.mArrived;
+  DecisionRecord record = RecordOf(aScope, "answer", aAnswer.mReason);
+  const unsigned status =
+    aAnswer.mOutcome == Outcome::Run ? aAnswer.mResponse.mStatus : aAnswer.mStatus;
+  record.mFields.push_back({ "outcome", std::string(ToText(aAnswer.mOutcome)) });
+  record.mFields.push_back({ "status", std::to_string(status) });
+  record.mFields.push_back({ "retry_after_ms", std::to_string(aAnswer.mRetryAfter.count()) });
+  record.mChoice = aAnswer.mOutcome == Outcome::Run ? forward.mServer.mId.mValue : "";
+  record.mRejected = aScope.mPlacement.mRejected;
+  aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
+  aScope.mEffects.emplace_back(Reply{ forward.mRequest.mId, std::move(aAnswer) });
+}
+
+/// Time after which room is expected, spread so that those refused together do not return together.
+Millis
+RetryAfter(ForwardScope& aScope)
+{
+  const auto expected = std::chrono::duration_cast<Millis>(aScope.mPlacement.mExpected) -
+                        std::chrono::duration_cast<Millis>(
+                          TimeLeft(aScope) * static_cast<int>(kPartOfTimeLeft * 100) / 100);
+  const Millis least = std::clamp(expected, kLeastRetryAfter, kLongestRetryAfter / 2);
+  const auto spread =
+    static_cast<std::int64_t>(Draw(aScope.mState) % static_cast<std::uint64_t>(least.count()));
+  return std::min(kLongestRetryAfter, least + Millis(spread));
+}
+
+void
+AnswerNotRun(ForwardScope& aScope, const std::string& aReason, unsigned aStatus, Millis aRetryAfter)
+{
+  ForwardAnswer answer;
+  answer.mOutcome = Outcome::NotRun;
+  answer.mReason = aReason;
+  answer.mStatus = aStatus;
+  answer.mRetryAfter = aRetryAfter;
+  Answer(aScope, std::move(answer));
+}
+
+void
+AnswerNotConfigured(ForwardScope& aScope)
+{
+  AnswerNotRun(aScope, "no-routes-known", kUnavailable, RetryAfter(aScope));
+}
+
+void
+AnswerNoSuchRoute(ForwardScope& aScope)
+{
+  AnswerNotRun(aScope, "no-such-route", kNotFound, Millis(0));
+}
+
+void
+AnswerTooMany(ForwardScope& aScope)
+{
+  AnswerNotRun(aScope, "too-many-requests-in-flight", kUnavailable, RetryAfter(aScope));
+}
+
+void
+AnswerNoServer(ForwardScope& aScope)
+{
+  AnswerNotRun(aScope, aScope.mPlacement.mReason, kUnavailable, RetryAfter(aScope));
+}
+
+void
+AnswerNoRoom(ForwardScope& aScope)
+{
+  AnswerNotRun(aScope, "no-room-in-time", kUnavailable, RetryAfter(aScope));
+}
+
+void
+AnswerRefused(ForwardScope& aScope)
+{
+  const bool unsent = aScope.mDone.mResult.mStage == net::ExchangeStage::NotSent;
+  AnswerNotRun(aScope,
+               unsent ? "cannot-connect" : "refused-by-backend-server",
+               kUnavailable,
+               RetryAfter(aScope));
+}
+
+void
+AnswerResult(ForwardScope& aScope)
+{
+  ForwardAnswer answer;
+  answer.mOutcome = Outcome::Run;
+  answer.mResponse = std::move(aScope.mDone.mResult.mResponse);
+  Answer(aScope, std::move(answer));
+}
+
+void
+AnswerUnknown(ForwardScope& aScope)
+{
+  ForwardAnswer answer;
+  answer.mOutcome = Outcome::Unknown;
+  answer.mReason = aScope.mDone.mMeaning == AnswerMeaning::Unusable ? "unusable answer"
+                                                                    : aScope.mDone.mResult.mError;
+  answer.mStatus = aScope.mNow >= aScope.mForward.mDeadline ? kGatewayTimeout : kBadGateway;
+  Answer(aScope, std::move(answer));
+}
+
+/// Nobody reads this answer; the front needs one to end the request.
+void
+AnswerGone(ForwardScope& aScope)
+{
+  ForwardAnswer answer;
+  answer.mOutcome = Outcome::Unknown;
+  answer.mReason = "caller-gone";
+  answer.mStatus = kBadGateway;
+  Answer(aScope, std::move(answer));
+}
+
+void
+NoteLost(ForwardScope& aScope)
+{
+  aScope.mForward.mMayHaveRun = true;
+}
+
+/// Part of a server's connections that this entry may use.
+std::uint32_t
+ConnectionShare(const State& aState, const ServiceId& aService)
+{
+  const auto it = aState.mRoutes.mSet->mServices.find(aService);
+  const std::uint32_t all =
+    it == aState.mRoutes.mSet->mServices.end() ? 0 : it->second.mMaxConnections;
+  const auto entries =
+    static_cast<std::uint32_t>(std::max<std::size_t>(1, aState.mConfiguration->mEntries.size()));
+  return all == 0 ? std::numeric_limits<std::uint32_t>::max() : std::max(1U, all / entries);
+}
+
+void
+Send(ForwardScope& aScope)
+{
+  State& state = aScope.mState;
+  Forward& forward = aScope.mForward;
+  const routes::Server& server = *aScope.mPlacement.mServer;
+  LogPlacement(aScope, forward.mSends == 0 ? "forward" : "forward-again");
+  routes::ServerLoad& load = state.mLoads[server.mId];
+  const auto cold = PoolOf(aScope).mPool.mColdLimits.find(server.mId);
+  const bool limited = cold != PoolOf(aScope).mPool.mColdLimits.end();
+  forward.mWarm = routes::IsWarm(load, forward.mKey, aScope.mNow);
+  load = routes::NoteSent(load, limited ? cold->second : routes::ColdLimit{}, aScope.mNow);
+  forward.mDispatch = state.mNextDispatch++;
+  forward.mServer = server;
+  forward.mTried.insert(server.mId);
+  forward.mSentAt = aScope.mNow;
+  ++forward.mSends;
+  Dispatch dispatch;
+  dispatch.mId = forward.mRequest.mId;
+  dispatch.mDispatch = forward.mDispatch;
+  dispatch.mServer = {
+    server.mId, server.mIncarnation, server.mAddress, server.mSlots, server.mConnections
+  };
+  dispatch.mPayload = forward.mRequest.mPayload;
+  dispatch.mUntil = forward.mDeadline + kAnswerSlack;
+  dispatch.mFirstByteUntil = dispatch.mUntil;
+  dispatch.mSendBefore = forward.mDeadline;
+  dispatch.mConnectUntil =
+    std::min(forward.mDeadline, aScope.mNow + kConnectTime + 2 * aScope.mOnTheWay);
+  dispatch.mDeadline = forward.mDeadline;
+  dispatch.mConnectionShare = ConnectionShare(state, forward.mService);
+  dispatch.mCallerId = forward.mRequest.mCallerId;
+  aScope.mEffects.emplace_back(std::move(dispatch));
+}
+
+void
+SendAgain(ForwardScope& aScope)
+{
+  if (aScope.mForward.mSends > aScope.mForward.mUnsent) {
+    PoolOf(aScope).mRetries = routes::SpendRetry(PoolOf(aScope).mRetries);
+  }
+  Send(aScope);
+}
+
+void
+Cancel(ForwardScope& aScope)
+{
+  routes::ServerLoad& load = aScope.mState.mLoads[aScope.mForward.mServer.mId];
+  load = routes::NoteEnded(load, routes::Ending::GivenUp, 0, std::nullopt, aScope.mNow);
+  aScope.mEffects.emplace_back(CancelDispatch{ aScope.mForward.mDispatch });
+}
+
+void
+Place(ForwardScope& aScope)
+{
+  aScope.mPlacement = PlaceForward(aScope.mState, aScope.mForward, aScope.mNow);
+  aScope.mOnTheWay = aScope.mPlacement.mServer
+                       ? RoundTrip(aScope.mState, aScope.mPlacement.mServer->mRegion)
+                       : Duration{};
+}
+
+void
+Fire(ForwardScope& aScope, ForwardEvent aEvent)
+{
+  const RequestId id = aScope.mForward.mRequest.mId;
+  aScope.mForward.mState =
+    chart::Fire(aScope.mState.mCharts.mForward, aScope.mForward.mState, aEvent, aScope).mState;
+  if (aScope.mForward.mState != ForwardState::Dispatched) {
+    aScope.mState.mForwards.erase(id);
+  }
+}
+
+/// Chooses the service among those of a route, by weight.
+ServiceId
+ChooseService(State& aState, const routes::Route& aRoute)
+{
+  if (aRoute.mServices.size() == 1) {
+    return aRoute.mServices.front().mService;
+  }
+  std::vector<double> weights;
+  for (const auto& it : aRoute.mServices) {
+    weights.push_back(it.mWeight);
+  }
+  return aRoute.mServices[routes::NextTurn(aState.mRouteTurns[aRoute.mName], weights)].mService;
+}
+
+ForwardEvent
+EventOf(const DispatchDone& aDone)
+{
+  switch (aDone.mResult.mStage) {
+    case net::ExchangeStage::NotSent:
+      return ForwardEvent::Unsent;
+    case net::ExchangeStage::NoAnswer:
+      return ForwardEvent::Lost;
+    case net::ExchangeStage::Answered:
+      break;
+  }
+  switch (aDone.mMeaning) {
+    case AnswerMeaning::Result:
+      return ForwardEvent::Answered;
+    case AnswerMeaning::NotRun:
+      return ForwardEvent::Refused;
+    case AnswerMeaning::Unusable:
+      break;
+  }
+  return ForwardEvent::Lost;
+}
+
+routes::Ending
+EndingOf(ForwardEvent aEvent, const ForwardScope& aScope)
+{
+  switch (aEvent) {
+    case ForwardEvent::Answered:
+      return routes::Ending::Answered;
+    case ForwardEvent::Refused:
+      return routes::Ending::TurnedAway;
+    default:
+      // A request that ran out of time says little about the server.
+      return aScope.mNow >= aScope.mForward.mDeadline ? routes::Ending::GivenUp
+                                                      : routes::Ending::Failed;
+  }
+}
+
+void
+Learn(ForwardScope& aScope, ForwardEvent aEvent)
+{
+  State& state = aScope.mState;
+  const Forward& forward = aScope.mForward;
+  if (aScope.mDone.mResult.mConnectTime > Duration{}) {
+    const auto [it, isNew] =
+      state.mRoundTrips.try_emplace(forward.mServer.mRegion, aScope.mDone.mResult.mConnectTime);
+    it->second = std::min(it->second, aScope.mDone.mResult.mConnectTime);
+  }
+  const auto known = state.mLoads.find(forward.mServer.mId);
+  if (known == state.mLoads.end() || known->second.mIncarnation != forward.mServer.mIncarnation) {
+    return;
+  }
+  routes::ServerLoad& load = known->second;
+  load = routes::NoteEnded(
+    load, EndingOf(aEvent, aScope), forward.mKey, aScope.mDone.mLoad, aScope.mNow);
+  const auto pool = state.mPools.find(forward.mService);
+  if (aEvent == ForwardEvent::Answered && pool != state.mPools.end()) {
+    const Duration work = aScope.mNow - forward.mSentAt - RoundTrip(state, forward.mServer.mRegion);
+    load.mSlowness =
+      routes::NoteSlowness(load.mSlowness, pool->second.mPool.mTimes, work, forward.mWarm);
+    pool->second.mPool.mTimes = routes::NoteWork(pool->second.mPool.mTimes, work, forward.mWarm);
+  }
+}
+
+} // namespace
+
+chart::Registry<ForwardScope>
+ForwardRegistry()
+{
+  return { { "received", "dispatched", "answered", "not_run", "unknown" },
+           { "arrived", "answered", "refused", "unsent", "lost", "caller_gone" },
+           { { "not_configured", NotConfigured },
+             { "no_such_route", NoSuchRoute },
+             { "too_many", TooMany },
+             { "no_server", NoServer },
+             { "no_time", NoTime },
+             { "may_have_run", MayHaveRun },
+             { "may_send_again", MaySendAgain },
+             { "may_repeat", MayRepeat } },
+           { { "answer_not_configured", AnswerNotConfigured },
+             { "answer_no_such_route", AnswerNoSuchRoute },
+             { "answer_too_many", AnswerTooMany },
+             { "answer_no_server", AnswerNoServer },
+             { "answer_no_room", AnswerNoRoom },
+             { "answer_refused", AnswerRefused },
+             { "answer_result", AnswerResult },
+             { "answer_unknown", AnswerUnknown },
+             { "answer_gone", AnswerGone },
+             { "note_lost", NoteLost },
+             { "send", Send },
+             { "send_again", SendAgain },
+             { "cancel", Cancel } } };
+}
+
+void
+HandleForward(State& aState, ForwardRequest aRequest, std::vector<Effect>& aEffects, Instant aNow)
+{
+  const RequestId id = aRequest.mId;
+  Forward& forward = aState.mForwards[id];
+  forward.mRequest = std::move(aRequest);
+  forward.mArrived = aNow;
+  const net::HttpRequest& payload = *forward.mRequest.mPayload;
+  const routes::Route* route = routes::FindRoute(aState.mRoutes, payload.mHost, payload.mTarget);
+  ForwardScope scope{ aState, forward, aEffects, aNow, route != nullptr, {}, {}, {} };
+  if (route != nullptr) {
+    forward.mRoute = SharedValue(*route);
+    forward.mService = ChooseService(aState, *route);
+    if (route->mAffinity && !forward.mRequest.mAffinityKey.empty()) {
+      const std::string& key = forward.mRequest.mAffinityKey;
+      forward.mKey = XXH3_64bits(key.data(), key.size());
+    }
+  }
+  forward.mDeadline =
+    aNow + std::min(forward.mRoute->mTimeout,
+                    forward.mRequest.mDeadline.value_or(forward.mRoute->mTimeout));
+  if (route != nullptr) {
+    Place(scope);
+    routes::RetryBudget& retries = PoolOf(scope).mRetries;
+    retries = routes::CountRequest(retries, RetryLimitsOf(aState));
+  }
+  Fire(scope, ForwardEvent::Arrived);
+}
+
+bool
+HandleForwardDone(State& aState, DispatchDone& aDone, std::vector<Effect>& aEffects, Instant aNow)
+{
+  const auto it = aState.mForwards.find(aDone.mId);
+  if (it == aState.mForwards.end()) {
+    return false;
+  }
+  if (it->second.mDispatch != aDone.mDispatch) {
+    return true;
+  }
+  Forward& forward = it->second;
+  const ForwardEvent event = EventOf(aDone);
+  ForwardScope scope{ aState, forward, aEffects, aNow, true, {}, {}, std::move(aDone) };
+  Learn(scope, event);
+  if (event == ForwardEvent::Unsent) {
+    ++forward.mUnsent;
+  }
+  if (event != ForwardEvent::Answered) {
+    Place(scope);
+  }
+  Fire(scope, event);
+  return true;
+}
+
+void
+HandleForwardGone(State& aState, RequestId aId, std::vector<Effect>& aEffects, Instant aNow)
+{
+  const auto it = aState.mForwards.find(aId);
+  if (it != aState.mForwards.end()) {
+    ForwardScope scope{ aState, it->second, aEffects, aNow, true, {}, {}, {} };
+    Fire(scope, ForwardEvent::CallerGone);
+  }
+}
+
+} // namespace fighold::entry
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -1,4 +1,4 @@
-#include "front_codec.hpp"
+#include "fighold/entry/front_codec.hpp"
 #include "threads.hpp"
 
 #include <boost/fiber/fiber.hpp>
@@ -16,15 +16,18 @@
 
 struct Front::State
 {
-  State(Wiring& aWiring, net::ServerOptions aOptions)
+  State(Wiring& aWiring, const std::vector<net::ServerOptions>& aListeners, FrontCodec aCodec)
     : mWiring(aWiring)
-    , mServer(
+    , mCodec(std::move(aCodec))
+  {
+    for (const net::ServerOptions& it : aListeners) {
+      mServers.push_back(std::make_unique<net::HttpServer>(
         mLoop,
-        std::move(aOptions),
+        it,
         net::WatchedHandler([this](const net::HttpRequest& aRequest, net::CallerWatch& aWatch) {
           return Handle(aRequest, aWatch);
-        }))
-  {
+        })));
+    }
     mWiring.mReplies.SetWakeup([this] { mLoop.Post([this] { DeliverReplies(); }); });
   }
 
@@ -37,7 +40,7 @@
       return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, mWiring.mMetrics.Text() };
     }
     const RequestId id = mNextId++;
-    Parsed parsed = ParseRequest(id, aRequest);
+    Parsed parsed = mCodec.mParse(id, aRequest);
     if (auto* response = std::get_if<net::HttpResponse>(&parsed)) {
       return std::move(*response);
     }
@@ -47,13 +50,13 @@
     if (!mWiring.mInbox.TryPush(std::move(std::get<Event>(parsed)), kInboxReserve)) {
       mWaiting.erase(id);
       mWiring.mMetrics.Count("inbox_full_total");
-      return NotRunResponse("inbox-full");
+      return mCodec.mNotTaken("inbox-full");
     }
     // Without room in the inbox the request runs on and its answer is dropped.
     aWatch.mOnGone = [this, id] { mWiring.mInbox.TryPush(CallerGone{ id }, kInboxReserve); };
     const Reply reply = future.get();
     aWatch.mOnGone = nullptr;
-    auto response = ToResponse(id, reply.mAnswer);
+    auto response = mCodec.mToResponse(id, aRequest, reply.mAnswer);
     if (reply.mClose) {
       response.mHeaders.push_back({ "Connection", "close" });
     }
@@ -62,7 +65,12 @@
 
   void DeliverReplies()
   {
-    while (auto reply = mWiring.mReplies.TryPop()) {
+    while (auto order = mWiring.mReplies.TryPop()) {
+      if (const auto* limits = std::get_if<SetCallerLimits>(&*order)) {
+        SetLimits(limits->mLimits);
+        continue;
+      }
+      auto* reply = std::get_if<Reply>(&*order);
       const auto it = mWaiting.find(reply->mId);
       if (it != mWaiting.end()) {
         it->second->set_value(std::move(*reply));
@@ -71,16 +79,24 @@
     }
   }
 
+  void SetLimits(const routes::CallerLimits& aLimits)
+  {
+    for (const auto& it : mServers) {
+      it->SetLimits(aLimits.mMaxHeaderBytes, aLimits.mMaxBodyBytes, aLimits.mIdleTimeout);
+    }
+  }
+
   Wiring& mWiring;
+  FrontCodec mCodec;
   net::FiberLoop mLoop;
-  net::HttpServer mServer;
+  std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::map<RequestId, boost::fibers::promise<Reply>*> mWaiting;
   RequestId mNextId = 1;
   boost::fibers::promise<void> mDrain;
 };
 
-Front::Front(Wiring& aWiring, net::ServerOptions aOptions)
-  : mState(std::make_unique<State>(aWiring, std::move(aOptions)))
+Front::Front(Wiring& aWiring, const std::vector<net::ServerOptions>& aListeners, FrontCodec aCodec)
+  : mState(std::make_unique<State>(aWiring, aListeners, std::move(aCodec)))
 {
 }
 
@@ -89,17 +105,25 @@
 Endpoint
 Front::Address() const
 {
-  return mState->mServer.Address();
+  return mState->mServers.front()->Address();
 }
 
 void
 Front::Run()
 {
   mState->mLoop.Run([this] {
-    boost::fibers::fiber serve([this] { mState->mServer.Serve(); });
+    std::vector<boost::fibers::fiber> serving;
+    for (const auto& it : mState->mServers) {
+      serving.emplace_back([&it] { it->Serve(); });
+    }
     mState->mDrain.get_future().wait();
-    mState->mServer.Stop(std::chrono::steady_clock::now() + kStopTimeout);
-    serve.join();
+    const Instant until = std::chrono::steady_clock::now() + kStopTimeout;
+    for (const auto& it : mState->mServers) {
+      it->Stop(until);
+    }
+    for (auto& it : serving) {
+      it.join();
+    }
   });
 }
 
--- a/packages/entry/src/front_codec.cpp
+++ b/packages/entry/src/front_codec.cpp
@@ -1,4 +1,4 @@
-#include "front_codec.hpp"
+#include "fighold/entry/front_codec.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -271,6 +271,45 @@
   return net::JsonResponse(aAnswer.mReady ? 200 : 503, json::serialize(body));
 }
 
+net::HttpResponse
+Convert(RequestId /*aId*/, const ForwardAnswer& aAnswer)
+{
+  if (aAnswer.mOutcome == Outcome::Run) {
+    net::HttpResponse response = aAnswer.mResponse;
+    response.mHeaders.push_back({ "Fighold-Outcome", "run" });
+    return response;
+  }
+  auto response = ErrorResponse(aAnswer.mStatus, aAnswer.mReason);
+  response.mHeaders.back().mValue = ToText(aAnswer.mOutcome);
+  if (aAnswer.mRetryAfter > Millis(0)) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(aAnswer.mRetryAfter);
+    response.mHeaders.push_back({ "Retry-After", std::to_string(seconds.count()) });
+  }
+  return response;
+}
+
+/// A request that the route set governs.
+Parsed
+ParseForward(RequestId aId, const net::HttpRequest& aRequest)
+{
+  ForwardRequest forward;
+  forward.mId = aId;
+  forward.mCallerId =
+    net::FindHeader(aRequest.mHeaders, "Fighold-Request-Id").value_or(std::to_string(aId));
+  forward.mAffinityKey = net::FindHeader(aRequest.mHeaders, "Fighold-Affinity-Key").value_or("");
+  if (const auto deadline = net::FindHeader(aRequest.mHeaders, "Fighold-Deadline-Ms")) {
+    std::int64_t millis = 0;
+    const auto parsed =
+      std::from_chars(deadline->data(), deadline->data() + deadline->size(), millis);
+    if (parsed.ec != std::errc() || millis < 0) {
+      return ErrorResponse(400, "Fighold-Deadline-Ms is not a number of milliseconds");
+    }
+    forward.mDeadline = Millis(millis);
+  }
+  forward.mPayload = SharedValue(aRequest);
+  return forward;
+}
+
 } // namespace
 
 Parsed
@@ -296,7 +335,7 @@
   if (path == "/readyz") {
     return StatusAsk{ aId };
   }
-  return ErrorResponse(404, "no such resource");
+  return ParseForward(aId, aRequest);
 }
 
 net::HttpResponse
@@ -305,6 +344,16 @@
   return std::visit([aId](const auto& aBody) { return Convert(aId, aBody); }, aAnswer);
 }
 
+FrontCodec
+NativeFrontCodec()
+{
+  return { ParseRequest,
+           [](RequestId aId, const net::HttpRequest& /*aRequest*/, const Answer& aAnswer) {
+             return ToResponse(aId, aAnswer);
+           },
+           [](const std::string& aReason) { return NotRunResponse(aReason); } };
+}
+
 net::HttpResponse
 NotRunResponse(const std::string& aReason, unsigned aStatus)
 {
--- a/packages/entry/src/front_codec_test.cpp
+++ b/packages/entry/src/front_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "front_codec.hpp"
+#include "fighold/entry/front_codec.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -56,12 +56,26 @@
   }
 }
 
+void
+ObserveForward(telemetry::Metrics& aMetrics, const ForwardAnswer& aAnswer)
+{
+  aMetrics.Observe("request_seconds",
+                   Seconds(aAnswer.mLatency),
+                   { { "service", aAnswer.mService.mValue },
+                     { "outcome", std::string(ToText(aAnswer.mOutcome)) } });
+  if (aAnswer.mOutcome != Outcome::Run) {
+    aMetrics.Count("requests_not_answered_total",
+                   { { "service", aAnswer.mService.mValue }, { "reason", aAnswer.mReason } });
+  }
+}
+
 void
 SetGauges(telemetry::Metrics& aMetrics, const State& aState, Instant aNow)
 {
   aMetrics.Set("lease_left_seconds", std::max(0.0, Seconds(aState.mLease.mUntil - aNow)));
   aMetrics.Set("configuration_version", static_cast<double>(aState.mConfiguration->mVersion));
-  aMetrics.Set("requests_in_flight", static_cast<double>(aState.mInFlight.size()));
+  aMetrics.Set("requests_in_flight",
+               static_cast<double>(aState.mInFlight.size() + aState.mForwards.size()));
   for (const RequestClass it :
        { RequestClass::Urgent, RequestClass::Standard, RequestClass::Deferred }) {
     aMetrics.Set("requests_waiting",
--- a/packages/entry/src/gauges.hpp
+++ b/packages/entry/src/gauges.hpp
@@ -12,6 +12,10 @@
 void
 ObserveAnswer(telemetry::Metrics& aMetrics, const State& aState, const CallerAnswer& aAnswer);
 
+/// Counts an answer to a request of the route set.
+void
+ObserveForward(telemetry::Metrics& aMetrics, const ForwardAnswer& aAnswer);
+
 /// Sets the gauges of leases, limits and queues.
 void
 SetGauges(telemetry::Metrics& aMetrics, const State& aState, Instant aNow);
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -1,6 +1,7 @@
 #include "lease_keeping.hpp"
 
 #include "admission.hpp"
+#include "pools.hpp"
 #include "queueing.hpp"
 #include "stage_chart.hpp"
 
@@ -53,7 +54,8 @@
   renew.mEntry = aState.mOptions.mEntry;
   renew.mHeld = aState.mConfiguration->mVersion;
   renew.mLeaving = aState.mStage == EntryStage::Draining;
-  renew.mInFlight = static_cast<std::uint32_t>(aState.mInFlight.size());
+  renew.mInFlight = static_cast<std::uint32_t>(aState.mInFlight.size() + aState.mForwards.size());
+  renew.mRoutesHeld = aState.mConfiguration->mRoutes->mNumber;
   // Without a stamp the control process cannot tell how old the reports are; they wait for the next
   // renewal.
   if (aState.mStampFrom == ControlInUse(aState)) {
@@ -162,9 +164,10 @@
 }
 
 void
-TakeBackendLeases(State& aState, const membership::Grant& aGrant, Instant aAskedAt)
+TakeBackendLeases(State& aState, const membership::Grant& aGrant, Instant aAskedAt, Instant aNow)
 {
   for (const membership::BackendLease& it : aGrant.mBackendLeases) {
+    TakeServerLease(aState, it, membership::LeaseEnd(aAskedAt, it.mLeft), aNow);
     const auto server = aState.mConfiguration->mBackendServers.find(it.mId);
     if (server != aState.mConfiguration->mBackendServers.end() &&
         server->second.mIncarnation == it.mIncarnation) {
@@ -189,6 +192,31 @@
   return BackendVerdict::Refused;
 }
 
+/// @return configuration of a grant, which leaves out the route set that is held already
+SharedValue<membership::Configuration>
+WithHeldRoutes(const State& aState, const membership::Grant& aGrant)
+{
+  if (!aGrant.mSameRoutes) {
+    return *aGrant.mConfiguration;
+  }
+  membership::Configuration configuration = **aGrant.mConfiguration;
+  configuration.mRoutes = aState.mConfiguration->mRoutes;
+  return SharedValue(std::move(configuration));
+}
+
+/// Follows the control group where its members change. The process in use is kept.
+void
+TakeControls(State& aState, const membership::Grant& aGrant, const ControlId& aFrom)
+{
+  auto& controls = aState.mOptions.mControls;
+  if (aGrant.mControls.empty() || aGrant.mControls == controls) {
+    return;
+  }
+  controls = aGrant.mControls;
+  const auto it = std::find(controls.begin(), controls.end(), aFrom);
+  aState.mControl = it == controls.end() ? 0 : static_cast<std::size_t>(it - controls.begin());
+}
+
 bool
 MayServe(const State& aState)
 {
@@ -223,6 +251,7 @@
     return;
   }
   const Instant askedAt = asked->second;
+  TakeControls(aState, grant, aGrant.mFrom);
   // What waited for a stamp goes out at once.
   if (aState.mStampFrom != aGrant.mFrom) {
     aState.mNextRenew = aNow;
@@ -237,19 +266,20 @@
       aState.mClients = plan::BuildClientTable(next);
     }
     const auto previous = aState.mConfiguration;
-    aState.mConfiguration = *grant.mConfiguration;
+    aState.mConfiguration = WithHeldRoutes(aState, grant);
     // An early renewal confirms the version, which may otherwise take a renewal interval longer.
     aState.mNextRenew = aNow;
     DropUnknownServers(aState, *previous);
     BuildTable(aState);
     TakeLimits(aState);
+    TakeRoutes(aState, *previous, aEffects, aNow);
   }
   // A grant for a version that this entry does not have would let it serve an old configuration.
   if (aState.mConfiguration->mVersion < grant.mVersion) {
     return;
   }
   aState.mLastGrant = aNow;
-  TakeBackendLeases(aState, grant, askedAt);
+  TakeBackendLeases(aState, grant, askedAt, aNow);
   if (!MayServe(aState)) {
     return;
   }
--- /dev/null
+++ b/packages/entry/src/pools.cpp
@@ -0,0 +1,233 @@
+#include "pools.hpp"
+
+#include <algorithm>
+
+namespace fighold::entry {
+namespace {
+
+/// Time to another region and back before a connection to it was opened.
+constexpr Millis kAssumedRoundTrip{ 50 };
+
+routes::Server
+ToServer(const BackendServerId& aId, const membership::BackendServer& aServer)
+{
+  return { aId,
+           aServer.mIncarnation,
+           aServer.mAddress,
+           aServer.mRegion,
+           aServer.mDataCentre,
+           std::max(1U, aServer.mSlots),
+           aServer.mConnections };
+}
+
+/// Servers that may get new requests. Of two at one address only the later one can be there.
+std::map<ServiceId, std::vector<routes::Server>>
+UsableServers(const membership::Configuration& aConfiguration)
+{
+  std::map<Endpoint, Incarnation> newest;
+  for (const auto& [id, server] : aConfiguration.mBackendServers) {
+    Incarnation& it = newest[server.mAddress];
+    it = std::max(it, server.mIncarnation);
+  }
+  std::map<ServiceId, std::vector<routes::Server>> servers;
+  for (const auto& [id, server] : aConfiguration.mBackendServers) {
+    if (!IsDrained(aConfiguration, id) && !IsDrained(aConfiguration, server.mDataCentre) &&
+        !HasDeparted(aConfiguration, id, server.mIncarnation) &&
+        newest.at(server.mAddress) == server.mIncarnation) {
+      servers[server.mService].push_back(ToServer(id, server));
+    }
+  }
+  return servers;
+}
+
+std::vector<EntryId>
+EntryIds(const membership::Configuration& aConfiguration)
+{
+  std::vector<EntryId> ids;
+  for (const auto& [id, entry] : aConfiguration.mEntries) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+const routes::ServiceSettings&
+SettingsOf(const membership::Configuration& aConfiguration, const ServiceId& aId)
+{
+  static const routes::ServiceSettings kDefault;
+  const auto it = aConfiguration.mRoutes->mServices.find(aId);
+  return it == aConfiguration.mRoutes->mServices.end() ? kDefault : it->second;
+}
+
+/// Servers of a data centre whose drain ended may have become cold meanwhile; they count as cold
+/// until they say otherwise.
+void
+ChillAfterDrain(State& aState, const membership::Configuration& aPrevious, Instant aNow)
+{
+  for (const auto& [id, server] : aState.mConfiguration->mBackendServers) {
+    if (IsDrained(aPrevious, server.mDataCentre) &&
+        !IsDrained(*aState.mConfiguration, server.mDataCentre)) {
+      const auto& settings = SettingsOf(*aState.mConfiguration, server.mService);
+      Instant& until = aState.mLoads[id].mColdUntil;
+      until = std::max(until, aNow + settings.mWarmUp);
+    }
+  }
+}
+
+/// What is known of an incarnation says nothing about the next one.
+void
+KeepLoads(State& aState)
+{
+  const auto& servers = aState.mConfiguration->mBackendServers;
+  for (auto it = aState.mLoads.begin(); it != aState.mLoads.end();) {
+    const auto server = servers.find(it->first);
+    if (server == servers.end()) {
+      it = aState.mLoads.erase(it);
+      continue;
+    }
+    if (server->second.mIncarnation != it->second.mIncarnation) {
+      const Instant cold = it->second.mIncarnation == 0 ? it->second.mColdUntil : Instant{};
+      it->second = routes::ServerLoad{};
+      it->second.mIncarnation = server->second.mIncarnation;
+      it->second.mColdUntil = cold;
+    }
+    ++it;
+  }
+}
+
+std::map<RegionId, double>
+SlotsByRegion(const routes::Pool& aPool)
+{
+  std::map<RegionId, double> slots;
+  for (const routes::Server& it : aPool.mServers) {
+    slots[it.mRegion] += it.mSlots;
+  }
+  return slots;
+}
+
+/// Regions that have a server which may run the request.
+std::set<RegionId>
+UsableRegions(const State& aState, const routes::Pool& aPool, const Forward& aForward, Instant aNow)
+{
+  std::set<RegionId> regions;
+  const auto& allowed = aForward.mRoute->mAllowedRegions;
+  const bool trusts = TrustsLeases(aState, aNow);
+  for (const routes::Server& it : aPool.mServers) {
+    const auto load = aState.mLoads.find(it.mId);
+    const bool alive = !trusts || (load != aState.mLoads.end() && aNow < load->second.mAliveUntil);
+    if (alive && aForward.mTried.count(it.mId) == 0 &&
+        (allowed.empty() || allowed.count(it.mRegion) > 0)) {
+      regions.insert(it.mRegion);
+    }
+  }
+  return regions;
+}
+
+} // namespace
+
+void
+TakeRoutes(State& aState,
+           const membership::Configuration& aPrevious,
+           std::vector<Effect>& aEffects,
+           Instant aNow)
+{
+  const membership::Configuration& now = *aState.mConfiguration;
+  if (now.mRoutes->mNumber != aState.mRoutes.mSet->mNumber) {
+    aState.mRoutes = routes::BuildRouteTable(now.mRoutes);
+    aEffects.emplace_back(SetCallerLimits{ now.mRoutes->mLimits });
+    DecisionRecord record{ "routes", aState.mOptions.mId.mValue, "", "", "taken-into-use", {} };
+    record.mChoice = "routes-" + std::to_string(now.mRoutes->mNumber);
+    aEffects.emplace_back(LogRecord{ std::move(record) });
+  }
+  KeepLoads(aState);
+  ChillAfterDrain(aState, aPrevious, aNow);
+  const auto entries = EntryIds(now);
+  auto servers = UsableServers(now);
+  for (const auto& [service, pool] : aState.mPools) {
+    servers.try_emplace(service);
+  }
+  for (auto& [service, list] : servers) {
+    ServicePool& pool = aState.mPools[service];
+    pool.mPool.mServers = std::move(list);
+    pool.mPool.mColdLimits.clear();
+    const double perSecond = SettingsOf(now, service).mWarmUpPerSecond;
+    for (const routes::Server& it : pool.mPool.mServers) {
+      aState.mLoads[it.mId].mIncarnation = it.mIncarnation;
+      pool.mPool.mColdLimits[it.mId] =
+        routes::LimitWhileCold(it.mId, entries, aState.mOptions.mId, perSecond);
+    }
+    if (pool.mSplit.mParts.empty()) {
+      pool.mSplit.mParts =
+        routes::InitialParts(SlotsByRegion(pool.mPool), aState.mOptions.mEntry.mRegion);
+    }
+  }
+}
+
+void
+TakeServerLease(State& aState, const membership::BackendLease& aLease, Instant aUntil, Instant aNow)
+{
+  const auto it = aState.mLoads.find(aLease.mId);
+  if (it == aState.mLoads.end() || it->second.mIncarnation != aLease.mIncarnation) {
+    return;
+  }
+  it->second.mAliveUntil = std::max(it->second.mAliveUntil, aUntil);
+  if (aLease.mCold > Millis(0)) {
+    it->second.mColdUntil = std::max(it->second.mColdUntil, aNow + aLease.mCold);
+  }
+}
+
+bool
+TrustsLeases(const State& aState, Instant aNow)
+{
+  return aNow < aState.mLastGrant + membership::kConfigurationLease;
+}
+
+Duration
+RoundTrip(const State& aState, const RegionId& aRegion)
+{
+  const auto it = aState.mRoundTrips.find(aRegion);
+  if (it != aState.mRoundTrips.end()) {
+    return it->second;
+  }
+  return aRegion == aState.mOptions.mEntry.mRegion ? Duration{} : Duration(kAssumedRoundTrip);
+}
+
+routes::Placement
+PlaceForward(State& aState, const Forward& aForward, Instant aNow)
+{
+  const auto pool = aState.mPools.find(aForward.mService);
+  if (pool == aState.mPools.end()) {
+    return { std::nullopt, {}, "service-without-servers", {} };
+  }
+  const bool trusts = TrustsLeases(aState, aNow);
+  auto usable = UsableRegions(aState, pool->second.mPool, aForward, aNow);
+  routes::Placement placement{ std::nullopt, {}, "no-usable-server", {} };
+  // A region whose servers are all ruled out, such as cold ones, leaves the request to the others.
+  while (!usable.empty() && !placement.mServer) {
+    const auto region = routes::NextRegion(pool->second.mSplit, usable);
+    placement = routes::Place(
+      pool->second.mPool, aState.mLoads, { aForward.mKey, aForward.mTried, *region }, trusts, aNow);
+    usable.erase(*region);
+  }
+  return placement;
+}
+
+void
+StepSplits(State& aState, Instant aNow)
+{
+  const bool trusts = TrustsLeases(aState, aNow);
+  for (auto& [service, pool] : aState.mPools) {
+    if (aNow < pool.mSplit.mNextStep) {
+      continue;
+    }
+    std::map<RegionId, Duration> costs;
+    for (const auto& [region, slots] : SlotsByRegion(pool.mPool)) {
+      const auto cost = routes::RegionCost(pool.mPool, aState.mLoads, region, trusts, aNow);
+      if (cost) {
+        costs[region] = *cost + RoundTrip(aState, region);
+      }
+    }
+    routes::StepSplit(pool.mSplit, costs, aNow);
+  }
+}
+
+} // namespace fighold::entry
--- a/packages/entry/src/request_chart_test.cpp
+++ b/packages/entry/src/request_chart_test.cpp
@@ -1,3 +1,4 @@
+#include "fighold/entry/backend_codec.hpp"
 #include "fighold/entry/decide.hpp"
 
 #include <catch2/catch.hpp>
@@ -77,7 +78,9 @@
 
   void End(const Dispatch& aDispatch, net::ExchangeResult aResult)
   {
-    Do(DispatchDone{ aDispatch.mId, aDispatch.mDispatch, std::move(aResult) });
+    DispatchDone done{ aDispatch.mId, aDispatch.mDispatch, std::move(aResult) };
+    done.mMeaning = NativeBackendCodec().mMeaning(aDispatch, done.mResult.mResponse);
+    Do(std::move(done));
   }
 
   template<typename T>
--- a/packages/entry/src/request_dispatch.cpp
+++ b/packages/entry/src/request_dispatch.cpp
@@ -48,17 +48,10 @@
   return std::max(1U, aServer.mConnections / entries);
 }
 
-/// The backend server says itself that it did not run the request, such as when it sheds load.
-bool
-SaysNotRun(const net::HttpResponse& aResponse)
-{
-  return net::FindHeader(aResponse.mHeaders, "Fighold-Outcome") == "not-run";
-}
-
 RequestEvent
-EventOf(const net::ExchangeResult& aResult)
+EventOf(const DispatchDone& aDone)
 {
-  switch (aResult.mStage) {
+  switch (aDone.mResult.mStage) {
     case net::ExchangeStage::NotSent:
       return RequestEvent::Unsent;
     case net::ExchangeStage::NoAnswer:
@@ -66,7 +59,15 @@
     case net::ExchangeStage::Answered:
       break;
   }
-  return SaysNotRun(aResult.mResponse) ? RequestEvent::Refused : RequestEvent::Answered;
+  switch (aDone.mMeaning) {
+    case AnswerMeaning::NotRun:
+      return RequestEvent::Refused;
+    case AnswerMeaning::Unusable:
+      return RequestEvent::Lost;
+    case AnswerMeaning::Result:
+      break;
+  }
+  return RequestEvent::Answered;
 }
 
 routing::ServerState&
@@ -135,7 +136,7 @@
     return;
   }
   InFlight& request = it->second;
-  const RequestEvent event = EventOf(aDone.mResult);
+  const RequestEvent event = EventOf(aDone);
   RecordEnd(ReleaseServer(aState, request), event, aNow - request.mDispatchedAt, aNow);
   GiveShareBack(aState, request, aDone.mResult.mResponse.mBody.size(), aNow);
   if (aDone.mResult.mSilent && aDone.mResult.mReused) {
--- a/packages/entry/src/stage_chart.cpp
+++ b/packages/entry/src/stage_chart.cpp
@@ -29,8 +29,10 @@
 Drained(const StageScope& aScope)
 {
   const State& state = aScope.mState;
-  return state.mInFlight.empty() &&
-         aScope.mNow >= state.mDrainStarted + state.mOptions.mLookupTimeToLive;
+  const Duration drained = aScope.mNow - state.mDrainStarted;
+  const bool quiet = state.mInFlight.empty() && state.mForwards.empty();
+  return drained >= state.mOptions.mLongestDrain ||
+         (quiet && drained >= state.mOptions.mLookupTimeToLive);
 }
 
 void
--- a/packages/entry/src/state.cpp
+++ b/packages/entry/src/state.cpp
@@ -1,5 +1,6 @@
 #include "fighold/entry/state.hpp"
 
+#include "forward_chart.hpp"
 #include "request_chart.hpp"
 #include "stage_chart.hpp"
 
@@ -9,7 +10,8 @@
 LoadCharts(const std::filesystem::path& aFolder)
 {
   return { chart::LoadBound(aFolder / "request.scxml", RequestRegistry()),
-           chart::LoadBound(aFolder / "entry.scxml", StageRegistry()) };
+           chart::LoadBound(aFolder / "entry.scxml", StageRegistry()),
+           chart::LoadBound(aFolder / "forward.scxml", ForwardRegistry()) };
 }
 
 State
--- a/packages/entry/src/threads.hpp
+++ b/packages/entry/src/threads.hpp
@@ -19,6 +19,16 @@
 /// messages.
 constexpr std::size_t kInboxReserve = 2048;
 
+/// Settings of the backend thread.
+struct BackendOptions
+{
+  BackendCodec mCodec = NativeBackendCodec();
+  net::ClientOptions mClient;
+};
+
+/// What the front thread is told.
+using FrontOrder = std::variant<Reply, SetCallerLimits>;
+
 /// What the backend thread is told.
 using BackendOrder = std::variant<Dispatch, CancelDispatch>;
 
@@ -27,7 +37,7 @@
 {
   ring::BoundedRing<Event> mInbox{ 8192 };
   ring::BoundedRing<BackendOrder> mDispatches{ 2048 };
-  ring::BoundedRing<Reply> mReplies{ 4096 };
+  ring::BoundedRing<FrontOrder> mReplies{ 4096 };
   wire::OutboundRing mControlOut{ 1024 };
   telemetry::LogQueue mLog;
   telemetry::Metrics mMetrics;
@@ -38,13 +48,14 @@
 class Front
 {
 public:
-  /// @throws std::runtime_error when the address cannot be bound
-  Front(Wiring& aWiring, net::ServerOptions aOptions);
+  /// @param aListeners one server each
+  /// @throws std::runtime_error when an address cannot be bound
+  Front(Wiring& aWiring, const std::vector<net::ServerOptions>& aListeners, FrontCodec aCodec);
   ~Front();
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
 
-  /// @return address with the port in use
+  /// @return address of the first listener, with the port in use
   Endpoint Address() const;
 
   /// Body of the thread.
@@ -62,7 +73,7 @@
 class Backend
 {
 public:
-  Backend(Wiring& aWiring, chart::BoundChart<ConnectionScope> aChart);
+  Backend(Wiring& aWiring, chart::BoundChart<ConnectionScope> aChart, BackendOptions aOptions = {});
   ~Backend();
   Backend(const Backend&) = delete;
   Backend& operator=(const Backend&) = delete;
--- a/packages/figholdd/include/fighold/figholdd/settings.hpp
+++ b/packages/figholdd/include/fighold/figholdd/settings.hpp
@@ -28,6 +28,19 @@
   bool mInsecure = false;
   std::int64_t mLookupTimeToLiveMs = 5000;
   std::int64_t mMaxConnections = 1024;
+  std::string mDialect =
+    "native"; ///< "native" or "platform": how callers, backend servers and operators speak
+  std::string mAlsoListen; ///< further HTTP addresses, separated by commas
+  std::string mSeeds;      ///< addresses of some control processes, in place of mControls
+  std::int64_t mMessagePort =
+    0;                      ///< port at which every control process takes messages, with mSeeds
+  std::string mDataCentres; ///< "data centre=region,..." of the whole deployment
+  bool mFirstStart = true;  ///< the deployment starts for the first time
+  bool mServeUnleased = false;
+  std::int64_t mServerLeaseMs = 2000;
+  std::int64_t mLongestDrainMs = 60'000;
+  double mRetryRatio = 0.1;
+  double mRetrySlack = 20;
 };
 
 /// Checked settings of either role.
--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -26,6 +26,31 @@
 DEFINE_bool(insecure, false, "run without keys between daemons");
 DEFINE_int64(lookup_ttl_ms, 5000, "time for which callers may cache a look-up, in ms (entry)");
 DEFINE_int64(max_connections, 1024, "greatest number of HTTP connections");
+DEFINE_string(dialect,
+              "native",
+              "how callers, backend servers and operators speak: native, platform");
+DEFINE_string(also_listen, "", "further HTTP addresses, separated by commas");
+DEFINE_string(seeds,
+              "",
+              "addresses of some control processes, separated by commas; the others are found");
+DEFINE_int64(message_port, 0, "port at which all control processes take messages, with --seeds");
+DEFINE_string(data_centres, "", "region of each data centre as name=region,... (control)");
+DEFINE_bool(first_start,
+            true,
+            "the deployment starts for the first time, so that a group is formed (control)");
+DEFINE_bool(serve_unleased, false, "serve requests of the route set without a lease (entry)");
+DEFINE_int64(server_lease_ms,
+             2000,
+             "time for which a backend server's heartbeat counts, in ms (control)");
+DEFINE_int64(longest_drain_ms,
+             60'000,
+             "time after which a planned stop ends its wait for quiet, in ms (entry)");
+DEFINE_double(retry_ratio,
+              0.1,
+              "second dispatches for one request, of all entries together (entry)");
+DEFINE_double(retry_slack,
+              20,
+              "second dispatches beyond that at once, of all entries together (entry)");
 
 namespace {
 
@@ -37,19 +62,39 @@
 /// first.
 constexpr const char* kEnvironmentFlags =
   "role,id,region,data_centre,listen,message_listen,controls,data,charts,token_file,"
-  "key_file,peer_keys,insecure,lookup_ttl_ms,max_connections,log_dir,minloglevel,logtostderr";
+  "key_file,peer_keys,insecure,lookup_ttl_ms,max_connections,log_dir,minloglevel,logtostderr,"
+  "dialect,also_listen,seeds,message_port,data_centres,first_start,serve_unleased,"
+  "server_lease_ms,longest_drain_ms,retry_ratio,retry_slack";
 
 fighold::figholdd::Settings
 SettingsFromFlags()
 {
-  return { FLAGS_role,           FLAGS_id,
-           FLAGS_region,         FLAGS_data_centre,
-           FLAGS_listen,         FLAGS_message_listen,
-           FLAGS_controls,       FLAGS_data,
-           FLAGS_charts,         FLAGS_token_file,
-           FLAGS_key_file,       FLAGS_peer_keys,
-           FLAGS_insecure,       FLAGS_lookup_ttl_ms,
-           FLAGS_max_connections };
+  return { FLAGS_role,
+           FLAGS_id,
+           FLAGS_region,
+           FLAGS_data_centre,
+           FLAGS_listen,
+           FLAGS_message_listen,
+           FLAGS_controls,
+           FLAGS_data,
+           FLAGS_charts,
+           FLAGS_token_file,
+           FLAGS_key_file,
+           FLAGS_peer_keys,
+           FLAGS_insecure,
+           FLAGS_lookup_ttl_ms,
+           FLAGS_max_connections,
+           FLAGS_dialect,
+           FLAGS_also_listen,
+           FLAGS_seeds,
+           FLAGS_message_port,
+           FLAGS_data_centres,
+           FLAGS_first_start,
+           FLAGS_serve_unleased,
+           FLAGS_server_lease_ms,
+           FLAGS_longest_drain_ms,
+           FLAGS_retry_ratio,
+           FLAGS_retry_slack };
 }
 
 /// Signals are blocked before threads start, so that only WaitForStop receives them.
@@ -60,6 +105,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   return signals;
@@ -72,7 +118,9 @@
   Daemon daemon(std::move(aOptions));
   std::cout << "listening on " << fighold::ToText(daemon.Address()) << std::endl;
   int signal = 0;
-  sigwait(&aSignals, &signal);
+  while (sigwait(&aSignals, &signal) == 0 && signal == SIGHUP) {
+    std::cout << "settings changed; they are read at the next start" << std::endl;
+  }
   daemon.StopAndWait();
   std::cout << "stopped" << std::endl;
 }
--- a/packages/figholdd/src/settings.cpp
+++ b/packages/figholdd/src/settings.cpp
@@ -1,5 +1,7 @@
 #include "fighold/figholdd/settings.hpp"
 
+#include "fighold/platform/dialect.hpp"
+
 #include <fstream>
 #include <sstream>
 #include <sys/stat.h>
@@ -9,6 +11,9 @@
 
 constexpr std::int64_t kMaxTimeToLiveMs = 60'000;
 constexpr std::int64_t kMaxConnections = 100'000;
+constexpr std::int64_t kMaxPort = 65'535;
+constexpr std::int64_t kMaxLeaseMs = 60'000;
+constexpr double kMaxRetries = 1e6;
 
 /// Collects findings about flags.
 struct Checker
@@ -68,6 +73,59 @@
     return controls;
   }
 
+  /// Control processes that are named by the address of any of their listeners.
+  std::map<ControlId, Endpoint> Seeds(const Settings& aSettings)
+  {
+    std::map<ControlId, Endpoint> controls;
+    Range("message_port", aSettings.mMessagePort, 1, kMaxPort);
+    for (const Endpoint& it : Addresses("seeds", aSettings.mSeeds)) {
+      const Endpoint endpoint{ it.mHost, static_cast<std::uint16_t>(aSettings.mMessagePort) };
+      controls[{ ToText(endpoint) }] = endpoint;
+    }
+    return controls;
+  }
+
+  std::vector<Endpoint> Addresses(const std::string& aFlag, const std::string& aValue)
+  {
+    std::vector<Endpoint> addresses;
+    std::istringstream in(aValue);
+    for (std::string part; std::getline(in, part, ',');) {
+      addresses.push_back(Address(aFlag, part));
+    }
+    return addresses;
+  }
+
+  platform::Regions DataCentres(const std::string& aValue)
+  {
+    platform::Regions regions;
+    std::istringstream in(aValue);
+    for (std::string part; std::getline(in, part, ',');) {
+      const auto n = part.find('=');
+      if (n == std::string::npos || n == 0 || n + 1 == part.size()) {
+        Fail("data_centres", "expected data-centre=region, found \"" + part + "\"");
+        continue;
+      }
+      regions[{ part.substr(0, n) }] = { part.substr(n + 1) };
+    }
+    return regions;
+  }
+
+  /// @return true for the platform's dialect
+  bool IsPlatform(const std::string& aDialect)
+  {
+    if (aDialect != "native" && aDialect != "platform") {
+      Fail("dialect", "must be native or platform, is \"" + aDialect + "\"");
+    }
+    return aDialect == "platform";
+  }
+
+  void Retries(const std::string& aFlag, double aValue)
+  {
+    if (!(aValue >= 0 && aValue <= kMaxRetries)) {
+      Fail(aFlag, "must be from 0 to " + std::to_string(kMaxRetries));
+    }
+  }
+
   template<typename T>
   std::optional<T> Take(const std::string& aFlag, fighold::Checked<T> aChecked)
   {
@@ -135,15 +193,38 @@
   return options;
 }
 
+std::map<ControlId, Endpoint>
+ControlsOf(const Settings& aSettings, Checker& aChecker)
+{
+  if (!aSettings.mSeeds.empty() && !aSettings.mControls.empty()) {
+    aChecker.Fail("seeds", "excludes --controls");
+  }
+  return aSettings.mSeeds.empty() ? aChecker.Controls(aSettings.mControls)
+                                  : aChecker.Seeds(aSettings);
+}
+
 entry::DaemonOptions
 EntryOptions(const Settings& aSettings, Incarnation aIncarnation, Checker& aChecker)
 {
   entry::DaemonOptions options;
   options.mServer = ServerOptionsOf(aSettings, aChecker);
-  options.mControls = aChecker.Controls(aSettings.mControls);
+  options.mAlsoListen = aChecker.Addresses("also_listen", aSettings.mAlsoListen);
+  options.mControls = ControlsOf(aSettings, aChecker);
   options.mCharts = aSettings.mCharts;
   options.mKeys = aChecker.Keys(aSettings);
   aChecker.KnownKeys(options.mKeys, options.mControls);
+  if (aChecker.IsPlatform(aSettings.mDialect)) {
+    options.mFront = platform::EntryFront();
+    options.mBackend = platform::EntryBackend();
+    options.mClient.mUntilClose = true;
+  }
+  aChecker.Range("longest_drain_ms", aSettings.mLongestDrainMs, 1, kMaxTimeToLiveMs);
+  aChecker.Retries("retry_ratio", aSettings.mRetryRatio);
+  aChecker.Retries("retry_slack", aSettings.mRetrySlack);
+  options.mDecide.mLongestDrain = Millis(aSettings.mLongestDrainMs);
+  options.mDecide.mServeUnleased = aSettings.mServeUnleased;
+  options.mDecide.mRetryRatio = aSettings.mRetryRatio;
+  options.mDecide.mRetrySlack = aSettings.mRetrySlack;
   aChecker.Present("region", aSettings.mRegion);
   aChecker.Present("data_centre", aSettings.mDataCentre);
   aChecker.Range("lookup_ttl_ms", aSettings.mLookupTimeToLiveMs, 1, kMaxTimeToLiveMs);
@@ -166,7 +247,18 @@
   options.mServer = ServerOptionsOf(aSettings, aChecker);
   // A sheet with 3.4 million client blocks is the largest body.
   options.mServer.mMaxBodyBytes = 160U << 20U;
-  options.mControls = aChecker.Controls(aSettings.mControls);
+  options.mAlsoListen = aChecker.Addresses("also_listen", aSettings.mAlsoListen);
+  options.mControls = ControlsOf(aSettings, aChecker);
+  if (aChecker.IsPlatform(aSettings.mDialect)) {
+    // Route sets are far smaller, and the VMs have little memory.
+    options.mServer.mMaxBodyBytes = 32U << 20U;
+    options.mFront = platform::ControlFront(aChecker.DataCentres(aSettings.mDataCentres));
+  }
+  options.mMayForm = aSettings.mFirstStart;
+  aChecker.Range("server_lease_ms", aSettings.mServerLeaseMs, 1, kMaxLeaseMs);
+  options.mDecide.mServerLease = Millis(aSettings.mServerLeaseMs);
+  aChecker.Range("lookup_ttl_ms", aSettings.mLookupTimeToLiveMs, 1, kMaxTimeToLiveMs);
+  options.mDecide.mDirectoryTimeToLive = Millis(aSettings.mLookupTimeToLiveMs);
   options.mSelf = { aSettings.mId };
   options.mIncarnation = aIncarnation;
   options.mMessageBind = aChecker.Address("message_listen", aSettings.mMessageListen);
@@ -176,7 +268,10 @@
   options.mKeys = aChecker.Keys(aSettings);
   aChecker.KnownKeys(options.mKeys, options.mControls);
   aChecker.Present("data", aSettings.mData);
-  if (!options.mControls.empty() && options.mControls.count(options.mSelf) == 0) {
+  if (!aSettings.mSeeds.empty()) {
+    // Processes that find each other by address are known by it.
+    options.mSelf = { aSettings.mMessageListen };
+  } else if (!options.mControls.empty() && options.mControls.count(options.mSelf) == 0) {
     aChecker.Fail("controls", "does not name this process, \"" + aSettings.mId + "\"");
   }
   return options;
--- a/packages/membership/include/fighold/membership/change.hpp
+++ b/packages/membership/include/fighold/membership/change.hpp
@@ -81,6 +81,7 @@
   BackendServer,
   Entry,
   Region,
+  DataCentre,
 };
 
 /// Starts or ends an operator's drain.
@@ -93,6 +94,24 @@
   friend bool operator==(const SetDrain&, const SetDrain&) = default;
 };
 
+/// Replaces the route set if `mBase` is the number of the one in use and the new number is greater.
+struct SubmitRoutes
+{
+  std::uint64_t mBase = 0; ///< 0: no route set was in use
+  SharedValue<routes::RouteSet> mRoutes;
+
+  friend bool operator==(const SubmitRoutes&, const SubmitRoutes&) = default;
+};
+
+/// Changes items of the route set, on the same terms.
+struct PatchRoutes
+{
+  std::uint64_t mBase = 0;
+  SharedValue<routes::RoutePatch> mPatch;
+
+  friend bool operator==(const PatchRoutes&, const PatchRoutes&) = default;
+};
+
 /// Takes one shift step of a service; refused unless `mStep` follows the last one.
 struct TakeShiftStep
 {
@@ -110,7 +129,9 @@
                                 RemoveBackendServer,
                                 SetDrain,
                                 TakeShiftStep,
-                                ForgetDeparted>;
+                                ForgetDeparted,
+                                SubmitRoutes,
+                                PatchRoutes>;
 
 /// A change with its identifier. Changes with an empty identifier are not remembered for resends;
 /// they are idempotent.
--- a/packages/membership/include/fighold/membership/configuration.hpp
+++ b/packages/membership/include/fighold/membership/configuration.hpp
@@ -4,6 +4,7 @@
 #include "fighold/core/id.hpp"
 #include "fighold/core/shared_value.hpp"
 #include "fighold/plan/plan.hpp"
+#include "fighold/routes/route_set.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -78,6 +79,7 @@
   std::set<BackendServerId> mBackendServers;
   std::set<EntryId> mEntries;
   std::set<RegionId> mRegions;
+  std::set<DataCentreId> mDataCentres;
 
   friend auto operator<=>(const Drains&, const Drains&) = default;
 };
@@ -99,6 +101,7 @@
   Version mVersion = 0; ///< position in the log of the last change that altered what entries see
   SharedValue<plan::Plan> mPlan; ///< number 0: no plan was accepted yet
   std::string mPlanDigest;
+  SharedValue<routes::RouteSet> mRoutes; ///< number 0: no route set was accepted yet
   std::map<EntryId, Entry> mEntries;
   std::map<BackendServerId, BackendServer> mBackendServers;
   std::map<ServiceId, Shift> mShifts;
@@ -123,6 +126,10 @@
 bool
 IsDrained(const Configuration& aConfiguration, const RegionId& aId);
 
+/// @return true if the operator drains the data centre
+bool
+IsDrained(const Configuration& aConfiguration, const DataCentreId& aId);
+
 /// @return true if the operator drains the entry or the entry stops as planned
 bool
 IsDrained(const Configuration& aConfiguration, const EntryId& aId);
--- a/packages/membership/include/fighold/membership/protocol.hpp
+++ b/packages/membership/include/fighold/membership/protocol.hpp
@@ -18,6 +18,7 @@
   Incarnation mIncarnation = 0;
   Millis mAge{ 0 };            ///< time since the backend server renewed
   std::uint32_t mInFlight = 0; ///< load that it reported
+  Millis mCold{ 0 };           ///< time for which it said to stay cold, from when it renewed
 
   friend auto operator<=>(const BackendReport&, const BackendReport&) = default;
 };
@@ -51,8 +52,9 @@
   Version mHeld = 0;     ///< version in use
   bool mLeaving = false; ///< planned stop: take the entry out of the look-ups
   std::vector<BackendReport> mReports;
-  Stamp mStamp;                ///< last one that this control process gave
-  std::uint32_t mInFlight = 0; ///< requests of callers, for the progress of a drain
+  Stamp mStamp;                  ///< last one that this control process gave
+  std::uint32_t mInFlight = 0;   ///< requests of callers, for the progress of a drain
+  std::uint64_t mRoutesHeld = 0; ///< number of the route set in use
 
   friend auto operator<=>(const Renew&, const Renew&) = default;
 };
@@ -64,6 +66,7 @@
   Incarnation mIncarnation = 0;
   Millis mLeft{ 0 };
   std::uint32_t mInFlight = 0;
+  Millis mCold{ 0 }; ///< time for which the server stays cold
 
   friend auto operator<=>(const BackendLease&, const BackendLease&) = default;
 };
@@ -77,7 +80,9 @@
   std::optional<SharedValue<Configuration>>
     mConfiguration; ///< set when the holder's version is older
   std::vector<BackendLease> mBackendLeases;
-  std::uint64_t mStamp = 0; ///< to be returned by the next renewal
+  std::uint64_t mStamp = 0;           ///< to be returned by the next renewal
+  bool mSameRoutes = false;           ///< the holder has the route set of mConfiguration already
+  std::vector<ControlId> mControls{}; ///< voting control processes
 
   friend bool operator==(const Grant&, const Grant&) = default;
 };
--- a/packages/membership/src/change.cpp
+++ b/packages/membership/src/change.cpp
@@ -94,8 +94,9 @@
 ApplyBody(const AnnounceBackendServer& aChange, Configuration& aNext, Version /*aVersion*/)
 {
   const BackendServer& server = aChange.mServer;
-  if (aNext.mPlan->mServices.count(server.mService) == 0 ||
-      aNext.mPlan->mRegions.count(server.mRegion) == 0) {
+  // Without a plan the route set decides, which may name the service later.
+  if (aNext.mPlan->mNumber != 0 && (aNext.mPlan->mServices.count(server.mService) == 0 ||
+                                    aNext.mPlan->mRegions.count(server.mRegion) == 0)) {
     return Refused("the plan names no such service or region");
   }
   const auto it = aNext.mBackendServers.find(aChange.mId);
@@ -175,6 +176,9 @@
       }
       SetMember(aNext.mDrains.mRegions, aChange.mName, aChange.mOn);
       break;
+    case DrainKind::DataCentre:
+      SetMember(aNext.mDrains.mDataCentres, aChange.mName, aChange.mOn);
+      break;
   }
   return Accepted();
 }
@@ -193,6 +197,45 @@
   return Accepted();
 }
 
+/// Puts a route set into force, if it follows on the one in use and has no fault.
+ChangeAnswer
+ReplaceRoutes(std::uint64_t aBase,
+              const SharedValue<routes::RouteSet>& aRoutes,
+              Configuration& aNext)
+{
+  const std::uint64_t current = aNext.mRoutes->mNumber;
+  const Findings findings = routes::CheckRouteSet(*aRoutes);
+  if (!findings.empty()) {
+    return Refused(FormatFindings(findings));
+  }
+  if (aRoutes->mNumber <= aBase) {
+    return Refused("the number must be greater than that of the route set it builds on");
+  }
+  if (aBase != current) {
+    return Conflict("route set " + std::to_string(current) + " is in use");
+  }
+  aNext.mRoutes = aRoutes;
+  return Accepted();
+}
+
+ChangeAnswer
+ApplyBody(const SubmitRoutes& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  return ReplaceRoutes(aChange.mBase, aChange.mRoutes, aNext);
+}
+
+ChangeAnswer
+ApplyBody(const PatchRoutes& aChange, Configuration& aNext, Version /*aVersion*/)
+{
+  // What a patch of another route set would lead to is not known, so that its faults are not
+  // either.
+  if (aChange.mBase != aNext.mRoutes->mNumber) {
+    return Conflict("route set " + std::to_string(aNext.mRoutes->mNumber) + " is in use");
+  }
+  return ReplaceRoutes(
+    aChange.mBase, SharedValue(routes::PatchRouteSet(*aNext.mRoutes, *aChange.mPatch)), aNext);
+}
+
 void
 Remember(Configuration& aNext, const ChangeId& aId, const ChangeAnswer& aAnswer)
 {
--- a/packages/membership/src/configuration.cpp
+++ b/packages/membership/src/configuration.cpp
@@ -4,6 +4,12 @@
 
 namespace fighold::membership {
 
+bool
+IsDrained(const Configuration& aConfiguration, const DataCentreId& aId)
+{
+  return aConfiguration.mDrains.mDataCentres.count(aId) > 0;
+}
+
 bool
 IsDrained(const Configuration& aConfiguration, const RegionId& aId)
 {
--- /dev/null
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -0,0 +1,228 @@
+#pragma once
+
+#include "fighold/core/decision_record.hpp"
+#include "fighold/core/endpoint.hpp"
+#include "fighold/core/id.hpp"
+#include "fighold/core/time.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Which backend server gets a request, from what one entry knows of the servers of a service.
+namespace fighold::routes {
+
+/// Age at which a load report has lost two thirds of its weight. Requests take about this long, so
+/// that an older report says little about those that run now.
+constexpr Millis kReportDecay{ 1000 };
+
+/// Failures in a row after which a server is left alone, and for how long: twice as long each time.
+constexpr std::uint32_t kFailuresToEject = 2;
+constexpr Millis kFirstEjection{ 1000 };
+constexpr Millis kLongestEjection{ 16'000 };
+
+/// Weight of the newest request in the decayed part of failed requests.
+constexpr double kFailureWeight = 0.2;
+
+/// Time in which the decayed part of failures halves without further requests.
+constexpr Millis kFailureHalfLife{ 3000 };
+
+/// Weight of the newest request in the decayed work times.
+constexpr double kWorkWeight = 0.1;
+
+/// Work time of a service of which no answer was seen yet.
+constexpr Millis kAssumedWork{ 500 };
+
+/// Work time on an object that the server handled lately, as a part of the usual one, until
+/// answers show it.
+constexpr double kAssumedWarmPart = 0.7;
+
+/// Objects that a server is taken to remember, and for how long.
+constexpr std::size_t kRememberedKeys = 24;
+constexpr std::chrono::seconds kRememberKey{ 30 };
+
+/// Part of the work time by which a server seems costlier for each place behind the first in the
+/// order of an object's servers. It only decides between servers of nearly the same load.
+constexpr double kOrderCost = 0.05;
+
+/// A backend server as the configuration names it.
+struct Server
+{
+  BackendServerId mId;
+  Incarnation mIncarnation = 0;
+  Endpoint mAddress;
+  RegionId mRegion;
+  DataCentreId mDataCentre;
+  std::uint32_t mSlots = 1;       ///< requests that it runs at once
+  std::uint32_t mConnections = 0; ///< that it accepts from all callers; 0: not limited
+
+  friend auto operator<=>(const Server&, const Server&) = default;
+};
+
+/// What a backend server says of its load in an answer.
+struct LoadReport
+{
+  std::uint32_t mRunning = 0;
+  std::uint32_t mWaiting = 0;
+  std::uint32_t mSlots = 0;
+
+  friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
+};
+
+/// What an entry knows of one incarnation of a backend server.
+struct ServerLoad
+{
+  Incarnation mIncarnation = 0;
+  std::uint32_t mOwn = 0; ///< requests of this entry that run or wait there
+  double mForeign = 0;    ///< requests of others when it last reported
+  Instant mReportedAt{};
+  double mFailed = 0; ///< decayed part of requests that failed or were turned away
+  Instant mFailedAt{};
+  std::uint32_t mFailures = 0; ///< in a row
+  std::uint32_t mEjections = 0;
+  Instant mEjectedUntil{};
+  Instant mAliveUntil{};
+  Instant mColdUntil{};
+  Instant mNextColdSend{};
+  double mSlowness = 1; ///< decayed ratio of its work times to those of the service
+  std::map<std::uint64_t, Instant> mKeys; ///< objects that it handled for this entry
+
+  friend bool operator==(const ServerLoad&, const ServerLoad&) = default;
+};
+
+/// How a request ended, as far as it says something about the server.
+enum class Ending : std::uint8_t
+{
+  Answered,
+  TurnedAway, ///< the server said that it did not run the request
+  Failed,     ///< no connection, no answer, or one that cannot be used
+  GivenUp,    ///< cancelled: nothing is known
+};
+
+/// Decayed work times of a service, without the time on the way.
+struct WorkTimes
+{
+  double mUsualMs = static_cast<double>(kAssumedWork.count());
+  double mWarmMs = static_cast<double>(kAssumedWork.count()) * kAssumedWarmPart;
+
+  friend auto operator<=>(const WorkTimes&, const WorkTimes&) = default;
+};
+
+/// Limit on what a cold server gets from one entry.
+struct ColdLimit
+{
+  bool mMaySend = true; ///< this entry is one of those that send to the server while it is cold
+  Millis mSpacing{ 0 }; ///< time between two requests
+
+  friend auto operator<=>(const ColdLimit&, const ColdLimit&) = default;
+};
+
+/// Divides the rate that a cold server bears between entries: as many entries as requests a second
+/// send at all, so that they can't exceed it together in any second, whatever each one knows.
+/// @param aServer server
+/// @param aEntries all entries
+/// @param aSelf this entry
+/// @param aPerSecond rate that the server bears; 0: not limited
+ColdLimit
+LimitWhileCold(const BackendServerId& aServer,
+               const std::vector<EntryId>& aEntries,
+               const EntryId& aSelf,
+               double aPerSecond);
+
+/// @return requests that run or wait at the server now, as far as known
+double
+BusyEstimate(const ServerLoad& aLoad, Instant aNow);
+
+/// @return time that a new request would wait for a slot
+Duration
+WaitEstimate(const Server& aServer, const ServerLoad& aLoad, const WorkTimes& aTimes, Instant aNow);
+
+/// @return load after one more request was sent
+ServerLoad
+NoteSent(ServerLoad aLoad, const ColdLimit& aCold, Instant aNow);
+
+/// @param aKey object of the request; 0: none
+/// @param aReport load that came with the answer
+/// @return load after a request ended
+ServerLoad
+NoteEnded(ServerLoad aLoad,
+          Ending aEnding,
+          std::uint64_t aKey,
+          const std::optional<LoadReport>& aReport,
+          Instant aNow);
+
+/// @param aWork time of the request less the time on the way
+/// @param aWarm the server had handled the object before
+/// @return work times after an answer
+WorkTimes
+NoteWork(WorkTimes aTimes, Duration aWork, bool aWarm);
+
+/// @return slowness of a server after an answer
+double
+NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, bool aWarm);
+
+/// @return true when the server handled the object for this entry and still remembers it
+bool
+IsWarm(const ServerLoad& aLoad, std::uint64_t aKey, Instant aNow);
+
+/// What is asked of Place.
+struct PlacementRequest
+{
+  std::uint64_t mKey = 0; ///< object of the request; 0: none
+  std::set<BackendServerId> mTried;
+  RegionId mRegion;
+
+  friend auto operator<=>(const PlacementRequest&, const PlacementRequest&) = default;
+};
+
+/// Where a request goes.
+struct Placement
+{
+  std::optional<Server> mServer; ///< nothing: no server may get it
+  Duration mExpected{};          ///< time at the server, without the time on the way
+  std::string mReason;
+  std::vector<Rejected> mRejected;
+
+  friend bool operator==(const Placement&, const Placement&) = default;
+};
+
+/// Servers of a service with what is known of them.
+struct Pool
+{
+  std::vector<Server> mServers;
+  std::map<BackendServerId, ColdLimit> mColdLimits;
+  WorkTimes mTimes;
+
+  friend bool operator==(const Pool&, const Pool&) = default;
+};
+
+using ServerLoads = std::map<BackendServerId, ServerLoad>;
+
+/// Chooses the server of a region at which a request is expected to end first.
+/// @param aPool servers of the service
+/// @param aLoads what is known of them
+/// @param aRequest request
+/// @param aTrustLeases false: this entry has lost its control group, so that ended leases say
+/// nothing
+/// @param aNow time
+Placement
+Place(const Pool& aPool,
+      const ServerLoads& aLoads,
+      const PlacementRequest& aRequest,
+      bool aTrustLeases,
+      Instant aNow);
+
+/// @return mean time that a request would take at the servers of a region that may be used, or
+/// nothing without one
+std::optional<Duration>
+RegionCost(const Pool& aPool,
+           const ServerLoads& aLoads,
+           const RegionId& aRegion,
+           bool aTrustLeases,
+           Instant aNow);
+
+} // namespace fighold::routes
--- /dev/null
+++ b/packages/routes/include/fighold/routes/region_split.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "fighold/core/id.hpp"
+#include "fighold/core/time.hpp"
+#include "fighold/routes/route_table.hpp"
+
+#include <map>
+#include <optional>
+
+/// How an entry divides the requests of a service between regions. The division moves in small
+/// steps, so that no cache and no link sees a sudden shift.
+namespace fighold::routes {
+
+/// Time between two steps of a division.
+constexpr Millis kSplitInterval{ 500 };
+
+/// Part of the requests that one step moves: 6 in 100 within two seconds, less than half of the
+/// shift that the deployments allow in that time.
+constexpr double kSplitStep = 0.015;
+
+/// Part by which a region must be costlier before requests are moved away, so that noise in the
+/// costs moves nothing back and forth.
+constexpr double kSplitMargin = 0.1;
+
+/// Parts of a service's requests by region.
+struct RegionSplit
+{
+  std::map<RegionId, double> mParts; ///< sum 1, or empty before the first server was known
+  WeightedTurn mTurn;
+  Instant mNextStep{};
+
+  friend bool operator==(const RegionSplit&, const RegionSplit&) = default;
+};
+
+/// First division: the own region gets what its part of all slots bears if every region has the
+/// same traffic, the others get the rest by their slots.
+/// @param aSlots slots by region
+/// @param aOwn region of the entry
+std::map<RegionId, double>
+InitialParts(const std::map<RegionId, double>& aSlots, const RegionId& aOwn);
+
+/// Moves a division one step towards the region where requests are expected to end first.
+/// @param aSplit division, changed in place when a step is due
+/// @param aCosts expected time of a request by region, the time on the way included; only regions
+/// that have usable servers
+void
+StepSplit(RegionSplit& aSplit, const std::map<RegionId, Duration>& aCosts, Instant aNow);
+
+/// Chooses the region of the next request.
+/// @param aSplit division, changed in place
+/// @param aUsable regions that may run the request
+/// @return region, or nothing when none may
+std::optional<RegionId>
+NextRegion(RegionSplit& aSplit, const std::set<RegionId>& aUsable);
+
+} // namespace fighold::routes
--- /dev/null
+++ b/packages/routes/include/fighold/routes/route_set.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "fighold/core/finding.hpp"
+#include "fighold/core/id.hpp"
+#include "fighold/core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// The route set: which requests go to which services, as operators configure it.
+namespace fighold::routes {
+
+/// What an operator states about a service.
+struct ServiceSettings
+{
+  std::string mHealthPath = "/health";
+  std::uint32_t mMaxConnections = 0; ///< of one backend server, from all callers; 0: not limited
+  std::string mProtocol = "h1";
+  bool mTls = false;
+  Millis mWarmUp{ 0 };         ///< time for which a backend server is cold after its start
+  double mWarmUpPerSecond = 0; ///< requests/s that a cold backend server bears; 0: not limited
+
+  friend bool operator==(const ServiceSettings&, const ServiceSettings&) = default;
+};
+
+/// A service with its part of a route's requests.
+struct WeightedService
+{
+  ServiceId mService;
+  double mWeight = 1;
+
+  friend bool operator==(const WeightedService&, const WeightedService&) = default;
+};
+
+/// One route of a host.
+struct Route
+{
+  std::string mName; ///< unique in the route set
+  std::string mHost;
+  std::string mPathPrefix;  ///< begins and ends with a slash
+  bool mRepeatable = false; ///< a request may run more than once
+  Millis mTimeout{ 10'000 };
+  Millis mTargetLatency{ 1000 };
+  std::uint32_t mPriority = 0; ///< 0 is the highest
+  bool mWeighted = false;      ///< the operator stated weights
+  std::vector<WeightedService> mServices;
+  std::uint32_t mAttempts = 1; ///< backend servers to which one request may be sent
+  bool mAffinity = false;      ///< requests with the same affinity key are faster where one ran
+  std::set<RegionId> mAllowedRegions; ///< empty: all
+
+  friend bool operator==(const Route&, const Route&) = default;
+};
+
+/// Bounds of what a caller may send, and how long it may take.
+struct CallerLimits
+{
+  std::uint64_t mMaxHeaderBytes = 16'384;
+  std::uint64_t mMaxBodyBytes = 64U << 20U;
+  Millis mHeaderTimeout{ 10'000 };
+  Millis mIdleTimeout{ 60'000 };
+
+  friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
+};
+
+/// A whole route set. Numbers rise in uneven steps; 0: no route set was accepted yet.
+struct RouteSet
+{
+  std::uint64_t mNumber = 0;
+  std::map<ServiceId, ServiceSettings> mServices;
+  std::set<std::string> mHosts;
+  std::map<std::string, Route> mRoutes; ///< by name
+  CallerLimits mLimits;
+
+  friend bool operator==(const RouteSet&, const RouteSet&) = default;
+};
+
+/// Changes of named items of a route set.
+struct RoutePatch
+{
+  std::uint64_t mNumber = 0;
+  std::map<ServiceId, ServiceSettings> mServices; ///< added or replaced
+  std::set<std::string> mHosts;                   ///< added
+  std::map<std::string, Route> mRoutes;           ///< added or replaced
+  std::vector<CallerLimits> mLimits;              ///< the replacement, or empty
+  std::set<std::string> mRemovedRoutes;
+  std::set<ServiceId> mRemovedServices;
+
+  friend bool operator==(const RoutePatch&, const RoutePatch&) = default;
+};
+
+/// @param aSet route set
+/// @return every fault, with the item that has it
+Findings
+CheckRouteSet(const RouteSet& aSet);
+
+/// @param aBase route set in use
+/// @param aPatch changes
+/// @return route set with the changes, not checked
+RouteSet
+PatchRouteSet(const RouteSet& aBase, const RoutePatch& aPatch);
+
+} // namespace fighold::routes
--- /dev/null
+++ b/packages/routes/src/placement.cpp
@@ -0,0 +1,289 @@
+#include "fighold/routes/placement.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace fighold::routes {
+namespace {
+
+double
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+Duration
+FromMilliseconds(double aTime)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aTime));
+}
+
+/// Rendezvous hash: the order of servers for a key changes only where a server comes or goes.
+std::uint64_t
+Rank(const std::string& aName, std::uint64_t aSeed)
+{
+  return XXH3_64bits_withSeed(aName.data(), aName.size(), aSeed);
+}
+
+/// Part of the requests that failed, less what has decayed since.
+double
+FailedPart(const ServerLoad& aLoad, Instant aNow)
+{
+  const double halves = Milliseconds(aNow - aLoad.mFailedAt) / Milliseconds(kFailureHalfLife);
+  return aLoad.mFailed * std::exp2(-halves);
+}
+
+/// @return why a server may not get a request, or nothing
+std::string
+WhyNot(const Pool& aPool,
+       const Server& aServer,
+       const ServerLoad& aLoad,
+       bool aTrustLeases,
+       Instant aNow)
+{
+  if (aTrustLeases && aNow >= aLoad.mAliveUntil) {
+    return "no-lease";
+  }
+  if (aNow < aLoad.mColdUntil) {
+    const auto limit = aPool.mColdLimits.find(aServer.mId);
+    if (limit != aPool.mColdLimits.end() && !limit->second.mMaySend) {
+      return "cold-left-to-others";
+    }
+    if (aNow < aLoad.mNextColdSend) {
+      return "cold-rate";
+    }
+  }
+  return {};
+}
+
+/// Expected time at a server. A server that fails a part of its requests seems slower, because a
+/// request that fails there takes another server's time as well.
+double
+CostMs(const Server& aServer,
+       const ServerLoad& aLoad,
+       const WorkTimes& aTimes,
+       double aWorkMs,
+       Instant aNow)
+{
+  const double work = aWorkMs * aLoad.mSlowness;
+  const double wait = Milliseconds(WaitEstimate(aServer, aLoad, aTimes, aNow));
+  return wait + work + FailedPart(aLoad, aNow) * (aTimes.mUsualMs + wait) * 2;
+}
+
+const ServerLoad&
+LoadOf(const ServerLoads& aLoads, const BackendServerId& aId)
+{
+  static const ServerLoad kUnknown;
+  const auto it = aLoads.find(aId);
+  return it == aLoads.end() ? kUnknown : it->second;
+}
+
+struct Scored
+{
+  const Server* mServer = nullptr;
+  double mCost = 0;
+  bool mEjected = false;
+};
+
+/// Adds the order of the object's servers to the costs.
+void
+PreferOrder(std::vector<Scored>& aScored, std::uint64_t aKey, double aWorkMs)
+{
+  std::sort(aScored.begin(), aScored.end(), [aKey](const Scored& aLeft, const Scored& aRight) {
+    return Rank(aLeft.mServer->mId.mValue, aKey) > Rank(aRight.mServer->mId.mValue, aKey);
+  });
+  double order = 0;
+  for (Scored& it : aScored) {
+    it.mCost += order * kOrderCost * aWorkMs;
+    order += 1;
+  }
+}
+
+} // namespace
+
+ColdLimit
+LimitWhileCold(const BackendServerId& aServer,
+               const std::vector<EntryId>& aEntries,
+               const EntryId& aSelf,
+               double aPerSecond)
+{
+  if (aPerSecond <= 0) {
+    return {};
+  }
+  const auto senders = std::max<std::size_t>(1, static_cast<std::size_t>(aPerSecond));
+  const std::uint64_t seed = XXH3_64bits(aServer.mValue.data(), aServer.mValue.size());
+  const std::uint64_t own = Rank(aSelf.mValue, seed);
+  const auto before = std::count_if(aEntries.begin(), aEntries.end(), [&](const EntryId& aEntry) {
+    return aEntry != aSelf && Rank(aEntry.mValue, seed) > own;
+  });
+  const std::size_t active = std::min(senders, std::max<std::size_t>(1, aEntries.size()));
+  constexpr double kMillisPerSecond = 1000;
+  const double spacing = kMillisPerSecond * static_cast<double>(active) / aPerSecond;
+  return { static_cast<std::size_t>(before) < senders,
+           Millis(static_cast<std::int64_t>(std::ceil(spacing))) };
+}
+
+double
+BusyEstimate(const ServerLoad& aLoad, Instant aNow)
+{
+  const double age = Milliseconds(aNow - aLoad.mReportedAt) / Milliseconds(kReportDecay);
+  return aLoad.mOwn + aLoad.mForeign * std::exp(-age);
+}
+
+Duration
+WaitEstimate(const Server& aServer, const ServerLoad& aLoad, const WorkTimes& aTimes, Instant aNow)
+{
+  const double slots = std::max(1U, aServer.mSlots);
+  const double ahead = BusyEstimate(aLoad, aNow) + 1 - slots;
+  // A slot becomes free after half a work time on average when all are taken.
+  return ahead <= 0 ? Duration{}
+                    : FromMilliseconds(ahead / slots * aTimes.mUsualMs * aLoad.mSlowness);
+}
+
+ServerLoad
+NoteSent(ServerLoad aLoad, const ColdLimit& aCold, Instant aNow)
+{
+  ++aLoad.mOwn;
+  if (aNow < aLoad.mColdUntil) {
+    aLoad.mNextColdSend = aNow + aCold.mSpacing;
+  }
+  return aLoad;
+}
+
+ServerLoad
+NoteEnded(ServerLoad aLoad,
+          Ending aEnding,
+          std::uint64_t aKey,
+          const std::optional<LoadReport>& aReport,
+          Instant aNow)
+{
+  aLoad.mOwn -= std::min(aLoad.mOwn, 1U);
+  if (aReport) {
+    const double busy = aReport->mRunning + aReport->mWaiting;
+    aLoad.mForeign = std::max(0.0, busy - aLoad.mOwn);
+    aLoad.mReportedAt = aNow;
+  }
+  if (aEnding == Ending::GivenUp) {
+    return aLoad;
+  }
+  const bool failed = aEnding != Ending::Answered;
+  aLoad.mFailed = FailedPart(aLoad, aNow) * (1 - kFailureWeight) + (failed ? kFailureWeight : 0);
+  aLoad.mFailedAt = aNow;
+  if (aEnding == Ending::Answered) {
+    aLoad.mFailures = 0;
+    aLoad.mEjections = 0;
+    if (aKey != 0) {
+      aLoad.mKeys[aKey] = aNow;
+    }
+    if (aLoad.mKeys.size() > kRememberedKeys) {
+      const auto oldest = std::min_element(
+        aLoad.mKeys.begin(), aLoad.mKeys.end(), [](const auto& aLeft, const auto& aRight) {
+          return aLeft.second < aRight.second;
+        });
+      aLoad.mKeys.erase(oldest);
+    }
+  } else if (aEnding == Ending::Failed && ++aLoad.mFailures >= kFailuresToEject) {
+    const auto length =
+      std::min<Duration>(kLongestEjection, kFirstEjection * (1U << std::min(aLoad.mEjections, 4U)));
+    aLoad.mEjectedUntil = aNow + length;
+    ++aLoad.mEjections;
+    aLoad.mFailures = 0;
+  }
+  return aLoad;
+}
+
+WorkTimes
+NoteWork(WorkTimes aTimes, Duration aWork, bool aWarm)
+{
+  double& kept = aWarm ? aTimes.mWarmMs : aTimes.mUsualMs;
+  // A straggler runs many times longer and must not make every server seem busy.
+  const double work = std::clamp(Milliseconds(aWork), 1.0, 3 * kept);
+  kept += kWorkWeight * (work - kept);
+  aTimes.mWarmMs = std::min(aTimes.mWarmMs, aTimes.mUsualMs);
+  return aTimes;
+}
+
+double
+NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, bool aWarm)
+{
+  constexpr double kSlowest = 5;
+  const double usual = std::max(1.0, aWarm ? aTimes.mWarmMs : aTimes.mUsualMs);
+  const double ratio = std::clamp(Milliseconds(aWork) / usual, 1 / kSlowest, kSlowest);
+  return aSlowness + 2 * kWorkWeight * (ratio - aSlowness);
+}
+
+bool
+IsWarm(const ServerLoad& aLoad, std::uint64_t aKey, Instant aNow)
+{
+  const auto it = aLoad.mKeys.find(aKey);
+  return aKey != 0 && it != aLoad.mKeys.end() && aNow < it->second + kRememberKey;
+}
+
+Placement
+Place(const Pool& aPool,
+      const ServerLoads& aLoads,
+      const PlacementRequest& aRequest,
+      bool aTrustLeases,
+      Instant aNow)
+{
+  Placement placement;
+  std::vector<Scored> scored;
+  bool healthy = false;
+  for (const Server& it : aPool.mServers) {
+    if (it.mRegion != aRequest.mRegion || aRequest.mTried.count(it.mId) > 0) {
+      continue;
+    }
+    const ServerLoad& load = LoadOf(aLoads, it.mId);
+    const std::string why = WhyNot(aPool, it, load, aTrustLeases, aNow);
+    if (!why.empty()) {
+      placement.mRejected.push_back({ it.mId.mValue, why });
+      continue;
+    }
+    const bool warm = IsWarm(load, aRequest.mKey, aNow);
+    const double work = warm ? aPool.mTimes.mWarmMs : aPool.mTimes.mUsualMs;
+    const bool ejected = aNow < load.mEjectedUntil;
+    healthy = healthy || !ejected;
+    scored.push_back({ &it, CostMs(it, load, aPool.mTimes, work, aNow), ejected });
+  }
+  PreferOrder(scored, aRequest.mKey, aPool.mTimes.mUsualMs);
+  const Scored* best = nullptr;
+  for (const Scored& it : scored) {
+    if (it.mEjected && healthy) {
+      placement.mRejected.push_back({ it.mServer->mId.mValue, "ejected" });
+    } else if (best == nullptr || it.mCost < best->mCost) {
+      best = &it;
+    }
+  }
+  if (best == nullptr) {
+    placement.mReason = scored.empty() ? "no-usable-server" : "";
+    return placement;
+  }
+  placement.mServer = *best->mServer;
+  placement.mExpected = FromMilliseconds(best->mCost);
+  placement.mReason = healthy ? "first-expected-end" : "all-ejected";
+  return placement;
+}
+
+std::optional<Duration>
+RegionCost(const Pool& aPool,
+           const ServerLoads& aLoads,
+           const RegionId& aRegion,
+           bool aTrustLeases,
+           Instant aNow)
+{
+  double sum = 0;
+  double slots = 0;
+  for (const Server& it : aPool.mServers) {
+    const ServerLoad& load = LoadOf(aLoads, it.mId);
+    if (it.mRegion == aRegion && aNow >= load.mEjectedUntil &&
+        (!aTrustLeases || aNow < load.mAliveUntil)) {
+      sum += it.mSlots * CostMs(it, load, aPool.mTimes, aPool.mTimes.mUsualMs, aNow);
+      slots += it.mSlots;
+    }
+  }
+  return slots > 0 ? std::optional(FromMilliseconds(sum / slots)) : std::nullopt;
+}
+
+} // namespace fighold::routes
--- /dev/null
+++ b/packages/routes/src/retry_budget.cpp
@@ -0,0 +1,38 @@
+#include "fighold/routes/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace fighold::routes {
+
+RetryLimits
+ShareOfRetries(double aRatio, double aSlack, std::size_t aEntries)
+{
+  const auto entries = static_cast<double>(std::max<std::size_t>(1, aEntries));
+  // A share below one would never allow a second dispatch before many requests were counted.
+  return { aRatio * kBudgetPart, std::max(1.0, aSlack * kBudgetPart / entries) };
+}
+
+RetryBudget
+CountRequest(RetryBudget aBudget, const RetryLimits& aLimits)
+{
+  if (!aBudget.mStarted) {
+    aBudget = { aLimits.mBurst, true };
+  }
+  aBudget.mTokens = std::min(aBudget.mTokens + aLimits.mRatio, aLimits.mBurst);
+  return aBudget;
+}
+
+bool
+MaySendAgain(const RetryBudget& aBudget)
+{
+  return aBudget.mTokens >= 1;
+}
+
+RetryBudget
+SpendRetry(RetryBudget aBudget)
+{
+  aBudget.mTokens -= 1;
+  return aBudget;
+}
+
+} // namespace fighold::routes
--- a/packages/wire/include/fighold/wire/message_thread.hpp
+++ b/packages/wire/include/fighold/wire/message_thread.hpp
@@ -15,7 +15,7 @@
 namespace fighold::wire {
 
 /// A message to send. A message to a process that is not connected is dropped; the protocols
-/// repeat.
+/// repeat. A name that is an address, such as 10.0.0.1:7100, is connected to when it is first used.
 struct Outbound
 {
   std::string mTo;
--- a/packages/wire/src/agreement_convert.cpp
+++ b/packages/wire/src/agreement_convert.cpp
@@ -138,6 +138,30 @@
   aOut.mutable_empty_reply()->set_empty(aReply.mEmpty);
 }
 
+void
+Put(const JoinAsk& /*aAsk*/, pb::Agreement& aOut)
+{
+  aOut.mutable_join_ask();
+}
+
+void
+Put(const JoinReply& aReply, pb::Agreement& aOut)
+{
+  for (const auto& it : aReply.mVoters) {
+    aOut.mutable_join_reply()->add_voters(it.mValue);
+  }
+}
+
+Body
+Get(const pb::JoinReply& aReply)
+{
+  JoinReply reply;
+  for (const auto& it : aReply.voters()) {
+    reply.mVoters.insert({ it });
+  }
+  return reply;
+}
+
 void
 Put(const Forward& aForward, pb::Agreement& aOut)
 {
@@ -166,6 +190,10 @@
       return EmptyReply{ aMessage.empty_reply().asker(), aMessage.empty_reply().empty() };
     case pb::Agreement::kForward:
       return Forward{ aMessage.forward().payload() };
+    case pb::Agreement::kJoinAsk:
+      return JoinAsk{};
+    case pb::Agreement::kJoinReply:
+      return Get(aMessage.join_reply());
     case pb::Agreement::BODY_NOT_SET:
       break;
   }
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -10,6 +10,7 @@
 
 using namespace membership;
 using detail::Answers;
+using detail::Routes;
 
 template<typename T>
 std::uint32_t
@@ -25,12 +26,17 @@
   aOut.set_incarnation(aReport.mIncarnation);
   aOut.set_age_ms(ToMillis(aReport.mAge));
   aOut.set_in_flight(aReport.mInFlight);
+  aOut.set_cold_ms(ToMillis(aReport.mCold));
 }
 
 BackendReport
 Get(const pb::BackendReport& aReport)
 {
-  return { { aReport.id() }, aReport.incarnation(), Millis(aReport.age_ms()), aReport.in_flight() };
+  return { { aReport.id() },
+           aReport.incarnation(),
+           Millis(aReport.age_ms()),
+           aReport.in_flight(),
+           Millis(aReport.cold_ms()) };
 }
 
 void
@@ -40,12 +46,17 @@
   aOut.set_incarnation(aLease.mIncarnation);
   aOut.set_left_ms(ToMillis(aLease.mLeft));
   aOut.set_in_flight(aLease.mInFlight);
+  aOut.set_cold_ms(ToMillis(aLease.mCold));
 }
 
 BackendLease
 Get(const pb::BackendLease& aLease)
 {
-  return { { aLease.id() }, aLease.incarnation(), Millis(aLease.left_ms()), aLease.in_flight() };
+  return { { aLease.id() },
+           aLease.incarnation(),
+           Millis(aLease.left_ms()),
+           aLease.in_flight(),
+           Millis(aLease.cold_ms()) };
 }
 
 void
@@ -75,14 +86,15 @@
   }
   Put(aRenew.mStamp, *out->mutable_stamp());
   out->set_in_flight(aRenew.mInFlight);
+  out->set_routes_held(aRenew.mRoutesHeld);
 }
 
 Body
 GetBody(const pb::Renew& aRenew)
 {
-  Renew renew{ aRenew.ask(),        { aRenew.id() },   detail::FromPb(aRenew.entry()),
-               aRenew.held(),       aRenew.leaving(),  {},
-               Get(aRenew.stamp()), aRenew.in_flight() };
+  Renew renew{ aRenew.ask(),        { aRenew.id() },    detail::FromPb(aRenew.entry()),
+               aRenew.held(),       aRenew.leaving(),   {},
+               Get(aRenew.stamp()), aRenew.in_flight(), aRenew.routes_held() };
   for (const auto& it : aRenew.reports()) {
     renew.mReports.push_back(Get(it));
   }
@@ -97,9 +109,16 @@
   out->set_length_ms(ToMillis(aGrant.mLength));
   out->set_version(aGrant.mVersion);
   if (aGrant.mConfiguration) {
-    *out->mutable_configuration() = detail::ToPb(**aGrant.mConfiguration, Answers::LeaveOut);
+    *out->mutable_configuration() =
+      detail::ToPb(**aGrant.mConfiguration,
+                   Answers::LeaveOut,
+                   aGrant.mSameRoutes ? Routes::LeaveOut : Routes::Include);
   }
   out->set_stamp(aGrant.mStamp);
+  out->set_same_routes(aGrant.mSameRoutes);
+  for (const auto& it : aGrant.mControls) {
+    out->add_controls(it.mValue);
+  }
   for (const auto& it : aGrant.mBackendLeases) {
     Put(it, *out->add_backend_leases());
   }
@@ -108,8 +127,11 @@
 std::optional<Body>
 GetBody(const pb::Grant& aGrant)
 {
-  Grant grant{ aGrant.ask(),  Millis(aGrant.length_ms()), aGrant.version(), std::nullopt, {},
-               aGrant.stamp() };
+  Grant grant{ aGrant.ask(),   Millis(aGrant.length_ms()), aGrant.version(), std::nullopt, {},
+               aGrant.stamp(), aGrant.same_routes() };
+  for (const auto& it : aGrant.controls()) {
+    grant.mControls.push_back({ it });
+  }
   if (aGrant.has_configuration()) {
     auto configuration = detail::FromPb(aGrant.configuration());
     if (!configuration) {
@@ -343,7 +365,7 @@
 std::string
 EncodeConfiguration(const Configuration& aConfiguration)
 {
-  return detail::ToPb(aConfiguration, Answers::Include).SerializeAsString();
+  return detail::ToPb(aConfiguration, Answers::Include, Routes::Include).SerializeAsString();
 }
 
 std::optional<Configuration>
--- a/packages/wire/src/convert.cpp
+++ b/packages/wire/src/convert.cpp
@@ -90,6 +90,190 @@
   return SharedValue(std::move(*checked.mValue));
 }
 
+pb::ServiceSettings
+SettingsToPb(const ServiceId& aId, const routes::ServiceSettings& aSettings)
+{
+  pb::ServiceSettings out;
+  out.set_id(aId.mValue);
+  out.set_health_path(aSettings.mHealthPath);
+  out.set_max_connections(aSettings.mMaxConnections);
+  out.set_protocol(aSettings.mProtocol);
+  out.set_tls(aSettings.mTls);
+  out.set_warm_up_ms(static_cast<std::uint64_t>(aSettings.mWarmUp.count()));
+  out.set_warm_up_per_second(aSettings.mWarmUpPerSecond);
+  return out;
+}
+
+Millis
+MillisFromPb(std::uint64_t aMillis)
+{
+  return Millis(static_cast<std::int64_t>(aMillis));
+}
+
+routes::ServiceSettings
+SettingsFromPb(const pb::ServiceSettings& aSettings)
+{
+  routes::ServiceSettings out;
+  out.mHealthPath = aSettings.health_path();
+  out.mMaxConnections = aSettings.max_connections();
+  out.mProtocol = aSettings.protocol();
+  out.mTls = aSettings.tls();
+  out.mWarmUp = MillisFromPb(aSettings.warm_up_ms());
+  out.mWarmUpPerSecond = aSettings.warm_up_per_second();
+  return out;
+}
+
+pb::Route
+RouteToPb(const routes::Route& aRoute)
+{
+  pb::Route out;
+  out.set_name(aRoute.mName);
+  out.set_host(aRoute.mHost);
+  out.set_path_prefix(aRoute.mPathPrefix);
+  out.set_repeatable(aRoute.mRepeatable);
+  out.set_timeout_ms(static_cast<std::uint64_t>(aRoute.mTimeout.count()));
+  out.set_target_latency_ms(static_cast<std::uint64_t>(aRoute.mTargetLatency.count()));
+  out.set_priority(aRoute.mPriority);
+  out.set_weighted(aRoute.mWeighted);
+  for (const auto& it : aRoute.mServices) {
+    auto* part = out.add_parts();
+    part->set_service(it.mService.mValue);
+    part->set_weight(it.mWeight);
+  }
+  out.set_attempts(aRoute.mAttempts);
+  out.set_affinity(aRoute.mAffinity);
+  for (const auto& it : aRoute.mAllowedRegions) {
+    out.add_allowed_regions(it.mValue);
+  }
+  return out;
+}
+
+routes::Route
+RouteFromPb(const pb::Route& aRoute)
+{
+  routes::Route out;
+  out.mName = aRoute.name();
+  out.mHost = aRoute.host();
+  out.mPathPrefix = aRoute.path_prefix();
+  out.mRepeatable = aRoute.repeatable();
+  out.mTimeout = MillisFromPb(aRoute.timeout_ms());
+  out.mTargetLatency = MillisFromPb(aRoute.target_latency_ms());
+  out.mPriority = aRoute.priority();
+  out.mWeighted = aRoute.weighted();
+  for (const auto& it : aRoute.parts()) {
+    out.mServices.push_back({ { it.service() }, it.weight() });
+  }
+  out.mAttempts = aRoute.attempts();
+  out.mAffinity = aRoute.affinity();
+  for (const auto& it : aRoute.allowed_regions()) {
+    out.mAllowedRegions.insert({ it });
+  }
+  return out;
+}
+
+pb::CallerLimits
+LimitsToPb(const routes::CallerLimits& aLimits)
+{
+  pb::CallerLimits out;
+  out.set_max_header_bytes(aLimits.mMaxHeaderBytes);
+  out.set_max_body_bytes(aLimits.mMaxBodyBytes);
+  out.set_header_timeout_ms(static_cast<std::uint64_t>(aLimits.mHeaderTimeout.count()));
+  out.set_idle_timeout_ms(static_cast<std::uint64_t>(aLimits.mIdleTimeout.count()));
+  return out;
+}
+
+routes::CallerLimits
+LimitsFromPb(const pb::CallerLimits& aLimits)
+{
+  return { aLimits.max_header_bytes(),
+           aLimits.max_body_bytes(),
+           MillisFromPb(aLimits.header_timeout_ms()),
+           MillisFromPb(aLimits.idle_timeout_ms()) };
+}
+
+/// The items that a route set and a patch have in common.
+template<typename Value, typename Message>
+void
+RouteItemsToPb(const Value& aValue, Message& aOut)
+{
+  aOut.set_number(aValue.mNumber);
+  for (const auto& [id, settings] : aValue.mServices) {
+    *aOut.add_services() = SettingsToPb(id, settings);
+  }
+  for (const auto& it : aValue.mHosts) {
+    aOut.add_hosts(it);
+  }
+  for (const auto& [name, route] : aValue.mRoutes) {
+    *aOut.add_routes() = RouteToPb(route);
+  }
+}
+
+template<typename Value, typename Message>
+void
+RouteItemsFromPb(const Message& aMessage, Value& aOut)
+{
+  aOut.mNumber = aMessage.number();
+  for (const auto& it : aMessage.services()) {
+    aOut.mServices[{ it.id() }] = SettingsFromPb(it);
+  }
+  for (const auto& it : aMessage.hosts()) {
+    aOut.mHosts.insert(it);
+  }
+  for (const auto& it : aMessage.routes()) {
+    aOut.mRoutes[it.name()] = RouteFromPb(it);
+  }
+}
+
+pb::RouteSet
+RoutesToPb(const routes::RouteSet& aRoutes)
+{
+  pb::RouteSet out;
+  RouteItemsToPb(aRoutes, out);
+  *out.mutable_limits() = LimitsToPb(aRoutes.mLimits);
+  return out;
+}
+
+SharedValue<routes::RouteSet>
+RoutesFromPb(const pb::RouteSet& aRoutes)
+{
+  routes::RouteSet out;
+  RouteItemsFromPb(aRoutes, out);
+  out.mLimits = LimitsFromPb(aRoutes.limits());
+  return SharedValue(std::move(out));
+}
+
+pb::RoutePatch
+PatchToPb(const routes::RoutePatch& aPatch)
+{
+  pb::RoutePatch out;
+  RouteItemsToPb(aPatch, out);
+  if (!aPatch.mLimits.empty()) {
+    *out.mutable_limits() = LimitsToPb(aPatch.mLimits.back());
+  }
+  for (const auto& it : aPatch.mRemovedRoutes) {
+    out.add_removed_routes(it);
+  }
+  for (const auto& it : aPatch.mRemovedServices) {
+    out.add_removed_services(it.mValue);
+  }
+  return out;
+}
+
+SharedValue<routes::RoutePatch>
+PatchFromPb(const pb::RoutePatch& aPatch)
+{
+  routes::RoutePatch out;
+  RouteItemsFromPb(aPatch, out);
+  if (aPatch.has_limits()) {
+    out.mLimits.push_back(LimitsFromPb(aPatch.limits()));
+  }
+  out.mRemovedRoutes.insert(aPatch.removed_routes().begin(), aPatch.removed_routes().end());
+  for (const auto& it : aPatch.removed_services()) {
+    out.mRemovedServices.insert({ it });
+  }
+  return SharedValue(std::move(out));
+}
+
 pb::Incarnated
 IncarnatedToPb(const std::string& aId, Incarnation aIncarnation)
 {
@@ -160,6 +344,20 @@
   *aOut.mutable_take_shift_step()->mutable_shift() = ShiftToPb(aBody.mShift);
 }
 
+void
+SetBody(const SubmitRoutes& aBody, pb::Change& aOut)
+{
+  aOut.mutable_submit_routes()->set_base(aBody.mBase);
+  *aOut.mutable_submit_routes()->mutable_routes() = RoutesToPb(*aBody.mRoutes);
+}
+
+void
+SetBody(const PatchRoutes& aBody, pb::Change& aOut)
+{
+  aOut.mutable_patch_routes()->set_base(aBody.mBase);
+  *aOut.mutable_patch_routes()->mutable_patch() = PatchToPb(*aBody.mPatch);
+}
+
 std::optional<ChangeBody>
 BodyFromPb(const pb::Change& aChange)
 {
@@ -186,7 +384,7 @@
       return RemoveBackendServer{ { aChange.remove_backend_server().id() },
                                   aChange.remove_backend_server().incarnation() };
     case pb::Change::kSetDrain:
-      if (aChange.set_drain().kind() > static_cast<std::uint32_t>(DrainKind::Region)) {
+      if (aChange.set_drain().kind() > static_cast<std::uint32_t>(DrainKind::DataCentre)) {
         return std::nullopt;
       }
       return SetDrain{ static_cast<DrainKind>(aChange.set_drain().kind()),
@@ -198,6 +396,12 @@
     case pb::Change::kForgetDeparted:
       return ForgetDeparted{ { aChange.forget_departed().id() },
                              aChange.forget_departed().incarnation() };
+    case pb::Change::kSubmitRoutes:
+      return SubmitRoutes{ aChange.submit_routes().base(),
+                           RoutesFromPb(aChange.submit_routes().routes()) };
+    case pb::Change::kPatchRoutes:
+      return PatchRoutes{ aChange.patch_routes().base(),
+                          PatchFromPb(aChange.patch_routes().patch()) };
     case pb::Change::BODY_NOT_SET:
       break;
   }
@@ -258,7 +462,7 @@
 }
 
 pb::Configuration
-ToPb(const Configuration& aConfiguration, Answers aAnswers)
+ToPb(const Configuration& aConfiguration, Answers aAnswers, Routes aRoutes)
 {
   pb::Configuration out;
   out.set_version(aConfiguration.mVersion);
@@ -283,6 +487,12 @@
   for (const auto& it : aConfiguration.mDrains.mRegions) {
     out.add_drained_regions(it.mValue);
   }
+  for (const auto& it : aConfiguration.mDrains.mDataCentres) {
+    out.add_drained_data_centres(it.mValue);
+  }
+  if (aRoutes == Routes::Include && aConfiguration.mRoutes->mNumber != 0) {
+    *out.mutable_routes() = RoutesToPb(*aConfiguration.mRoutes);
+  }
   for (const auto& [id, incarnations] : aConfiguration.mDeparted) {
     for (const Incarnation it : incarnations) {
       *out.add_departed() = IncarnatedToPb(id.mValue, it);
@@ -334,6 +544,12 @@
   for (const auto& it : aConfiguration.drained_regions()) {
     out.mDrains.mRegions.insert({ it });
   }
+  for (const auto& it : aConfiguration.drained_data_centres()) {
+    out.mDrains.mDataCentres.insert({ it });
+  }
+  if (aConfiguration.has_routes()) {
+    out.mRoutes = RoutesFromPb(aConfiguration.routes());
+  }
   for (const auto& [id, answer] : aConfiguration.answers()) {
     const auto value = FromPb(answer);
     if (!value) {
--- a/packages/wire/src/convert.hpp
+++ b/packages/wire/src/convert.hpp
@@ -15,6 +15,13 @@
   LeaveOut,
 };
 
+/// Whether the route set is included; a receiver that holds it already keeps its own.
+enum class Routes
+{
+  Include,
+  LeaveOut,
+};
+
 pb::Entry
 ToPb(const membership::Entry& aEntry);
 
@@ -29,7 +36,7 @@
 FromPb(const pb::ChangeAnswer& aAnswer);
 
 pb::Configuration
-ToPb(const membership::Configuration& aConfiguration, Answers aAnswers);
+ToPb(const membership::Configuration& aConfiguration, Answers aAnswers, Routes aRoutes);
 
 /// @return configuration, or nothing when a part is malformed
 std::optional<membership::Configuration>
--- a/packages/wire/src/message_thread.cpp
+++ b/packages/wire/src/message_thread.cpp
@@ -19,6 +19,10 @@
 constexpr int kHeartbeatTimeoutMs = 1500;
 constexpr int kReconnectMs = 100;
 constexpr int kMaxReconnectMs = 1000;
+
+/// Time after which a connection attempt, or bytes that nobody acknowledges, show that the path is
+/// cut; several round trips between regions fit in.
+constexpr int kCutMs = 1500;
 constexpr std::int64_t kMaxMessageBytes = 256LL << 20U;
 
 /// File descriptor that wakes zmq_poll when the ring turns from empty to not empty.
@@ -63,6 +67,8 @@
   aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
   aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
   aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  aSocket.set(zmq::sockopt::connect_timeout, kCutMs);
+  aSocket.set(zmq::sockopt::tcp_maxrt, kCutMs);
 }
 
 Endpoint
@@ -129,7 +135,13 @@
   {
     const std::string bytes =
       EncodeEnvelope(Envelope{ mOptions.mSelf, mOptions.mIncarnation, aOutbound.mBody });
-    const auto dealer = mDealers.find(aOutbound.mTo);
+    auto dealer = mDealers.find(aOutbound.mTo);
+    if (dealer == mDealers.end() && !mOptions.mKeys && aOutbound.mTo != mOptions.mSelf) {
+      if (const auto endpoint = ParseEndpoint(aOutbound.mTo)) {
+        OpenDealer(aOutbound.mTo, *endpoint);
+        dealer = mDealers.find(aOutbound.mTo);
+      }
+    }
     if (dealer != mDealers.end()) {
       dealer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
       return;
@@ -141,6 +153,22 @@
     }
   }
 
+  std::vector<zmq::pollitem_t> PollItems()
+  {
+    std::vector<zmq::pollitem_t> items;
+    items.push_back({ nullptr, mWakeup.Descriptor(), ZMQ_POLLIN, 0 });
+    if (mRouter) {
+      items.push_back({ mRouter->handle(), 0, ZMQ_POLLIN, 0 });
+    }
+    for (auto& [id, dealer] : mDealers) {
+      items.push_back({ dealer.handle(), 0, ZMQ_POLLIN, 0 });
+    }
+    if (mAuthenticator) {
+      items.push_back({ mAuthenticator->handle(), 0, ZMQ_POLLIN, 0 });
+    }
+    return items;
+  }
+
   void SendAll()
   {
     while (const auto outbound = mOut.TryPop()) {
@@ -226,18 +254,13 @@
 MessageSockets::Run(const std::function<void(Envelope)>& aDeliver)
 {
   std::vector<zmq::pollitem_t> items;
-  items.push_back({ nullptr, mState->mWakeup.Descriptor(), ZMQ_POLLIN, 0 });
-  if (mState->mRouter) {
-    items.push_back({ mState->mRouter->handle(), 0, ZMQ_POLLIN, 0 });
-  }
-  for (auto& [id, dealer] : mState->mDealers) {
-    items.push_back({ dealer.handle(), 0, ZMQ_POLLIN, 0 });
-  }
-  if (mState->mAuthenticator) {
-    items.push_back({ mState->mAuthenticator->handle(), 0, ZMQ_POLLIN, 0 });
-  }
+  std::size_t dealers = 0;
   mState->SendAll();
   while (!mState->mOut.Finished()) {
+    if (items.empty() || dealers != mState->mDealers.size()) {
+      items = mState->PollItems();
+      dealers = mState->mDealers.size();
+    }
     zmq::poll(items.data(), items.size(), std::chrono::milliseconds(-1));
     mState->mWakeup.Clear();
     if (mState->mAuthenticator) {
