Send the requests of one object to the server that knows it

Cause: most requests met a server that had not handled their object lately. Regions were drawn for each request, which spread every region's objects over all.

Change: all entries of a data centre agree on the order of an object's servers, those of the own data centre first; work times are learned for known and new objects apart; a region is chosen by object, and the own region starts with everything.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -101,8 +101,8 @@
   std::uint32_t mUnsent = 0; ///< dispatches of which nothing was sent
   bool mMayHaveRun = false;  ///< a dispatch was lost after bytes may have left
   std::uint64_t mDispatch = 0;
-  routes::Server mServer; ///< of the last dispatch
-  bool mWarm = false;     ///< the server had handled the object before
+  routes::Server mServer;                           ///< of the last dispatch
+  routes::Memory mMemory = routes::Memory::Unknown; ///< whether that server remembered the object
   Instant mSentAt{};
 };
 
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -134,6 +134,20 @@
   return record;
 }
 
+std::string
+MemoryName(routes::Memory aMemory)
+{
+  switch (aMemory) {
+    case routes::Memory::Known:
+      return "known";
+    case routes::Memory::New:
+      return "new";
+    case routes::Memory::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
 void
 LogPlacement(ForwardScope& aScope, const std::string& aKind)
 {
@@ -146,6 +160,8 @@
   record.mChoice = server.mId.mValue;
   record.mFields.push_back({ "region", server.mRegion.mValue });
   record.mFields.push_back({ "expected_ms", millis(aScope.mPlacement.mExpected) });
+  record.mFields.push_back({ "object", aScope.mForward.mRequest.mAffinityKey });
+  record.mFields.push_back({ "memory", MemoryName(aScope.mPlacement.mMemory) });
   record.mFields.push_back({ "own", std::to_string(load.mOwn) });
   record.mFields.push_back({ "foreign", std::to_string(static_cast<int>(load.mForeign)) });
   record.mFields.push_back({ "report_age_ms", millis(aScope.mNow - load.mReportedAt) });
@@ -294,7 +310,7 @@
   routes::ServerLoad& load = state.mLoads[server.mId];
   const auto cold = PoolOf(aScope).mPool.mColdLimits.find(server.mId);
   const bool limited = cold != PoolOf(aScope).mPool.mColdLimits.end();
-  forward.mWarm = routes::IsWarm(load, forward.mKey, aScope.mNow);
+  forward.mMemory = aScope.mPlacement.mMemory;
   load = routes::NoteSent(load, limited ? cold->second : routes::ColdLimit{}, aScope.mNow);
   forward.mDispatch = state.mNextDispatch++;
   forward.mServer = server;
@@ -428,8 +444,8 @@
   if (aEvent == ForwardEvent::Answered && pool != state.mPools.end()) {
     const Duration work = aScope.mNow - forward.mSentAt - RoundTrip(state, forward.mServer.mRegion);
     load.mSlowness =
-      routes::NoteSlowness(load.mSlowness, pool->second.mPool.mTimes, work, forward.mWarm);
-    pool->second.mPool.mTimes = routes::NoteWork(pool->second.mPool.mTimes, work, forward.mWarm);
+      routes::NoteSlowness(load.mSlowness, pool->second.mPool.mTimes, work, forward.mMemory);
+    pool->second.mPool.mTimes = routes::NoteWork(pool->second.mPool.mTimes, work, forward.mMemory);
   }
 }
 
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -196,16 +196,21 @@
 {
   const auto pool = aState.mPools.find(aForward.mService);
   if (pool == aState.mPools.end()) {
-    return { std::nullopt, {}, "service-without-servers", {} };
+    return { std::nullopt, {}, routes::Memory::Unknown, "service-without-servers", {} };
   }
   const bool trusts = TrustsLeases(aState, aNow);
   auto usable = UsableRegions(aState, pool->second.mPool, aForward, aNow);
-  routes::Placement placement{ std::nullopt, {}, "no-usable-server", {} };
+  routes::Placement placement{ std::nullopt, {}, routes::Memory::Unknown, "no-usable-server", {} };
   // A region whose servers are all ruled out, such as cold ones, leaves the request to the others.
   while (!usable.empty() && !placement.mServer) {
-    const auto region = routes::NextRegion(pool->second.mSplit, usable);
-    placement = routes::Place(
-      pool->second.mPool, aState.mLoads, { aForward.mKey, aForward.mTried, *region }, trusts, aNow);
+    const auto region = routes::NextRegion(
+      pool->second.mSplit, usable, aState.mOptions.mEntry.mRegion, aForward.mKey);
+    placement =
+      routes::Place(pool->second.mPool,
+                    aState.mLoads,
+                    { aForward.mKey, aForward.mTried, *region, aState.mOptions.mEntry.mDataCentre },
+                    trusts,
+                    aNow);
     usable.erase(*region);
   }
   return placement;
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -45,8 +45,8 @@
 constexpr std::size_t kRememberedKeys = 24;
 constexpr std::chrono::seconds kRememberKey{ 30 };
 
-/// Part of the work time by which a server seems costlier for each place behind the first in the
-/// order of an object's servers. It only decides between servers of nearly the same load.
+/// Part of the work time by which a server seems costlier for each place behind the second in the
+/// order of an object's servers, so that the few that leave their first server meet again.
 constexpr double kOrderCost = 0.05;
 
 /// A backend server as the configuration names it.
@@ -106,8 +106,9 @@
 /// Decayed work times of a service, without the time on the way.
 struct WorkTimes
 {
-  double mUsualMs = static_cast<double>(kAssumedWork.count());
-  double mWarmMs = static_cast<double>(kAssumedWork.count()) * kAssumedWarmPart;
+  double mColdMs = static_cast<double>(kAssumedWork.count()); ///< on an object that is new there
+  double mWarmMs = static_cast<double>(kAssumedWork.count()) * kAssumedWarmPart; ///< on a known one
+  double mMeanMs = static_cast<double>(kAssumedWork.count());                    ///< of all
 
   friend auto operator<=>(const WorkTimes&, const WorkTimes&) = default;
 };
@@ -155,19 +156,41 @@
           const std::optional<LoadReport>& aReport,
           Instant aNow);
 
+/// What is known of whether a server remembered the object of a request.
+enum class Memory : std::uint8_t
+{
+  Unknown, ///< other entries may have sent it there
+  Known,   ///< this entry had sent it there lately
+  New,     ///< no entry is taken to have sent it there
+};
+
 /// @param aWork time of the request less the time on the way
-/// @param aWarm the server had handled the object before
 /// @return work times after an answer
 WorkTimes
-NoteWork(WorkTimes aTimes, Duration aWork, bool aWarm);
+NoteWork(WorkTimes aTimes, Duration aWork, Memory aMemory);
 
 /// @return slowness of a server after an answer
 double
-NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, bool aWarm);
+NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, Memory aMemory);
 
-/// @return true when the server handled the object for this entry and still remembers it
-bool
-IsWarm(const ServerLoad& aLoad, std::uint64_t aKey, Instant aNow);
+/// @param aKey object; 0: none
+/// @return the region's servers in the order of the object: those of the own data centre first. All
+/// entries of a data centre agree on it, so that the first server is taken to know the object.
+std::vector<BackendServerId>
+ServerOrder(const std::vector<Server>& aServers,
+            const RegionId& aRegion,
+            const DataCentreId& aOwn,
+            std::uint64_t aKey);
+
+/// @param aServer server
+/// @param aFirst first server of the object's order, or nothing
+/// @return whether the server remembers the object
+Memory
+MemoryOf(const BackendServerId& aServer,
+         const ServerLoad& aLoad,
+         std::uint64_t aKey,
+         const std::optional<BackendServerId>& aFirst,
+         Instant aNow);
 
 /// What is asked of Place.
 struct PlacementRequest
@@ -175,6 +198,7 @@
   std::uint64_t mKey = 0; ///< object of the request; 0: none
   std::set<BackendServerId> mTried;
   RegionId mRegion;
+  DataCentreId mOwn; ///< data centre of the entry
 
   friend auto operator<=>(const PlacementRequest&, const PlacementRequest&) = default;
 };
@@ -182,8 +206,9 @@
 /// Where a request goes.
 struct Placement
 {
-  std::optional<Server> mServer; ///< nothing: no server may get it
-  Duration mExpected{};          ///< time at the server, without the time on the way
+  std::optional<Server> mServer;    ///< nothing: no server may get it
+  Duration mExpected{};             ///< time at the server, without the time on the way
+  Memory mMemory = Memory::Unknown; ///< whether the server remembers the object
   std::string mReason;
   std::vector<Rejected> mRejected;
 
@@ -216,8 +241,8 @@
       bool aTrustLeases,
       Instant aNow);
 
-/// @return mean time that a request would take at the servers of a region that may be used, or
-/// nothing without one
+/// @return mean time that a request would take at the servers of a region that may be used, the
+/// same work assumed everywhere, or nothing without one
 std::optional<Duration>
 RegionCost(const Pool& aPool,
            const ServerLoads& aLoads,
--- a/packages/routes/include/fighold/routes/region_split.hpp
+++ b/packages/routes/include/fighold/routes/region_split.hpp
@@ -32,8 +32,7 @@
   friend bool operator==(const RegionSplit&, const RegionSplit&) = default;
 };
 
-/// First division: the own region gets what its part of all slots bears if every region has the
-/// same traffic, the others get the rest by their slots.
+/// First division: everything stays in the own region, or is divided by slots where it has none.
 /// @param aSlots slots by region
 /// @param aOwn region of the entry
 std::map<RegionId, double>
@@ -46,11 +45,17 @@
 void
 StepSplit(RegionSplit& aSplit, const std::map<RegionId, Duration>& aCosts, Instant aNow);
 
-/// Chooses the region of the next request.
+/// Chooses the region of the next request. Requests for one object go to one region, and a step of
+/// the division moves few objects; other requests take turns.
 /// @param aSplit division, changed in place
 /// @param aUsable regions that may run the request
+/// @param aOwn region of the entry
+/// @param aKey object of the request; 0: none
 /// @return region, or nothing when none may
 std::optional<RegionId>
-NextRegion(RegionSplit& aSplit, const std::set<RegionId>& aUsable);
+NextRegion(RegionSplit& aSplit,
+           const std::set<RegionId>& aUsable,
+           const RegionId& aOwn,
+           std::uint64_t aKey);
 
 } // namespace fighold::routes
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace fighold::routes {
 namespace {
@@ -69,7 +70,7 @@
 {
   const double work = aWorkMs * aLoad.mSlowness;
   const double wait = Milliseconds(WaitEstimate(aServer, aLoad, aTimes, aNow));
-  return wait + work + FailedPart(aLoad, aNow) * (aTimes.mUsualMs + wait) * 2;
+  return wait + work + FailedPart(aLoad, aNow) * (aTimes.mMeanMs + wait) * 2;
 }
 
 const ServerLoad&
@@ -84,23 +85,10 @@
 {
   const Server* mServer = nullptr;
   double mCost = 0;
+  Memory mMemory = Memory::Unknown;
   bool mEjected = false;
 };
 
-/// Adds the order of the object's servers to the costs.
-void
-PreferOrder(std::vector<Scored>& aScored, std::uint64_t aKey, double aWorkMs)
-{
-  std::sort(aScored.begin(), aScored.end(), [aKey](const Scored& aLeft, const Scored& aRight) {
-    return Rank(aLeft.mServer->mId.mValue, aKey) > Rank(aRight.mServer->mId.mValue, aKey);
-  });
-  double order = 0;
-  for (Scored& it : aScored) {
-    it.mCost += order * kOrderCost * aWorkMs;
-    order += 1;
-  }
-}
-
 } // namespace
 
 ColdLimit
@@ -139,7 +127,7 @@
   const double ahead = BusyEstimate(aLoad, aNow) + 1 - slots;
   // A slot becomes free after half a work time on average when all are taken.
   return ahead <= 0 ? Duration{}
-                    : FromMilliseconds(ahead / slots * aTimes.mUsualMs * aLoad.mSlowness);
+                    : FromMilliseconds(ahead / slots * aTimes.mMeanMs * aLoad.mSlowness);
 }
 
 ServerLoad
@@ -195,30 +183,66 @@
 }
 
 WorkTimes
-NoteWork(WorkTimes aTimes, Duration aWork, bool aWarm)
+NoteWork(WorkTimes aTimes, Duration aWork, Memory aMemory)
 {
-  double& kept = aWarm ? aTimes.mWarmMs : aTimes.mUsualMs;
-  // A straggler runs many times longer and must not make every server seem busy.
-  const double work = std::clamp(Milliseconds(aWork), 1.0, 3 * kept);
-  kept += kWorkWeight * (work - kept);
-  aTimes.mWarmMs = std::min(aTimes.mWarmMs, aTimes.mUsualMs);
+  const auto move = [&aWork](double& aKept) {
+    // A straggler runs many times longer and must not make every server seem busy.
+    const double work = std::clamp(Milliseconds(aWork), 1.0, 3 * aKept);
+    aKept += kWorkWeight * (work - aKept);
+  };
+  move(aTimes.mMeanMs);
+  if (aMemory != Memory::Unknown) {
+    move(aMemory == Memory::Known ? aTimes.mWarmMs : aTimes.mColdMs);
+  }
+  aTimes.mWarmMs = std::min(aTimes.mWarmMs, aTimes.mColdMs);
   return aTimes;
 }
 
 double
-NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, bool aWarm)
+NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, Memory aMemory)
 {
+  if (aMemory == Memory::Unknown) {
+    return aSlowness;
+  }
   constexpr double kSlowest = 5;
-  const double usual = std::max(1.0, aWarm ? aTimes.mWarmMs : aTimes.mUsualMs);
+  const double usual = std::max(1.0, aMemory == Memory::Known ? aTimes.mWarmMs : aTimes.mColdMs);
   const double ratio = std::clamp(Milliseconds(aWork) / usual, 1 / kSlowest, kSlowest);
   return aSlowness + 2 * kWorkWeight * (ratio - aSlowness);
 }
 
-bool
-IsWarm(const ServerLoad& aLoad, std::uint64_t aKey, Instant aNow)
+std::vector<BackendServerId>
+ServerOrder(const std::vector<Server>& aServers,
+            const RegionId& aRegion,
+            const DataCentreId& aOwn,
+            std::uint64_t aKey)
+{
+  std::vector<std::tuple<bool, std::uint64_t, BackendServerId>> ranked;
+  for (const Server& it : aServers) {
+    if (it.mRegion == aRegion) {
+      ranked.emplace_back(it.mDataCentre == aOwn, Rank(it.mId.mValue, aKey), it.mId);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  std::vector<BackendServerId> order;
+  order.reserve(ranked.size());
+  for (auto& it : ranked) {
+    order.push_back(std::move(std::get<BackendServerId>(it)));
+  }
+  return order;
+}
+
+Memory
+MemoryOf(const BackendServerId& aServer,
+         const ServerLoad& aLoad,
+         std::uint64_t aKey,
+         const std::optional<BackendServerId>& aFirst,
+         Instant aNow)
 {
   const auto it = aLoad.mKeys.find(aKey);
-  return aKey != 0 && it != aLoad.mKeys.end() && aNow < it->second + kRememberKey;
+  if (aKey != 0 && it != aLoad.mKeys.end() && aNow < it->second + kRememberKey) {
+    return Memory::Known;
+  }
+  return aKey == 0 || aFirst == aServer ? Memory::Unknown : Memory::New;
 }
 
 Placement
@@ -231,6 +255,8 @@
   Placement placement;
   std::vector<Scored> scored;
   bool healthy = false;
+  const auto order = ServerOrder(aPool.mServers, aRequest.mRegion, aRequest.mOwn, aRequest.mKey);
+  const auto first = order.empty() ? std::nullopt : std::optional(order.front());
   for (const Server& it : aPool.mServers) {
     if (it.mRegion != aRequest.mRegion || aRequest.mTried.count(it.mId) > 0) {
       continue;
@@ -241,13 +267,15 @@
       placement.mRejected.push_back({ it.mId.mValue, why });
       continue;
     }
-    const bool warm = IsWarm(load, aRequest.mKey, aNow);
-    const double work = warm ? aPool.mTimes.mWarmMs : aPool.mTimes.mUsualMs;
+    const Memory memory = MemoryOf(it.mId, load, aRequest.mKey, first, aNow);
+    const auto place = std::find(order.begin(), order.end(), it.mId) - order.begin();
+    const double behind = static_cast<double>(std::max<std::ptrdiff_t>(0, place - 1));
+    const double work = (memory == Memory::New ? aPool.mTimes.mColdMs : aPool.mTimes.mWarmMs) +
+                        behind * kOrderCost * aPool.mTimes.mColdMs;
     const bool ejected = aNow < load.mEjectedUntil;
     healthy = healthy || !ejected;
-    scored.push_back({ &it, CostMs(it, load, aPool.mTimes, work, aNow), ejected });
+    scored.push_back({ &it, CostMs(it, load, aPool.mTimes, work, aNow), memory, ejected });
   }
-  PreferOrder(scored, aRequest.mKey, aPool.mTimes.mUsualMs);
   const Scored* best = nullptr;
   for (const Scored& it : scored) {
     if (it.mEjected && healthy) {
@@ -262,6 +290,7 @@
   }
   placement.mServer = *best->mServer;
   placement.mExpected = FromMilliseconds(best->mCost);
+  placement.mMemory = best->mMemory;
   placement.mReason = healthy ? "first-expected-end" : "all-ejected";
   return placement;
 }
@@ -279,7 +308,7 @@
     const ServerLoad& load = LoadOf(aLoads, it.mId);
     if (it.mRegion == aRegion && aNow >= load.mEjectedUntil &&
         (!aTrustLeases || aNow < load.mAliveUntil)) {
-      sum += it.mSlots * CostMs(it, load, aPool.mTimes, aPool.mTimes.mUsualMs, aNow);
+      sum += it.mSlots * CostMs(it, load, aPool.mTimes, aPool.mTimes.mMeanMs, aNow);
       slots += it.mSlots;
     }
   }
--- a/packages/routes/src/region_split.cpp
+++ b/packages/routes/src/region_split.cpp
@@ -1,6 +1,7 @@
 #include "fighold/routes/region_split.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace fighold::routes {
@@ -17,14 +18,9 @@
     return parts;
   }
   const auto own = aSlots.find(aOwn);
-  const double ownSlots = own == aSlots.end() ? 0 : own->second;
-  const double ownPart = std::min(1.0, ownSlots / total * static_cast<double>(aSlots.size()));
+  const bool hasOwn = own != aSlots.end() && own->second > 0;
   for (const auto& [region, slots] : aSlots) {
-    if (region == aOwn) {
-      parts[region] = ownPart;
-    } else {
-      parts[region] = total > ownSlots ? (1 - ownPart) * slots / (total - ownSlots) : 0;
-    }
+    parts[region] = hasOwn ? (region == aOwn ? 1.0 : 0.0) : slots / total;
   }
   return parts;
 }
@@ -59,20 +55,42 @@
 }
 
 std::optional<RegionId>
-NextRegion(RegionSplit& aSplit, const std::set<RegionId>& aUsable)
+NextRegion(RegionSplit& aSplit,
+           const std::set<RegionId>& aUsable,
+           const RegionId& aOwn,
+           std::uint64_t aKey)
 {
   std::vector<RegionId> regions;
   std::vector<double> weights;
   double sum = 0;
-  for (const auto& [region, part] : aSplit.mParts) {
-    regions.push_back(region);
-    weights.push_back(aUsable.count(region) > 0 ? part : 0);
+  const auto add = [&](const RegionId& aRegion, double aPart) {
+    regions.push_back(aRegion);
+    weights.push_back(aUsable.count(aRegion) > 0 ? aPart : 0);
     sum += weights.back();
+  };
+  // The own region first, so that an object leaves it only when its part shrinks.
+  if (const auto own = aSplit.mParts.find(aOwn); own != aSplit.mParts.end()) {
+    add(aOwn, own->second);
+  }
+  for (const auto& [region, part] : aSplit.mParts) {
+    if (region != aOwn) {
+      add(region, part);
+    }
   }
   if (sum <= 0) {
     return aUsable.empty() ? std::nullopt : std::optional(*aUsable.begin());
   }
-  return regions[NextTurn(aSplit.mTurn, weights)];
+  if (aKey == 0) {
+    return regions[NextTurn(aSplit.mTurn, weights)];
+  }
+  double point = static_cast<double>(aKey) / std::pow(2.0, 64) * sum;
+  for (std::size_t n = 0; n < regions.size(); ++n) {
+    if (weights[n] > 0 && point < weights[n]) {
+      return regions[n];
+    }
+    point -= weights[n];
+  }
+  return *aUsable.begin();
 }
 
 } // namespace fighold::routes
