Keep requests in their own region unless another one is clearly faster

The division between regions followed unsmoothed costs and counted a new object like a known one, so that cold servers at the start moved requests away for good.

Change: costs of regions are smoothed over two seconds, and another region counts half of the additional work on new objects against it.

Ruled out: forbidding other regions, since kriti has a sixth of the servers for a third of the requests.

--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -229,6 +229,9 @@
       const auto cost = routes::RegionCost(pool.mPool, aState.mLoads, region, trusts, aNow);
       if (cost) {
         costs[region] = *cost + RoundTrip(aState, region);
+        if (region != aState.mOptions.mEntry.mRegion) {
+          costs[region] += routes::CostOfMoving(pool.mPool.mTimes);
+        }
       }
     }
     routes::StepSplit(pool.mSplit, costs, aNow);
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -49,6 +49,9 @@
 /// order of an object's servers, so that the few that leave their first server meet again.
 constexpr double kOrderCost = 0.05;
 
+/// Part of the additional work on new objects that counts against moving requests to another region.
+constexpr double kMovingPart = 0.5;
+
 /// A backend server as the configuration names it.
 struct Server
 {
@@ -241,6 +244,11 @@
       bool aTrustLeases,
       Instant aNow);
 
+/// @return time by which another region must be faster before requests move there: their objects are
+/// new to its servers, which forget some of their own for them
+Duration
+CostOfMoving(const WorkTimes& aTimes);
+
 /// @return mean time that a request would take at the servers of a region that may be used, the
 /// same work assumed everywhere, or nothing without one
 std::optional<Duration>
--- a/packages/routes/include/fighold/routes/region_split.hpp
+++ b/packages/routes/include/fighold/routes/region_split.hpp
@@ -22,10 +22,14 @@
 /// costs moves nothing back and forth.
 constexpr double kSplitMargin = 0.1;
 
+/// Weight of the newest cost of a region in the smoothed one: two seconds count.
+constexpr double kCostWeight = 0.3;
+
 /// Parts of a service's requests by region.
 struct RegionSplit
 {
   std::map<RegionId, double> mParts; ///< sum 1, or empty before the first server was known
+  std::map<RegionId, double> mCostsMs; ///< smoothed
   WeightedTurn mTurn;
   Instant mNextStep{};
 
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -295,6 +295,12 @@
   return placement;
 }
 
+Duration
+CostOfMoving(const WorkTimes& aTimes)
+{
+  return FromMilliseconds(kMovingPart * std::max(0.0, aTimes.mColdMs - aTimes.mWarmMs));
+}
+
 std::optional<Duration>
 RegionCost(const Pool& aPool,
            const ServerLoads& aLoads,
--- a/packages/routes/src/region_split.cpp
+++ b/packages/routes/src/region_split.cpp
@@ -32,20 +32,27 @@
     return;
   }
   aSplit.mNextStep = aNow + kSplitInterval;
+  std::map<RegionId, double> costs;
+  for (const auto& [region, cost] : aCosts) {
+    const double now = std::chrono::duration<double, std::milli>(cost).count();
+    const auto before = aSplit.mCostsMs.find(region);
+    costs[region] =
+      before == aSplit.mCostsMs.end() ? now : before->second + kCostWeight * (now - before->second);
+  }
+  aSplit.mCostsMs = costs;
   const auto cheapest =
-    std::min_element(aCosts.begin(), aCosts.end(), [](const auto& aLeft, const auto& aRight) {
+    std::min_element(costs.begin(), costs.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.second < aRight.second;
     });
   std::optional<RegionId> dearest;
-  for (const auto& [region, cost] : aCosts) {
+  for (const auto& [region, cost] : costs) {
     const auto part = aSplit.mParts.find(region);
     if (part != aSplit.mParts.end() && part->second > 0 &&
-        (!dearest || cost > aCosts.at(*dearest))) {
+        (!dearest || cost > costs.at(*dearest))) {
       dearest = region;
     }
   }
-  if (!dearest || std::chrono::duration<double>(aCosts.at(*dearest)) <=
-                    std::chrono::duration<double>(cheapest->second) * (1 + kSplitMargin)) {
+  if (!dearest || costs.at(*dearest) <= cheapest->second * (1 + kSplitMargin)) {
     return;
   }
   double& from = aSplit.mParts[*dearest];
