Refuse at once what would take the place of a request that can be in time

Ruled out: a lower limit on the time left alone, since a late request then still takes the slot of one that could be in time.

Change: routes::Admit. A request that can be answered within its target is taken in; one that cannot is only taken in when a slot is nearly free. The time that the caller waited before this attempt counts. Retry-After follows the wait and is spread.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -95,7 +95,8 @@
   ServiceId mService;
   std::uint64_t mKey = 0; ///< hash of the affinity key; 0: none
   Instant mArrived{};
-  Instant mDeadline{}; ///< end of the caller's wait or of the route's time, whichever is first
+  Duration mWaitedBefore{}; ///< since the caller first asked, before this attempt
+  Instant mDeadline{};      ///< end of the caller's wait or of the route's time, whichever is first
   std::set<BackendServerId> mTried;
   std::uint32_t mSends = 0;  ///< dispatches, the unsent ones included
   std::uint32_t mUnsent = 0; ///< dispatches of which nothing was sent
@@ -148,6 +149,7 @@
   std::map<RequestId, InFlight> mInFlight;
   routes::RouteTable mRoutes;
   std::map<std::string, routes::WeightedTurn> mRouteTurns; ///< by route
+  std::map<std::string, Millis> mLongestWaits; ///< longest wait that a caller stated, by route
   std::map<RequestId, Forward> mForwards;
   std::map<ServiceId, ServicePool> mPools;
   routes::ServerLoads mLoads;
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -1,5 +1,6 @@
 #include "forward_chart.hpp"
 
+#include "fighold/routes/admission.hpp"
 #include "pools.hpp"
 
 #include <xxhash.h>
@@ -16,18 +17,10 @@
 /// Time to open a connection, besides the round trip. A server that is there answers at once.
 constexpr Millis kConnectTime{ 300 };
 
-/// Part of the time left that a request is expected to take at most; estimates of a busy server are
-/// often too low, and a request that ends too late has taken a slot for nothing.
-constexpr double kPartOfTimeLeft = 0.8;
-
 /// Dispatches of one request of which nothing was sent; more would only show that the network is
 /// down.
 constexpr std::uint32_t kMaxUnsent = 3;
 
-/// Bounds of the time after which a refused caller is told to return.
-constexpr Millis kLeastRetryAfter{ 100 };
-constexpr Millis kLongestRetryAfter{ 1000 };
-
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kBadGateway = 502;
@@ -47,10 +40,19 @@
                                 aState.mConfiguration->mEntries.size());
 }
 
-Duration
-TimeLeft(const ForwardScope& aScope)
+/// @return what the admission of the next dispatch rests on
+routes::AdmissionRequest
+AdmissionOf(const ForwardScope& aScope)
 {
-  return aScope.mForward.mDeadline - aScope.mNow;
+  const Forward& forward = aScope.mForward;
+  const auto pool = aScope.mState.mPools.find(forward.mService);
+  const double mean = pool == aScope.mState.mPools.end() ? 0 : pool->second.mPool.mTimes.mMeanMs;
+  return { aScope.mPlacement.mExpected + aScope.mOnTheWay,
+           aScope.mPlacement.mWait,
+           std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(mean)),
+           forward.mWaitedBefore + (aScope.mNow - forward.mArrived),
+           forward.mRoute->mTargetLatency,
+           forward.mDeadline - aScope.mNow };
 }
 
 bool
@@ -80,12 +82,17 @@
   return !aScope.mPlacement.mServer.has_value();
 }
 
+bool
+NoRoom(const ForwardScope& aScope)
+{
+  const auto admission = routes::Admit(AdmissionOf(aScope));
+  return admission == routes::Admission::NoRoom || admission == routes::Admission::NoTime;
+}
+
 bool
 NoTime(const ForwardScope& aScope)
 {
-  const auto expected =
-    std::chrono::duration<double>(aScope.mPlacement.mExpected + aScope.mOnTheWay);
-  return expected > std::chrono::duration<double>(TimeLeft(aScope)) * kPartOfTimeLeft;
+  return routes::Admit(AdmissionOf(aScope)) == routes::Admission::NoTime;
 }
 
 bool
@@ -129,6 +136,7 @@
                      { "version", std::to_string(aScope.mState.mConfiguration->mVersion) },
                      { "age_ms", millis(aScope.mNow - aScope.mState.mLastGrant) },
                      { "elapsed_ms", millis(aScope.mNow - forward.mArrived) },
+                     { "waited_before_ms", millis(forward.mWaitedBefore) },
                      { "left_ms", millis(forward.mDeadline - aScope.mNow) },
                      { "sends", std::to_string(forward.mSends) } };
   return record;
@@ -159,6 +167,7 @@
   };
   record.mChoice = server.mId.mValue;
   record.mFields.push_back({ "region", server.mRegion.mValue });
+  record.mFields.push_back({ "wait_ms", millis(aScope.mPlacement.mWait) });
   record.mFields.push_back({ "expected_ms", millis(aScope.mPlacement.mExpected) });
   record.mFields.push_back({ "object", aScope.mForward.mRequest.mAffinityKey });
   record.mFields.push_back({ "memory", MemoryName(aScope.mPlacement.mMemory) });
@@ -187,17 +196,10 @@
   aScope.mEffects.emplace_back(Reply{ forward.mRequest.mId, std::move(aAnswer) });
 }
 
-/// Time after which room is expected, spread so that those refused together do not return together.
 Millis
 RetryAfter(ForwardScope& aScope)
 {
-  const auto expected = std::chrono::duration_cast<Millis>(aScope.mPlacement.mExpected) -
-                        std::chrono::duration_cast<Millis>(
-                          TimeLeft(aScope) * static_cast<int>(kPartOfTimeLeft * 100) / 100);
-  const Millis least = std::clamp(expected, kLeastRetryAfter, kLongestRetryAfter / 2);
-  const auto spread =
-    static_cast<std::int64_t>(Draw(aScope.mState) % static_cast<std::uint64_t>(least.count()));
-  return std::min(kLongestRetryAfter, least + Millis(spread));
+  return routes::RetryAfter(AdmissionOf(aScope), Draw(aScope.mState));
 }
 
 void
@@ -460,7 +462,7 @@
              { "no_such_route", NoSuchRoute },
              { "too_many", TooMany },
              { "no_server", NoServer },
-             { "no_time", NoTime },
+             { "no_room", NoRoom },
              { "may_have_run", MayHaveRun },
              { "may_send_again", MaySendAgain },
              { "may_repeat", MayRepeat } },
@@ -497,6 +499,12 @@
       forward.mKey = XXH3_64bits(key.data(), key.size());
     }
   }
+  if (route != nullptr && forward.mRequest.mDeadline) {
+    // Callers of a route wait equally long, so that one with less time left has asked before.
+    Millis& longest = aState.mLongestWaits[route->mName];
+    longest = std::max(longest, *forward.mRequest.mDeadline);
+    forward.mWaitedBefore = longest - *forward.mRequest.mDeadline;
+  }
   forward.mDeadline =
     aNow + std::min(forward.mRoute->mTimeout,
                     forward.mRequest.mDeadline.value_or(forward.mRoute->mTimeout));
--- /dev/null
+++ b/packages/routes/include/fighold/routes/admission.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "fighold/core/time.hpp"
+
+#include <compare>
+#include <cstdint>
+
+/// Whether a request is taken in at its arrival, or told at once to come back.
+namespace fighold::routes {
+
+/// Part of the time left that a request is expected to take at most; estimates of a busy server are
+/// often too low, and a request that ends too late has taken a slot for nothing.
+constexpr double kPartOfTimeLeft = 0.8;
+
+/// Wait for a slot, as a part of the mean work time, up to which a request is taken in that cannot
+/// be answered within its target any more. A longer wait means that it would take the slot of one
+/// that still can.
+constexpr double kLateWaitPart = 0.25;
+
+/// Bounds of the time after which a refused caller is told to return.
+constexpr Millis kLeastRetryAfter{ 100 };
+constexpr Millis kLongestRetryAfter{ 1000 };
+
+/// What is known of a request when it is to be sent.
+struct AdmissionRequest
+{
+  Duration mExpected{}; ///< until its answer, the wait for a slot included
+  Duration mWait{};     ///< for a slot
+  Duration mMeanWork{}; ///< of the service
+  Duration mElapsed{};  ///< since the caller first asked
+  Duration mTarget{};   ///< latency that the route aims at, from when the caller first asked
+  Duration mLeft{};     ///< until the route's or the caller's limit
+
+  friend auto operator<=>(const AdmissionRequest&, const AdmissionRequest&) = default;
+};
+
+/// What was decided.
+enum class Admission : std::uint8_t
+{
+  OnTime, ///< it is expected within its target
+  Late,   ///< it is expected later, and takes nobody's place
+  NoRoom, ///< it would take the place of one that can be answered within its target
+  NoTime, ///< it is not expected before its limit
+};
+
+/// Decides about one request.
+Admission
+Admit(const AdmissionRequest& aRequest);
+
+/// @param aRequest request that was not taken in
+/// @param aDraw random number, so that callers who are refused together do not return together
+/// @return time after which room is expected
+Millis
+RetryAfter(const AdmissionRequest& aRequest, std::uint64_t aDraw);
+
+} // namespace fighold::routes
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -49,7 +49,8 @@
 /// order of an object's servers, so that the few that leave their first server meet again.
 constexpr double kOrderCost = 0.05;
 
-/// Part of the additional work on new objects that counts against moving requests to another region.
+/// Part of the additional work on new objects that counts against moving requests to another
+/// region.
 constexpr double kMovingPart = 0.5;
 
 /// A backend server as the configuration names it.
@@ -211,6 +212,7 @@
 {
   std::optional<Server> mServer;    ///< nothing: no server may get it
   Duration mExpected{};             ///< time at the server, without the time on the way
+  Duration mWait{};                 ///< part of it before a slot is free
   Memory mMemory = Memory::Unknown; ///< whether the server remembers the object
   std::string mReason;
   std::vector<Rejected> mRejected;
@@ -244,8 +246,8 @@
       bool aTrustLeases,
       Instant aNow);
 
-/// @return time by which another region must be faster before requests move there: their objects are
-/// new to its servers, which forget some of their own for them
+/// @return time by which another region must be faster before requests move there: their objects
+/// are new to its servers, which forget some of their own for them
 Duration
 CostOfMoving(const WorkTimes& aTimes);
 
--- a/packages/routes/include/fighold/routes/region_split.hpp
+++ b/packages/routes/include/fighold/routes/region_split.hpp
@@ -28,7 +28,7 @@
 /// Parts of a service's requests by region.
 struct RegionSplit
 {
-  std::map<RegionId, double> mParts; ///< sum 1, or empty before the first server was known
+  std::map<RegionId, double> mParts;   ///< sum 1, or empty before the first server was known
   std::map<RegionId, double> mCostsMs; ///< smoothed
   WeightedTurn mTurn;
   Instant mNextStep{};
--- /dev/null
+++ b/packages/routes/src/admission.cpp
@@ -0,0 +1,41 @@
+#include "fighold/routes/admission.hpp"
+
+#include <algorithm>
+
+namespace fighold::routes {
+namespace {
+
+double
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+} // namespace
+
+Admission
+Admit(const AdmissionRequest& aRequest)
+{
+  const double expected = Milliseconds(aRequest.mExpected);
+  if (expected > Milliseconds(aRequest.mLeft) * kPartOfTimeLeft) {
+    return Admission::NoTime;
+  }
+  if (aRequest.mElapsed + aRequest.mExpected <= aRequest.mTarget) {
+    return Admission::OnTime;
+  }
+  return Milliseconds(aRequest.mWait) <= Milliseconds(aRequest.mMeanWork) * kLateWaitPart
+           ? Admission::Late
+           : Admission::NoRoom;
+}
+
+Millis
+RetryAfter(const AdmissionRequest& aRequest, std::uint64_t aDraw)
+{
+  // The wait that is too long now passes while the requests in front of it end.
+  const auto wait = std::chrono::duration_cast<Millis>(aRequest.mWait);
+  const Millis least = std::clamp(wait, kLeastRetryAfter, kLongestRetryAfter / 2);
+  const auto spread = static_cast<std::int64_t>(aDraw % static_cast<std::uint64_t>(least.count()));
+  return std::min(kLongestRetryAfter, least + Millis(spread));
+}
+
+} // namespace fighold::routes
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -290,6 +290,8 @@
   }
   placement.mServer = *best->mServer;
   placement.mExpected = FromMilliseconds(best->mCost);
+  placement.mWait =
+    WaitEstimate(*best->mServer, LoadOf(aLoads, best->mServer->mId), aPool.mTimes, aNow);
   placement.mMemory = best->mMemory;
   placement.mReason = healthy ? "first-expected-end" : "all-ejected";
   return placement;
