Keep slots for requests that can be in time; spread objects over a region with few servers

In kriti, with one server a data centre and 29 objects, servers forgot objects.

Ruled out: letting them wait at the first server only, because then the first touches of an object at another server never happen when one server fails.

Change: a request that will be late is taken in only while slots stay free, 30 in 100 when the object is new to the server; work at a busy server counts more in the choice; objects are spread over the region when a data centre's servers are too few; the division between regions moves up to 10 in 100 in two seconds.

--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -45,11 +45,10 @@
 AdmissionOf(const ForwardScope& aScope)
 {
   const Forward& forward = aScope.mForward;
-  const auto pool = aScope.mState.mPools.find(forward.mService);
-  const double mean = pool == aScope.mState.mPools.end() ? 0 : pool->second.mPool.mTimes.mMeanMs;
   return { aScope.mPlacement.mExpected + aScope.mOnTheWay,
            aScope.mPlacement.mWait,
-           std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(mean)),
+           aScope.mPlacement.mSpare,
+           aScope.mPlacement.mMemory == routes::Memory::New,
            forward.mWaitedBefore + (aScope.mNow - forward.mArrived),
            forward.mRoute->mTargetLatency,
            forward.mDeadline - aScope.mNow };
@@ -496,7 +495,10 @@
     forward.mService = ChooseService(aState, *route);
     if (route->mAffinity && !forward.mRequest.mAffinityKey.empty()) {
       const std::string& key = forward.mRequest.mAffinityKey;
-      forward.mKey = XXH3_64bits(key.data(), key.size());
+      // Services have objects of their own under the same keys.
+      const std::string& service = forward.mService.mValue;
+      forward.mKey =
+        XXH3_64bits_withSeed(key.data(), key.size(), XXH3_64bits(service.data(), service.size()));
     }
   }
   if (route != nullptr && forward.mRequest.mDeadline) {
@@ -509,6 +511,7 @@
     aNow + std::min(forward.mRoute->mTimeout,
                     forward.mRequest.mDeadline.value_or(forward.mRoute->mTimeout));
   if (route != nullptr) {
+    routes::NoteObject(PoolOf(scope).mPool, forward.mKey, aNow);
     Place(scope);
     routes::RetryBudget& retries = PoolOf(scope).mRetries;
     retries = routes::CountRequest(retries, RetryLimitsOf(aState));
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -196,12 +196,12 @@
 {
   const auto pool = aState.mPools.find(aForward.mService);
   if (pool == aState.mPools.end()) {
-    return { std::nullopt, {}, {}, routes::Memory::Unknown, "service-without-servers", {} };
+    return { std::nullopt, {}, {}, 0, routes::Memory::Unknown, "service-without-servers", {} };
   }
   const bool trusts = TrustsLeases(aState, aNow);
   auto usable = UsableRegions(aState, pool->second.mPool, aForward, aNow);
   routes::Placement placement{
-    std::nullopt, {}, {}, routes::Memory::Unknown, "no-usable-server", {}
+    std::nullopt, {}, {}, 0, routes::Memory::Unknown, "no-usable-server", {}
   };
   // A region whose servers are all ruled out, such as cold ones, leaves the request to the others.
   while (!usable.empty() && !placement.mServer) {
--- a/packages/routes/include/fighold/routes/admission.hpp
+++ b/packages/routes/include/fighold/routes/admission.hpp
@@ -12,10 +12,11 @@
 /// often too low, and a request that ends too late has taken a slot for nothing.
 constexpr double kPartOfTimeLeft = 0.8;
 
-/// Wait for a slot, as a part of the mean work time, up to which a request is taken in that cannot
-/// be answered within its target any more. A longer wait means that it would take the slot of one
-/// that still can.
-constexpr double kLateWaitPart = 0.25;
+/// Part of a server's slots that stays free when a request is taken in that cannot be answered
+/// within its target any more: with less it would take the slot of one that still can. Work on an
+/// object that is new to the server holds its slot several times as long.
+constexpr double kSpareForKnown = 0.0;
+constexpr double kSpareForNew = 0.3;
 
 /// Bounds of the time after which a refused caller is told to return.
 constexpr Millis kLeastRetryAfter{ 100 };
@@ -26,7 +27,8 @@
 {
   Duration mExpected{}; ///< until its answer, the wait for a slot included
   Duration mWait{};     ///< for a slot
-  Duration mMeanWork{}; ///< of the service
+  double mSpare = 0;    ///< part of the server's slots that is free once the request runs
+  bool mNew = false;    ///< the object is new to the server
   Duration mElapsed{};  ///< since the caller first asked
   Duration mTarget{};   ///< latency that the route aims at, from when the caller first asked
   Duration mLeft{};     ///< until the route's or the caller's limit
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -53,6 +53,10 @@
 /// region.
 constexpr double kMovingPart = 0.5;
 
+/// Objects for each server of a data centre up to which the data centre's servers are enough for
+/// all of them; with more, servers forget, and the objects are spread over the region.
+constexpr std::size_t kObjectsPerServer = 18;
+
 /// A backend server as the configuration names it.
 struct Server
 {
@@ -142,6 +146,10 @@
 double
 BusyEstimate(const ServerLoad& aLoad, Instant aNow);
 
+/// @return part of the server's slots that is free once a new request runs, below 0 when it waits
+double
+SpareEstimate(const Server& aServer, const ServerLoad& aLoad, Instant aNow);
+
 /// @return time that a new request would wait for a slot
 Duration
 WaitEstimate(const Server& aServer, const ServerLoad& aLoad, const WorkTimes& aTimes, Instant aNow);
@@ -178,8 +186,9 @@
 NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, Memory aMemory);
 
 /// @param aKey object; 0: none
-/// @return the region's servers in the order of the object: those of the own data centre first. All
-/// entries of a data centre agree on it, so that the first server is taken to know the object.
+/// @param aOwn data centre whose servers come first, or empty: the whole region is one order
+/// @return the region's servers in the order of the object. All entries of a data centre agree on
+/// it, so that the first server is taken to know the object.
 std::vector<BackendServerId>
 ServerOrder(const std::vector<Server>& aServers,
             const RegionId& aRegion,
@@ -213,6 +222,7 @@
   std::optional<Server> mServer;    ///< nothing: no server may get it
   Duration mExpected{};             ///< time at the server, without the time on the way
   Duration mWait{};                 ///< part of it before a slot is free
+  double mSpare = 0;                ///< part of the slots that is free once the request runs
   Memory mMemory = Memory::Unknown; ///< whether the server remembers the object
   std::string mReason;
   std::vector<Rejected> mRejected;
@@ -223,6 +233,7 @@
 /// Servers of a service with what is known of them.
 struct Pool
 {
+  std::map<std::uint64_t, Instant> mObjects; ///< asked for lately, and when
   std::vector<Server> mServers;
   std::map<BackendServerId, ColdLimit> mColdLimits;
   WorkTimes mTimes;
@@ -230,6 +241,16 @@
   friend bool operator==(const Pool&, const Pool&) = default;
 };
 
+/// @return pool after one more request for an object
+/// @param aKey object; 0: none
+void
+NoteObject(Pool& aPool, std::uint64_t aKey, Instant aNow);
+
+/// @return data centre whose servers come first in the order of an object: the own one, or none
+/// when its servers are too few for all objects
+DataCentreId
+PreferredDataCentre(const Pool& aPool, const DataCentreId& aOwn);
+
 using ServerLoads = std::map<BackendServerId, ServerLoad>;
 
 /// Chooses the server of a region at which a request is expected to end first.
--- a/packages/routes/include/fighold/routes/region_split.hpp
+++ b/packages/routes/include/fighold/routes/region_split.hpp
@@ -14,9 +14,9 @@
 /// Time between two steps of a division.
 constexpr Millis kSplitInterval{ 500 };
 
-/// Part of the requests that one step moves: 6 in 100 within two seconds, less than half of the
-/// shift that the deployments allow in that time.
-constexpr double kSplitStep = 0.015;
+/// Part of the requests that one step moves: 10 in 100 within two seconds, which leaves a third of
+/// the shift that the deployments allow in that time to chance.
+constexpr double kSplitStep = 0.025;
 
 /// Part by which a region must be costlier before requests are moved away, so that noise in the
 /// costs moves nothing back and forth.
--- a/packages/routes/src/admission.cpp
+++ b/packages/routes/src/admission.cpp
@@ -23,9 +23,8 @@
   if (aRequest.mElapsed + aRequest.mExpected <= aRequest.mTarget) {
     return Admission::OnTime;
   }
-  return Milliseconds(aRequest.mWait) <= Milliseconds(aRequest.mMeanWork) * kLateWaitPart
-           ? Admission::Late
-           : Admission::NoRoom;
+  return aRequest.mSpare >= (aRequest.mNew ? kSpareForNew : kSpareForKnown) ? Admission::Late
+                                                                            : Admission::NoRoom;
 }
 
 Millis
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -85,6 +85,7 @@
 {
   const Server* mServer = nullptr;
   double mCost = 0;
+  double mExpected = 0;
   Memory mMemory = Memory::Unknown;
   bool mEjected = false;
 };
@@ -120,6 +121,13 @@
   return aLoad.mOwn + aLoad.mForeign * std::exp(-age);
 }
 
+double
+SpareEstimate(const Server& aServer, const ServerLoad& aLoad, Instant aNow)
+{
+  const double slots = std::max(1U, aServer.mSlots);
+  return (slots - 1 - BusyEstimate(aLoad, aNow)) / slots;
+}
+
 Duration
 WaitEstimate(const Server& aServer, const ServerLoad& aLoad, const WorkTimes& aTimes, Instant aNow)
 {
@@ -231,6 +239,32 @@
   return order;
 }
 
+void
+NoteObject(Pool& aPool, std::uint64_t aKey, Instant aNow)
+{
+  if (aKey == 0) {
+    return;
+  }
+  aPool.mObjects[aKey] = aNow;
+  if (aPool.mObjects.size() > kRememberedKeys * std::max<std::size_t>(1, aPool.mServers.size())) {
+    for (auto it = aPool.mObjects.begin(); it != aPool.mObjects.end();) {
+      it = aNow >= it->second + kRememberKey ? aPool.mObjects.erase(it) : std::next(it);
+    }
+  }
+}
+
+DataCentreId
+PreferredDataCentre(const Pool& aPool, const DataCentreId& aOwn)
+{
+  const auto servers =
+    std::count_if(aPool.mServers.begin(), aPool.mServers.end(), [&](const Server& aServer) {
+      return aServer.mDataCentre == aOwn;
+    });
+  const bool enough =
+    aPool.mObjects.size() <= kObjectsPerServer * static_cast<std::size_t>(servers);
+  return enough ? aOwn : DataCentreId{};
+}
+
 Memory
 MemoryOf(const BackendServerId& aServer,
          const ServerLoad& aLoad,
@@ -255,7 +289,8 @@
   Placement placement;
   std::vector<Scored> scored;
   bool healthy = false;
-  const auto order = ServerOrder(aPool.mServers, aRequest.mRegion, aRequest.mOwn, aRequest.mKey);
+  const auto order = ServerOrder(
+    aPool.mServers, aRequest.mRegion, PreferredDataCentre(aPool, aRequest.mOwn), aRequest.mKey);
   const auto first = order.empty() ? std::nullopt : std::optional(order.front());
   for (const Server& it : aPool.mServers) {
     if (it.mRegion != aRequest.mRegion || aRequest.mTried.count(it.mId) > 0) {
@@ -274,7 +309,10 @@
                         behind * kOrderCost * aPool.mTimes.mColdMs;
     const bool ejected = aNow < load.mEjectedUntil;
     healthy = healthy || !ejected;
-    scored.push_back({ &it, CostMs(it, load, aPool.mTimes, work, aNow), memory, ejected });
+    const double expected = CostMs(it, load, aPool.mTimes, work, aNow);
+    // Work at a busy server also holds up the requests that come after it.
+    const double pressure = std::clamp(1 - SpareEstimate(it, load, aNow), 0.0, 2.0);
+    scored.push_back({ &it, expected + work * pressure, expected, memory, ejected });
   }
   const Scored* best = nullptr;
   for (const Scored& it : scored) {
@@ -289,7 +327,8 @@
     return placement;
   }
   placement.mServer = *best->mServer;
-  placement.mExpected = FromMilliseconds(best->mCost);
+  placement.mExpected = FromMilliseconds(best->mExpected);
+  placement.mSpare = SpareEstimate(*best->mServer, LoadOf(aLoads, best->mServer->mId), aNow);
   placement.mWait =
     WaitEstimate(*best->mServer, LoadOf(aLoads, best->mServer->mId), aPool.mTimes, aNow);
   placement.mMemory = best->mMemory;
