Send a lease of a backend server once for each of its renewals

Cause: every grant carried every lease; with 600 backend servers and 79 entries that is more than an entry's link.

Change: a control process sends an entry or a follower the leases that were renewed since its last grant, and all of them with a new configuration. A lost grant is made up for by the next renewal. Objects leave a data centre that has one server of the service only.

--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -53,6 +53,7 @@
   Version mHeld = 0;
   Instant mHeardAt{};
   std::uint32_t mInFlight = 0;
+  Instant mLeasesSentAt{}; ///< last grant of this process to that incarnation
 
   friend auto operator<=>(const EntryView&, const EntryView&) = default;
 };
@@ -62,6 +63,7 @@
 {
   Version mApplied = 0;
   Instant mHeardAt{};
+  Instant mLeasesSentAt{}; ///< last grant of this process
 
   friend auto operator<=>(const ControlView&, const ControlView&) = default;
 };
@@ -170,6 +172,7 @@
   std::map<BackendServerId, membership::BackendLife> mBackends;
   std::map<BackendServerId, std::pair<membership::BackendReport, Instant>>
     mReports; ///< not yet passed on
+  std::map<BackendServerId, Instant> mLeaseChangedAt; ///< when a lease was last renewed here
   std::map<BackendServerId, ColdSpell> mCold;
   std::map<BackendKey, std::uint64_t> mSequences; ///< last heartbeat of each incarnation heard here
   std::vector<PendingRead> mReads;
--- a/packages/control/src/backend_servers.cpp
+++ b/packages/control/src/backend_servers.cpp
@@ -41,6 +41,9 @@
     known->second = membership::StartLife(aIncarnation, aContext.mNow);
   }
   membership::BackendLife& life = state.mBackends[aId];
+  if (aUntil > life.mAliveUntil) {
+    state.mLeaseChangedAt[aId] = aContext.mNow;
+  }
   life = membership::Renewed(state.mCharts.mBackend, life, aUntil, aInFlight, aContext.mNow);
 }
 
@@ -64,6 +67,7 @@
       aContext.mNow >= std::max(it->second.mAliveUntil, it->second.mSince) + kKeepUnknown;
     if (unknown && old) {
       state.mCold.erase(it->first);
+      state.mLeaseChangedAt.erase(it->first);
       state.mSequences.erase({ it->first, it->second.mIncarnation });
       it = state.mBackends.erase(it);
     } else {
@@ -189,12 +193,14 @@
 }
 
 std::vector<membership::BackendLease>
-LivingBackends(const State& aState, Instant aNow)
+LivingBackends(const State& aState, Instant aSince, Instant aNow)
 {
   std::vector<membership::BackendLease> leases;
   for (const auto& [id, life] : aState.mBackends) {
     const auto left = std::chrono::duration_cast<Millis>(life.mAliveUntil - aNow);
-    if (IsAlive(life, aNow) && left > Millis(0)) {
+    const auto changed = aState.mLeaseChangedAt.find(id);
+    const bool known = changed != aState.mLeaseChangedAt.end() && changed->second < aSince;
+    if (!known && IsAlive(life, aNow) && left > Millis(0)) {
       leases.push_back({ id, life.mIncarnation, left, life.mInFlight, ColdLeft(aState, id, aNow) });
     }
   }
--- a/packages/control/src/backend_servers.hpp
+++ b/packages/control/src/backend_servers.hpp
@@ -21,9 +21,11 @@
            const std::vector<membership::BackendLease>& aLeases,
            Instant aAskedAt);
 
-/// @return leases of the backend servers that may receive work
+/// @param aSince time of the last message to the same receiver, which holds the leases of then; the
+/// epoch: all leases are wanted
+/// @return leases of the backend servers that may receive work, as far as they changed since
 std::vector<membership::BackendLease>
-LivingBackends(const State& aState, Instant aNow);
+LivingBackends(const State& aState, Instant aSince, Instant aNow);
 
 /// Lets time pass: leases end; the leader removes backend servers that are gone, and forgets
 /// departed incarnations after their time.
--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -208,8 +208,13 @@
   if (aRenew.mId != aFrom) {
     return;
   }
-  state.mEntries[aFrom] =
-    EntryView{ aRenew.mEntry.mIncarnation, aRenew.mHeld, aContext.mNow, aRenew.mInFlight };
+  EntryView& view = state.mEntries[aFrom];
+  const bool same = view.mIncarnation == aRenew.mEntry.mIncarnation;
+  view = EntryView{ aRenew.mEntry.mIncarnation,
+                    aRenew.mHeld,
+                    aContext.mNow,
+                    aRenew.mInFlight,
+                    same ? view.mLeasesSentAt : Instant{} };
   const auto sent = membership::SentNotBefore(aRenew.mStamp, aContext.mNow);
   if (sent) {
     TakeReports(aContext, aRenew.mReports, *sent);
@@ -241,7 +246,10 @@
   for (const auto& [id, incarnation] : state.mNode.mMembers.mVoters) {
     grant.mControls.push_back(id);
   }
-  grant.mBackendLeases = LivingBackends(state, aContext.mNow);
+  // Leases of servers that the entry did not know were lost on it.
+  const Instant since = grant.mConfiguration ? Instant{} : view.mLeasesSentAt;
+  grant.mBackendLeases = LivingBackends(state, since, aContext.mNow);
+  view.mLeasesSentAt = aContext.mNow;
   grant.mStamp = membership::GiveStamp(aContext.mNow);
   aContext.mEffects.emplace_back(SendEntry{ aFrom, std::move(grant) });
 }
@@ -256,12 +264,14 @@
   if (!agreement::IsLeader(state.mNode) || !right) {
     return;
   }
-  state.mControls[aFrom] = ControlView{ aRenew.mHeld, aContext.mNow };
+  ControlView& follower = state.mControls[aFrom];
+  follower.mApplied = aRenew.mHeld;
+  follower.mHeardAt = aContext.mNow;
   for (const auto& [id, status] : aRenew.mEntries) {
     EntryView& view = state.mEntries[id];
     const Instant heard = aContext.mNow - status.mAge;
     if (heard > view.mHeardAt) {
-      view = EntryView{ status.mIncarnation, status.mHeld, heard, status.mInFlight };
+      view = EntryView{ status.mIncarnation, status.mHeld, heard, status.mInFlight, {} };
     }
   }
   if (const auto sent = membership::SentNotBefore(aRenew.mStamp, aContext.mNow)) {
@@ -273,7 +283,8 @@
     std::chrono::duration_cast<Millis>(*membership::GrantableLength(*right, aContext.mNow));
   grant.mVersion = state.mConfiguration->mVersion;
   grant.mInForce = state.mInForce;
-  grant.mBackendLeases = LivingBackends(state, aContext.mNow);
+  grant.mBackendLeases = LivingBackends(state, follower.mLeasesSentAt, aContext.mNow);
+  follower.mLeasesSentAt = aContext.mNow;
   grant.mStamp = membership::GiveStamp(aContext.mNow);
   aContext.mEffects.emplace_back(SendControl{ aFrom, std::move(grant) });
 }
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -166,6 +166,7 @@
   };
   record.mChoice = server.mId.mValue;
   record.mFields.push_back({ "region", server.mRegion.mValue });
+  record.mFields.push_back({ "data_centre", server.mDataCentre.mValue });
   record.mFields.push_back({ "wait_ms", millis(aScope.mPlacement.mWait) });
   record.mFields.push_back({ "expected_ms", millis(aScope.mPlacement.mExpected) });
   record.mFields.push_back({ "object", aScope.mForward.mRequest.mAffinityKey });
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -200,9 +200,8 @@
   }
   const bool trusts = TrustsLeases(aState, aNow);
   auto usable = UsableRegions(aState, pool->second.mPool, aForward, aNow);
-  routes::Placement placement{
-    std::nullopt, {}, {}, 0, routes::Memory::Unknown, "no-usable-server", {}
-  };
+  routes::Placement placement{ std::nullopt,       {}, {}, 0, routes::Memory::Unknown,
+                               "no-usable-server", {} };
   // A region whose servers are all ruled out, such as cold ones, leaves the request to the others.
   while (!usable.empty() && !placement.mServer) {
     const auto region = routes::NextRegion(
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -57,6 +57,10 @@
 /// all of them; with more, servers forget, and the objects are spread over the region.
 constexpr std::size_t kObjectsPerServer = 18;
 
+/// Servers that a data centre must have for its objects to stay there. With one alone every request
+/// that it has no slot for meets a server that is new to it.
+constexpr std::ptrdiff_t kLeastServersOfDataCentre = 2;
+
 /// A backend server as the configuration names it.
 struct Server
 {
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -261,6 +261,7 @@
       return aServer.mDataCentre == aOwn;
     });
   const bool enough =
+    servers >= kLeastServersOfDataCentre &&
     aPool.mObjects.size() <= kObjectsPerServer * static_cast<std::size_t>(servers);
   return enough ? aOwn : DataCentreId{};
 }
