Take callers' patience as differing before one counts as returning

Logs: refused requests seemed to have waited 0 to 600 ms before. Callers of a route state waits that differ by up to 15 in 100, so that most first attempts passed for late ones.

Change: routes::WaitedBefore counts only what differing patience does not explain. The first division between regions follows the slots, since servers that know no object yet bear no more. Refusals are logged with their inputs.

--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -155,25 +155,41 @@
   return "unknown";
 }
 
+/// Adds what the placement rested on.
 void
-LogPlacement(ForwardScope& aScope, const std::string& aKind)
+AddPlacement(const ForwardScope& aScope, DecisionRecord& aRecord)
 {
-  DecisionRecord record = RecordOf(aScope, aKind, aScope.mPlacement.mReason);
+  if (!aScope.mPlacement.mServer) {
+    return;
+  }
   const routes::Server& server = *aScope.mPlacement.mServer;
-  const routes::ServerLoad& load = aScope.mState.mLoads[server.mId];
+  const auto known = aScope.mState.mLoads.find(server.mId);
+  const routes::ServerLoad load =
+    known == aScope.mState.mLoads.end() ? routes::ServerLoad{} : known->second;
   const auto millis = [](Duration aTime) {
     return std::to_string(std::chrono::duration_cast<Millis>(aTime).count());
   };
-  record.mChoice = server.mId.mValue;
-  record.mFields.push_back({ "region", server.mRegion.mValue });
-  record.mFields.push_back({ "data_centre", server.mDataCentre.mValue });
-  record.mFields.push_back({ "wait_ms", millis(aScope.mPlacement.mWait) });
-  record.mFields.push_back({ "expected_ms", millis(aScope.mPlacement.mExpected) });
-  record.mFields.push_back({ "object", aScope.mForward.mRequest.mAffinityKey });
-  record.mFields.push_back({ "memory", MemoryName(aScope.mPlacement.mMemory) });
-  record.mFields.push_back({ "own", std::to_string(load.mOwn) });
-  record.mFields.push_back({ "foreign", std::to_string(static_cast<int>(load.mForeign)) });
-  record.mFields.push_back({ "report_age_ms", millis(aScope.mNow - load.mReportedAt) });
+  const std::vector<Field> fields{
+    { "server", server.mId.mValue },
+    { "region", server.mRegion.mValue },
+    { "data_centre", server.mDataCentre.mValue },
+    { "object", aScope.mForward.mRequest.mAffinityKey },
+    { "memory", MemoryName(aScope.mPlacement.mMemory) },
+    { "wait_ms", millis(aScope.mPlacement.mWait) },
+    { "expected_ms", millis(aScope.mPlacement.mExpected + aScope.mOnTheWay) },
+    { "own", std::to_string(load.mOwn) },
+    { "foreign", std::to_string(static_cast<int>(load.mForeign)) },
+    { "report_age_ms", millis(aScope.mNow - load.mReportedAt) },
+  };
+  aRecord.mFields.insert(aRecord.mFields.end(), fields.begin(), fields.end());
+}
+
+void
+LogPlacement(ForwardScope& aScope, const std::string& aKind)
+{
+  DecisionRecord record = RecordOf(aScope, aKind, aScope.mPlacement.mReason);
+  record.mChoice = aScope.mPlacement.mServer->mId.mValue;
+  AddPlacement(aScope, record);
   aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
 }
 
@@ -192,6 +208,9 @@
   record.mFields.push_back({ "retry_after_ms", std::to_string(aAnswer.mRetryAfter.count()) });
   record.mChoice = aAnswer.mOutcome == Outcome::Run ? forward.mServer.mId.mValue : "";
   record.mRejected = aScope.mPlacement.mRejected;
+  if (aAnswer.mOutcome == Outcome::NotRun) {
+    AddPlacement(aScope, record);
+  }
   aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
   aScope.mEffects.emplace_back(Reply{ forward.mRequest.mId, std::move(aAnswer) });
 }
@@ -503,10 +522,9 @@
     }
   }
   if (route != nullptr && forward.mRequest.mDeadline) {
-    // Callers of a route wait equally long, so that one with less time left has asked before.
     Millis& longest = aState.mLongestWaits[route->mName];
     longest = std::max(longest, *forward.mRequest.mDeadline);
-    forward.mWaitedBefore = longest - *forward.mRequest.mDeadline;
+    forward.mWaitedBefore = routes::WaitedBefore(longest, *forward.mRequest.mDeadline);
   }
   forward.mDeadline =
     aNow + std::min(forward.mRoute->mTimeout,
--- a/packages/routes/include/fighold/routes/admission.hpp
+++ b/packages/routes/include/fighold/routes/admission.hpp
@@ -22,6 +22,16 @@
 constexpr Millis kLeastRetryAfter{ 100 };
 constexpr Millis kLongestRetryAfter{ 1000 };
 
+/// Part by which callers of a route differ in how long they wait. One with less time left than that
+/// explains has asked before.
+constexpr double kPatienceSpread = 0.15;
+
+/// @param aLongest longest wait that a caller of the route stated
+/// @param aLeft time that this caller still waits
+/// @return least time for which the caller has waited already
+Duration
+WaitedBefore(Millis aLongest, Millis aLeft);
+
 /// What is known of a request when it is to be sent.
 struct AdmissionRequest
 {
--- a/packages/routes/include/fighold/routes/region_split.hpp
+++ b/packages/routes/include/fighold/routes/region_split.hpp
@@ -22,6 +22,10 @@
 /// costs moves nothing back and forth.
 constexpr double kSplitMargin = 0.1;
 
+/// Traffic that a region bears, as a multiple of its part of all slots, once its servers know their
+/// objects.
+constexpr double kOwnPart = 1.0;
+
 /// Weight of the newest cost of a region in the smoothed one: two seconds count.
 constexpr double kCostWeight = 0.3;
 
@@ -36,7 +40,9 @@
   friend bool operator==(const RegionSplit&, const RegionSplit&) = default;
 };
 
-/// First division: everything stays in the own region, or is divided by slots where it has none.
+/// First division: the own region gets somewhat more than its part of all slots would bear if every
+/// region had the same traffic, since objects that stay are known soon. The others get the rest by
+/// their slots.
 /// @param aSlots slots by region
 /// @param aOwn region of the entry
 std::map<RegionId, double>
--- a/packages/routes/src/admission.cpp
+++ b/packages/routes/src/admission.cpp
@@ -13,6 +13,14 @@
 
 } // namespace
 
+Duration
+WaitedBefore(Millis aLongest, Millis aLeft)
+{
+  const auto least = Millis(
+    static_cast<std::int64_t>(static_cast<double>(aLongest.count()) * (1 - kPatienceSpread)));
+  return std::max(Millis(0), least - aLeft);
+}
+
 Admission
 Admit(const AdmissionRequest& aRequest)
 {
--- a/packages/routes/src/region_split.cpp
+++ b/packages/routes/src/region_split.cpp
@@ -18,9 +18,12 @@
     return parts;
   }
   const auto own = aSlots.find(aOwn);
-  const bool hasOwn = own != aSlots.end() && own->second > 0;
+  const double ownSlots = own == aSlots.end() ? 0 : own->second;
+  const double others = total - ownSlots;
+  const double fair = ownSlots / total * static_cast<double>(aSlots.size());
+  const double ownPart = others > 0 ? std::min(1.0, kOwnPart * fair) : 1.0;
   for (const auto& [region, slots] : aSlots) {
-    parts[region] = hasOwn ? (region == aOwn ? 1.0 : 0.0) : slots / total;
+    parts[region] = region == aOwn ? ownPart : (1 - ownPart) * slots / others;
   }
   return parts;
 }
