Tests of route sets, placement, admission, joining and replacement of control processes

Cause: the new parts had no tests that run without the bench.

Found by them: a server that turns away half of its requests stayed first in the order of its objects, because a failure counted less than work on a new object; a failure now counts twice that work (the test failed before).

The fake gave a new process seeds that were all gone; settings name processes that run when they are written, and so does the fake now.

--- a/packages/agreement/src/cluster_fake.hpp
+++ b/packages/agreement/src/cluster_fake.hpp
@@ -53,7 +53,16 @@
 /// Runs the processes, and checks after every step what must always hold.
 struct Cluster
 {
-  Cluster(std::size_t aSize, std::uint64_t aSeed);
+  /// @param aSeeds processes that are known from the start and form the group; the others join it
+  Cluster(std::size_t aSize, std::uint64_t aSeed, std::size_t aSeeds);
+  Cluster(std::size_t aSize, std::uint64_t aSeed)
+    : Cluster(aSize, aSeed, aSize)
+  {
+  }
+
+  /// Takes a process away for good, and adds an empty one under another name.
+  /// @return its name
+  ControlId Replace(const ControlId& aId);
 
   /// Lets time pass.
   void Run(Millis aTime);
--- a/packages/agreement/src/cluster_fake_test.cpp
+++ b/packages/agreement/src/cluster_fake_test.cpp
@@ -64,7 +64,7 @@
   return write.mWrite;
 }
 
-Cluster::Cluster(std::size_t aSize, std::uint64_t aSeed)
+Cluster::Cluster(std::size_t aSize, std::uint64_t aSeed, std::size_t aSeeds)
   : mRandom(aSeed)
 {
   static const auto kChart = LoadRoleChart(FIGHOLD_CHARTS_DIR);
@@ -73,7 +73,9 @@
   mOptions.mPartSize = 40;
   for (std::size_t n = 1; n <= aSize; ++n) {
     mIds.push_back({ "c" + std::to_string(n) });
-    mOptions.mConfigured.insert(mIds.back());
+    if (n <= aSeeds) {
+      mOptions.mConfigured.insert(mIds.back());
+    }
   }
   for (const ControlId& it : mIds) {
     mProcesses[it].mDisk.mSynced.mIncarnation = mNextIncarnation++;
@@ -81,6 +83,22 @@
   }
 }
 
+ControlId
+Cluster::Replace(const ControlId& aId)
+{
+  Crash(aId);
+  mIds.erase(std::find(mIds.begin(), mIds.end(), aId));
+  // Settings name processes that run when they are written.
+  mOptions.mConfigured = { mIds.begin(), mIds.begin() + 3 };
+  // The deployment does not start for the first time, so that the new one may form no group.
+  mOptions.mMayForm = false;
+  const ControlId id{ "n" + std::to_string(mNextIncarnation) };
+  mIds.push_back(id);
+  mProcesses[id].mDisk.mSynced.mIncarnation = mNextIncarnation++;
+  Start(id);
+  return id;
+}
+
 std::uint32_t
 Cluster::Roll(std::uint32_t aBelow)
 {
@@ -359,10 +377,13 @@
   if (leader == nullptr || leader->mMembers.mVoters.size() != mIds.size()) {
     return false;
   }
-  for (const auto& [id, process] : mProcesses) {
+  const auto& applied = mProcesses.at(mIds.front()).mApplied;
+  for (const ControlId& it : mIds) {
+    const Process& process = mProcesses.at(it);
+    const auto voter = leader->mMembers.mVoters.find(it);
     if (!process.mNode || process.mNode->mMembers != leader->mMembers ||
-        process.mApplied != mProcesses.begin()->second.mApplied ||
-        leader->mMembers.mVoters.at(id) != process.mNode->mIncarnation) {
+        process.mApplied != applied || voter == leader->mMembers.mVoters.end() ||
+        voter->second != process.mNode->mIncarnation) {
       return false;
     }
   }
--- /dev/null
+++ b/packages/agreement/src/join_test.cpp
@@ -0,0 +1,140 @@
+#include "cluster_fake.hpp"
+
+#include <algorithm>
+
+/// Processes that join a group whose members they are not told.
+namespace fighold::agreement::test {
+namespace {
+
+constexpr std::size_t kSize = 5;
+constexpr std::size_t kSeeds = 3;
+
+struct JoinFixture
+{
+  Cluster mCluster{ kSize, 7, kSeeds };
+
+  std::set<ControlId> Voters() const
+  {
+    std::set<ControlId> voters;
+    for (const auto& [id, incarnation] : mCluster.Leader()->mMembers.mVoters) {
+      voters.insert(id);
+    }
+    return voters;
+  }
+
+  /// Runs until the whole group votes, or fails.
+  void RunUntilJoined()
+  {
+    for (int n = 0; n < 60 && !mCluster.Converged(); ++n) {
+      mCluster.Run(std::chrono::seconds(1));
+    }
+    REQUIRE(mCluster.Converged());
+  }
+};
+
+// Guards against processes beyond the seeds that never vote, so that two lost disks lose the log.
+TEST_CASE_METHOD(JoinFixture,
+                 "Group, five processes that know three seeds, all become voters",
+                 "[agreement]")
+{
+  RunUntilJoined();
+  CHECK(Voters().size() == kSize);
+}
+
+// Guards against a group that keeps a voter which is gone for good, and so bears one loss less.
+TEST_CASE_METHOD(JoinFixture,
+                 "Group, voter replaced by an empty process elsewhere, takes it in",
+                 "[agreement]")
+{
+  RunUntilJoined();
+  const std::string payload = mCluster.Propose(mCluster.mIds.front());
+  mCluster.Run(std::chrono::seconds(2));
+  // A seed and then the leader, one after the other.
+  for (int n = 0; n < 2; ++n) {
+    const ControlId lost = n == 0 ? mCluster.mIds.front() : mCluster.Leader()->mOptions.mSelf;
+    const ControlId added = mCluster.Replace(lost);
+    RunUntilJoined();
+    CHECK(Voters().count(lost) == 0);
+    CHECK(Voters().count(added) == 1);
+    CHECK(Voters().size() == kSize);
+  }
+  CHECK(mCluster.mProcesses.at(mCluster.mIds.back()).mApplied.front().second == payload);
+}
+
+// Guards against a voter that is put out of the group because it was away for some seconds while
+// nobody waited to take its place.
+TEST_CASE_METHOD(JoinFixture, "Group, voter away without a successor, stays a voter", "[agreement]")
+{
+  RunUntilJoined();
+  const ControlId away = mCluster.mIds.back();
+  mCluster.Crash(away);
+  mCluster.Run(std::chrono::seconds(30));
+  CHECK(Voters().count(away) == 1);
+}
+
+// Guards against a group that a process with a lost disk forms beside the one that exists.
+TEST_CASE_METHOD(JoinFixture,
+                 "Group, all seeds lose their disks later, form no second group",
+                 "[agreement]")
+{
+  RunUntilJoined();
+  const Incarnation group = mCluster.Leader()->mMembers.mGroup;
+  mCluster.mOptions.mMayForm = false;
+  const std::vector<ControlId> ids = mCluster.mIds;
+  for (std::size_t n = 0; n < kSeeds; ++n) {
+    mCluster.Crash(ids[n]);
+    mCluster.LoseDisk(ids[n]);
+    mCluster.Start(ids[n]);
+  }
+  mCluster.Run(std::chrono::seconds(20));
+  for (const ControlId& it : ids) {
+    const Node& node = *mCluster.mProcesses.at(it).mNode;
+    CHECK((node.mMembers.mGroup == 0 || node.mMembers.mGroup == group));
+  }
+}
+
+// Guards against a lost or doubled change, and a group that does not come back, when processes
+// restart, lose disks and are replaced in any order. The cluster checks after each step.
+TEST_CASE("Group, random restarts, lost disks and replacements, loses nothing and comes back",
+          "[agreement]")
+{
+  constexpr std::uint64_t kSchedules = 200;
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    INFO("seed " << seed);
+    Cluster cluster(kSize, seed, kSeeds);
+    cluster.mFaults = { 20, 20, 20 };
+    cluster.Run(std::chrono::seconds(12));
+    for (int n = 0; n < 5; ++n) {
+      cluster.Propose(cluster.mIds[cluster.Roll(kSize)]);
+      const ControlId victim = cluster.mIds[cluster.Roll(kSize)];
+      switch (cluster.Roll(3)) {
+        case 0:
+          cluster.Replace(victim);
+          break;
+        case 1:
+          cluster.Crash(victim);
+          cluster.LoseDisk(victim);
+          break;
+        default:
+          cluster.Crash(victim);
+          break;
+      }
+      cluster.Run(Millis(cluster.Roll(3000)));
+      const bool gone =
+        std::find(cluster.mIds.begin(), cluster.mIds.end(), victim) == cluster.mIds.end();
+      if (!gone) {
+        cluster.Start(victim);
+      }
+      // Time to catch up, as the deployments grant it.
+      cluster.Run(std::chrono::seconds(20));
+    }
+    cluster.Heal();
+    for (int n = 0; n < 60 && !cluster.Converged(); ++n) {
+      cluster.Run(std::chrono::seconds(1));
+    }
+    REQUIRE(cluster.Converged());
+  }
+}
+
+} // namespace
+} // namespace fighold::agreement::test
--- /dev/null
+++ b/packages/membership/src/route_change_test.cpp
@@ -0,0 +1,136 @@
+#include "fighold/membership/change.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace fighold::membership {
+namespace {
+
+routes::RouteSet
+MakeRoutes(std::uint64_t aNumber, const std::string& aRoute = "r1")
+{
+  routes::RouteSet set;
+  set.mNumber = aNumber;
+  set.mServices[{ "vardia" }] = {};
+  routes::Route route;
+  route.mName = aRoute;
+  route.mHost = "patrol.example";
+  route.mPathPrefix = "/shifts/";
+  route.mServices = { { { "vardia" }, 1 } };
+  set.mHosts = { route.mHost };
+  set.mRoutes[aRoute] = route;
+  return set;
+}
+
+struct RouteChangeFixture
+{
+  SharedValue<Configuration> mConfiguration;
+  Version mPosition = 0;
+
+  ChangeAnswer Do(const std::string& aId, ChangeBody aBody)
+  {
+    const Applied applied =
+      Apply(*mConfiguration, Change{ { aId }, std::move(aBody) }, ++mPosition);
+    mConfiguration = applied.mConfiguration;
+    return applied.mAnswer;
+  }
+
+  Verdict Submit(const std::string& aId, std::uint64_t aBase, const routes::RouteSet& aSet)
+  {
+    return Do(aId, SubmitRoutes{ aBase, SharedValue(aSet) }).mVerdict;
+  }
+};
+
+// Guards against two changes of one route set that are both acknowledged.
+TEST_CASE_METHOD(RouteChangeFixture,
+                 "Apply, two route sets on one base, accepts the first",
+                 "[membership]")
+{
+  CHECK(Submit("a", 0, MakeRoutes(4)) == Verdict::Accepted);
+  CHECK(Submit("b", 0, MakeRoutes(4, "r2")) == Verdict::Conflict);
+  CHECK(mConfiguration->mRoutes->mRoutes.count("r1") == 1);
+}
+
+// Guards against a resend that is refused although its change was accepted.
+TEST_CASE_METHOD(RouteChangeFixture,
+                 "Apply, resend after other changes, gets its first answer",
+                 "[membership]")
+{
+  CHECK(Submit("a", 0, MakeRoutes(4)) == Verdict::Accepted);
+  CHECK(Submit("b", 4, MakeRoutes(9)) == Verdict::Accepted);
+  CHECK(Submit("a", 0, MakeRoutes(4)) == Verdict::Accepted);
+  CHECK(mConfiguration->mRoutes->mNumber == 9);
+}
+
+// Guards against a faulty or older route set in force.
+TEST_CASE_METHOD(RouteChangeFixture,
+                 "Apply, faulty route set, is refused and changes nothing",
+                 "[membership]")
+{
+  CHECK(Submit("a", 0, MakeRoutes(4)) == Verdict::Accepted);
+  routes::RouteSet faulty = MakeRoutes(9);
+  faulty.mRoutes["r1"].mServices[0].mService = { "unknown" };
+  CHECK(Submit("b", 4, faulty) == Verdict::Refused);
+  CHECK(Submit("c", 4, MakeRoutes(4)) == Verdict::Refused);
+  routes::RoutePatch patch;
+  patch.mNumber = 9;
+  patch.mRemovedServices = { { "vardia" } };
+  CHECK(Do("d", PatchRoutes{ 4, SharedValue(patch) }).mVerdict == Verdict::Refused);
+  CHECK(mConfiguration->mRoutes->mNumber == 4);
+}
+
+// Guards against a backend server that cannot announce itself before the first route set, and one
+// of a data centre that a plan does not name.
+TEST_CASE_METHOD(RouteChangeFixture,
+                 "Apply, announcement without a plan, is accepted",
+                 "[membership]")
+{
+  BackendServer server;
+  server.mIncarnation = 5;
+  server.mService = { "vardia" };
+  CHECK(Do("", AnnounceBackendServer{ { "s1" }, server, 0 }).mVerdict == Verdict::Accepted);
+}
+
+// Guards against a data centre that stays drained, or a drain that takes the wrong one.
+TEST_CASE_METHOD(RouteChangeFixture,
+                 "Apply, drain of a data centre and its end, hold for that one only",
+                 "[membership]")
+{
+  Do("a", SetDrain{ DrainKind::DataCentre, "attiki-a", true });
+  CHECK(IsDrained(*mConfiguration, DataCentreId{ "attiki-a" }));
+  CHECK_FALSE(IsDrained(*mConfiguration, DataCentreId{ "attiki-b" }));
+  Do("b", SetDrain{ DrainKind::DataCentre, "attiki-a", false });
+  CHECK_FALSE(IsDrained(*mConfiguration, DataCentreId{ "attiki-a" }));
+}
+
+// Guards against a number that goes back, two winners on one base, and a resend with another
+// answer, whatever operators send in whatever order.
+TEST_CASE("Apply, random operators with races and resends, keeps one line of route sets",
+          "[membership]")
+{
+  rc::prop("route sets follow on each other", [] {
+    RouteChangeFixture fixture;
+    std::map<std::string, Verdict> answers;
+    std::map<std::uint64_t, std::string> winners;
+    const auto count = *rc::gen::inRange(1, 60);
+    for (int n = 0; n < count; ++n) {
+      const auto base = *rc::gen::inRange<std::uint64_t>(0, 12);
+      const auto number = *rc::gen::inRange<std::uint64_t>(1, 14);
+      const auto variant = *rc::gen::inRange(0, 2);
+      const std::string id =
+        std::to_string(base) + "-" + std::to_string(number) + "-" + std::to_string(variant);
+      const std::uint64_t before = fixture.mConfiguration->mRoutes->mNumber;
+      const Verdict verdict =
+        fixture.Submit(id, base, MakeRoutes(number, "r" + std::to_string(variant)));
+      RC_ASSERT(fixture.mConfiguration->mRoutes->mNumber >= before);
+      const auto [known, isNew] = answers.try_emplace(id, verdict);
+      RC_ASSERT(known->second == verdict);
+      if (isNew && verdict == Verdict::Accepted) {
+        RC_ASSERT(winners.try_emplace(base, id).second);
+      }
+    }
+  });
+}
+
+} // namespace
+} // namespace fighold::membership
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -31,6 +31,10 @@
 /// Time in which the decayed part of failures halves without further requests.
 constexpr Millis kFailureHalfLife{ 3000 };
 
+/// What a request that fails costs, as a multiple of work on a new object: it runs at another server,
+/// which does not know its object, and takes one of the few second dispatches.
+constexpr double kFailureCost = 2;
+
 /// Weight of the newest request in the decayed work times.
 constexpr double kWorkWeight = 0.1;
 
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -70,7 +70,7 @@
 {
   const double work = aWorkMs * aLoad.mSlowness;
   const double wait = Milliseconds(WaitEstimate(aServer, aLoad, aTimes, aNow));
-  return wait + work + FailedPart(aLoad, aNow) * (aTimes.mMeanMs + wait) * 2;
+  return wait + work + FailedPart(aLoad, aNow) * kFailureCost * (aTimes.mColdMs + wait);
 }
 
 const ServerLoad&
--- /dev/null
+++ b/packages/routes/src/placement_test.cpp
@@ -0,0 +1,224 @@
+#include "fighold/routes/placement.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace fighold::routes {
+namespace {
+
+/// Two data centres of a region with two servers each, all idle.
+struct PlacementFixture
+{
+  Pool mPool;
+  ServerLoads mLoads;
+  Instant mNow{ std::chrono::hours(1) };
+
+  PlacementFixture()
+  {
+    for (const std::string id : { "a1", "a2", "b1", "b2" }) {
+      Server server;
+      server.mId = { id };
+      server.mRegion = { "leith" };
+      server.mDataCentre = { id.substr(0, 1) };
+      server.mSlots = 3;
+      mPool.mServers.push_back(server);
+      mLoads[{ id }].mAliveUntil = mNow + std::chrono::hours(1);
+    }
+    mPool.mTimes = { 600, 200, 300 };
+  }
+
+  Placement At(std::uint64_t aKey, const std::string& aDataCentre = "a")
+  {
+    return Place(mPool, mLoads, { aKey, {}, { "leith" }, { aDataCentre } }, true, mNow);
+  }
+
+  ServerLoad& LoadOf(const std::string& aId) { return mLoads[{ aId }]; }
+};
+
+// Pattern "objects": guards against servers that forget objects because each request for one goes
+// elsewhere.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, requests for one object, go to one server of the data centre",
+                 "[routes]")
+{
+  for (std::uint64_t key = 1; key <= 200; ++key) {
+    const auto first = At(key).mServer;
+    REQUIRE(first);
+    CHECK(first->mDataCentre.mValue == "a");
+    CHECK(At(key).mServer == first);
+  }
+}
+
+// Pattern "few servers": guards against one server that must remember the objects of a whole data
+// centre.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, one server in the data centre, spreads objects over the region",
+                 "[routes]")
+{
+  mPool.mServers.erase(mPool.mServers.begin());
+  std::set<std::string> used;
+  for (std::uint64_t key = 1; key <= 200; ++key) {
+    used.insert(At(key).mServer->mId.mValue);
+  }
+  CHECK(used == std::set<std::string>{ "a2", "b1", "b2" });
+}
+
+// Pattern "server full": guards against a wait at a full server while another one has slots.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, first server long busy, sends the request to another one",
+                 "[routes]")
+{
+  const std::string first = At(7).mServer->mId.mValue;
+  LoadOf(first).mOwn = 12;
+  const Placement other = At(7);
+  REQUIRE(other.mServer);
+  CHECK(other.mServer->mId.mValue != first);
+  CHECK(other.mMemory == Memory::New);
+}
+
+// Pattern "server full for a moment": guards against work on a new object, three times as long, in
+// place of a short wait.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, first server busy for a moment, waits for it",
+                 "[routes]")
+{
+  const std::string first = At(7).mServer->mId.mValue;
+  LoadOf(first).mOwn = 3;
+  CHECK(At(7).mServer->mId.mValue == first);
+}
+
+/// Why a server may get nothing.
+struct RuledOutRow
+{
+  const char* mReason;
+  std::function<void(ServerLoad&, Instant)> mSet;
+};
+
+// Guards against requests to servers that are gone, or that cannot bear more while they are cold.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, server ruled out, gets nothing and is named with the reason",
+                 "[routes]")
+{
+  const std::vector<RuledOutRow> rows{
+    { "no-lease", [](ServerLoad& aLoad, Instant aNow) { aLoad.mAliveUntil = aNow; } },
+    { "cold-rate",
+      [](ServerLoad& aLoad, Instant aNow) {
+        aLoad.mColdUntil = aNow + Millis(10);
+        aLoad.mNextColdSend = aNow + Millis(5);
+      } },
+    { "ejected", [](ServerLoad& aLoad, Instant aNow) { aLoad.mEjectedUntil = aNow + Millis(10); } },
+  };
+  for (const RuledOutRow& row : rows) {
+    INFO(row.mReason);
+    const std::string first = At(7).mServer->mId.mValue;
+    const ServerLoad before = LoadOf(first);
+    row.mSet(LoadOf(first), mNow);
+    const Placement placement = At(7);
+    CHECK(placement.mServer->mId.mValue != first);
+    CHECK(placement.mRejected == std::vector<Rejected>{ { first, row.mReason } });
+    LoadOf(first) = before;
+  }
+}
+
+// Pattern "group lost": guards against an entry that stops serving because its control group is
+// away, while callers and servers are there.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, leases not trusted, uses servers whose lease ended",
+                 "[routes]")
+{
+  for (auto& [id, load] : mLoads) {
+    load.mAliveUntil = mNow;
+  }
+  CHECK_FALSE(At(7).mServer);
+  CHECK(Place(mPool, mLoads, { 7, {}, { "leith" }, { "a" } }, false, mNow).mServer);
+}
+
+// Pattern "grey server": guards against a server that turns requests away at once and seems the
+// fastest for it.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, server that turns requests away, is left for others",
+                 "[routes]")
+{
+  const std::string first = At(7).mServer->mId.mValue;
+  ServerLoad load = LoadOf(first);
+  for (int n = 0; n < 8; ++n) {
+    load = NoteEnded(NoteSent(load, {}, mNow), Ending::TurnedAway, 0, std::nullopt, mNow);
+  }
+  LoadOf(first) = load;
+  CHECK(At(7).mServer->mId.mValue != first);
+  mNow += std::chrono::seconds(30);
+  CHECK(At(7).mServer->mId.mValue == first);
+}
+
+// Pattern "server lost": guards against requests that each find out anew that a server is gone.
+TEST_CASE_METHOD(PlacementFixture,
+                 "NoteEnded, failures in a row, eject for twice as long each time",
+                 "[routes]")
+{
+  ServerLoad load;
+  Duration before{};
+  for (int n = 0; n < 5; ++n) {
+    for (std::uint32_t k = 0; k < kFailuresToEject; ++k) {
+      load = NoteEnded(NoteSent(load, {}, mNow), Ending::Failed, 0, std::nullopt, mNow);
+    }
+    const Duration length = load.mEjectedUntil - mNow;
+    CHECK(length == std::min<Duration>(kLongestEjection, n == 0 ? kFirstEjection : before * 2));
+    before = length;
+    mNow = load.mEjectedUntil;
+  }
+  CHECK(NoteEnded(NoteSent(load, {}, mNow), Ending::Answered, 0, std::nullopt, mNow).mEjections ==
+        0);
+}
+
+// Pattern "cold start": guards against entries that together send a cold server more than it bears,
+// in any second and whatever each one knows.
+TEST_CASE_METHOD(PlacementFixture,
+                 "LimitWhileCold, any number of entries, stays below the rate and its slack",
+                 "[routes]")
+{
+  for (const std::size_t count : { 1, 2, 8, 11, 70, 79 }) {
+    std::vector<EntryId> entries;
+    for (std::size_t n = 0; n < count; ++n) {
+      entries.push_back({ "entry-" + std::to_string(n) });
+    }
+    for (const double rate : { 1.0, 3.0, 3.8, 5.7 }) {
+      double perSecond = 0;
+      std::size_t senders = 0;
+      for (const EntryId& it : entries) {
+        const ColdLimit limit = LimitWhileCold({ "s1" }, entries, it, rate);
+        if (limit.mMaySend) {
+          ++senders;
+          perSecond += 1000.0 / static_cast<double>(limit.mSpacing.count());
+        }
+      }
+      INFO(count << " entries, " << rate << "/s");
+      CHECK(senders >= 1);
+      CHECK(perSecond <= rate + 0.01);
+      // Every sender may begin in the same second.
+      CHECK(static_cast<double>(senders) + perSecond <= rate * 1.5 + 5);
+    }
+  }
+}
+
+// Guards against an estimate that takes an old report for the present load.
+TEST_CASE_METHOD(PlacementFixture, "BusyEstimate, report grows old, counts less", "[routes]")
+{
+  ServerLoad load = NoteSent({}, {}, mNow);
+  load = NoteEnded(NoteSent(load, {}, mNow), Ending::Answered, 5, LoadReport{ 3, 4, 3 }, mNow);
+  CHECK(BusyEstimate(load, mNow) == Approx(7));
+  CHECK(BusyEstimate(load, mNow + kReportDecay) == Approx(1 + 6 * std::exp(-1.0)));
+}
+
+// Guards against one straggler that makes every server of a service seem busy.
+TEST_CASE_METHOD(PlacementFixture, "NoteWork, one straggler, moves the mean a little", "[routes]")
+{
+  const WorkTimes times = NoteWork(mPool.mTimes, std::chrono::seconds(20), Memory::Known);
+  CHECK(times.mMeanMs <= mPool.mTimes.mMeanMs * 1.25);
+  CHECK(times.mColdMs == mPool.mTimes.mColdMs);
+}
+
+} // namespace
+} // namespace fighold::routes
--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -20,6 +20,47 @@
   return { "c1", 1, agreement::Message{ 3, 4, std::move(aBody) } };
 }
 
+/// A route set with a value in every member.
+routes::RouteSet
+MakeRoutes()
+{
+  routes::RouteSet set;
+  set.mNumber = 12;
+  set.mServices[{ "vardia" }] = { "/up", 330, "h1", true, Millis(3000), 3.8 };
+  set.mHosts = { "patrol.example", "empty.example" };
+  routes::Route route;
+  route.mName = "r1";
+  route.mHost = "patrol.example";
+  route.mPathPrefix = "/shifts/";
+  route.mRepeatable = true;
+  route.mTimeout = Millis(1500);
+  route.mTargetLatency = Millis(600);
+  route.mPriority = 2;
+  route.mWeighted = true;
+  route.mServices = { { { "vardia" }, 90.5 } };
+  route.mAttempts = 2;
+  route.mAffinity = true;
+  route.mAllowedRegions = { { "kriti" } };
+  set.mRoutes["r1"] = route;
+  set.mLimits = { 1000, 2000, Millis(3000), Millis(4000) };
+  return set;
+}
+
+routes::RoutePatch
+MakePatch()
+{
+  const routes::RouteSet set = MakeRoutes();
+  routes::RoutePatch patch;
+  patch.mNumber = 13;
+  patch.mServices = set.mServices;
+  patch.mHosts = set.mHosts;
+  patch.mRoutes = set.mRoutes;
+  patch.mLimits = { set.mLimits };
+  patch.mRemovedRoutes = { "r2" };
+  patch.mRemovedServices = { { "old" } };
+  return patch;
+}
+
 struct CodecFixture
 {
   Configuration mConfiguration;
@@ -39,6 +80,8 @@
           5, { "vardia" }, { "attiki" }, { "attiki-a" }, { "127.0.0.1", 81 }, 6, 330, false } },
       DepartBackendServer{ { "s1" }, 5 },
       SetDrain{ DrainKind::Region, "kriti", true },
+      SetDrain{ DrainKind::DataCentre, "kriti-a", true },
+      SubmitRoutes{ 0, SharedValue(MakeRoutes()) },
     };
     for (const ChangeBody& it : bodies) {
       const Version version = mConfiguration.mVersion + 1;
@@ -156,5 +199,47 @@
   });
 }
 
+// Guards against a route set that reaches other processes changed, and a patch of which a part is
+// lost.
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeChange, route set and patch, are as they were encoded",
+                 "[wire]")
+{
+  const std::vector<ChangeBody> bodies{ SubmitRoutes{ 7, SharedValue(MakeRoutes()) },
+                                        PatchRoutes{ 12, SharedValue(MakePatch()) } };
+  for (const ChangeBody& it : bodies) {
+    const Change change{ { "c" }, it };
+    CHECK(DecodeChange(EncodeChange(change)) == change);
+  }
+}
+
+// Guards against an entry that loses its route set, or gets it again with each new configuration.
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeEnvelope, grant to a holder of the route set, leaves it out",
+                 "[wire]")
+{
+  Grant grant;
+  grant.mConfiguration = SharedValue(mConfiguration);
+  grant.mSameRoutes = true;
+  grant.mControls = { { "10.0.0.1:7100" } };
+  const auto decoded = DecodeEnvelope(EncodeEnvelope({ "c1", 1, grant }));
+  REQUIRE(decoded);
+  const auto& received = std::get<Grant>(decoded->mBody);
+  CHECK((*received.mConfiguration)->mRoutes->mNumber == 0);
+  CHECK(received.mSameRoutes);
+  CHECK(received.mControls == grant.mControls);
+}
+
+// Guards against a process that cannot join because its question or the answer is lost on the way.
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeEnvelope, messages of joining, are as they were encoded",
+                 "[wire]")
+{
+  for (const Envelope& it :
+       { Agreed(agreement::JoinAsk{}), Agreed(agreement::JoinReply{ { { "10.0.0.1:7100" } } }) }) {
+    CHECK(DecodeEnvelope(EncodeEnvelope(it)) == it);
+  }
+}
+
 } // namespace
 } // namespace fighold::wire
