--- a/packages/control/src/route_json.cpp
+++ b/packages/control/src/route_json.cpp
@@ -99,7 +99,12 @@
       return 0;
     }
     if (it->is_number()) {
-      return static_cast<std::uint64_t>(Number(aObject, "", aName, 0, 1e15));
+      json::error_code ec;
+      const auto whole = it->to_number<std::uint64_t>(ec);
+      if (ec) {
+        Fail(aName, "must be a whole number");
+      }
+      return ec ? 0 : whole;
     }
     std::string text = Text(aObject, "", aName, "");
     if (text.rfind(mNames.mNumberPrefix, 0) == 0) {
--- /dev/null
+++ b/packages/control/src/server_calls_test.cpp
@@ -0,0 +1,274 @@
+#include "fighold/control/decide.hpp"
+
+#include "fighold/wire/codec.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::control {
+namespace {
+
+/// A group of one control process that leads.
+struct ServerCallFixture
+{
+  State mState;
+  Instant mNow{ std::chrono::hours(1) };
+  std::vector<Effect> mEffects;
+  CallId mNextId = 1;
+
+  ServerCallFixture()
+  {
+    agreement::Recovered disk;
+    disk.mIncarnation = 4;
+    agreement::Options options;
+    options.mSelf = { "10.0.0.1:7100" };
+    options.mConfigured = { options.mSelf };
+    options.mChart = agreement::LoadRoleChart(FIGHOLD_CHARTS_DIR);
+    const Codec codec{ wire::EncodeChange,
+                       [](const std::string& aBytes) { return wire::DecodeChange(aBytes); },
+                       wire::EncodeConfiguration,
+                       [](const std::string& aBytes) {
+                         return wire::DecodeConfiguration(aBytes);
+                       } };
+    mState = MakeState(agreement::MakeNode(options, disk), codec, LoadCharts(FIGHOLD_CHARTS_DIR));
+    Run(40);
+    REQUIRE(agreement::IsLeader(mState.mNode));
+  }
+
+  void Do(const Event& aEvent)
+  {
+    std::uint64_t stored = 0;
+    for (Effect& it : Step(mState, aEvent, mNow)) {
+      if (const auto* store = std::get_if<Store>(&it)) {
+        stored = store->mWrite.mWrite;
+      }
+      mEffects.push_back(std::move(it));
+    }
+    if (stored != 0) {
+      Do(Stored{ stored });
+    }
+  }
+
+  void Run(int aTicks)
+  {
+    for (int n = 0; n < aTicks; ++n) {
+      mNow += kTickInterval;
+      Do(Tick{});
+    }
+  }
+
+  /// @return the answer to a call, if there is one yet
+  template<typename T>
+  std::optional<T> AnswerTo(CallId aId) const
+  {
+    for (const Effect& it : mEffects) {
+      if (const auto* answer = std::get_if<AnswerCall>(&it);
+          answer != nullptr && answer->mId == aId) {
+        return std::get<T>(answer->mAnswer);
+      }
+    }
+    return std::nullopt;
+  }
+
+  ServerAnswer Beat(Incarnation aIncarnation, std::uint64_t aSequence, bool aLeaving = false)
+  {
+    ServerHeartbeat beat;
+    beat.mId = mNextId++;
+    beat.mServerId = { "i-1" };
+    beat.mServer.mIncarnation = aIncarnation;
+    beat.mServer.mService = { "offers" };
+    beat.mServer.mSlots = 3;
+    beat.mServer.mLeaving = aLeaving;
+    beat.mSequence = aSequence;
+    Do(beat);
+    Run(3);
+    const auto answer = AnswerTo<ServerAnswer>(beat.mId);
+    REQUIRE(answer);
+    return *answer;
+  }
+
+  const membership::BackendServer& Registered() const
+  {
+    return mState.mConfiguration->mBackendServers.at({ "i-1" });
+  }
+};
+
+// Guards against a backend server that announces itself and gets no work.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Heartbeat, new server, is registered before it is acknowledged",
+                 "[control]")
+{
+  CHECK(Beat(100, 1).mAccepted);
+  CHECK(Registered().mIncarnation == 100);
+  CHECK_FALSE(Registered().mLeaving);
+}
+
+// Guards against an old heartbeat that brings back a server which is gone, or takes its successor
+// away.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Heartbeat, of an earlier incarnation, changes nothing",
+                 "[control]")
+{
+  Beat(100, 1);
+  Beat(200, 1);
+  CHECK(Registered().mIncarnation == 200);
+  CHECK(Beat(100, 9).mAccepted);
+  CHECK(Beat(100, 10, true).mAccepted);
+  CHECK(Registered().mIncarnation == 200);
+  CHECK_FALSE(Registered().mLeaving);
+}
+
+// Guards against a departure that a late heartbeat takes back.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Heartbeat, late one after the departure, changes nothing",
+                 "[control]")
+{
+  Beat(100, 1);
+  CHECK(Beat(100, 5, true).mAccepted);
+  CHECK(HasDeparted(*mState.mConfiguration, { "i-1" }, 100));
+  CHECK(Beat(100, 4).mAccepted);
+  CHECK(Beat(100, 6).mAccepted);
+  CHECK(HasDeparted(*mState.mConfiguration, { "i-1" }, 100));
+}
+
+// Guards against a server that withdraws without a heartbeat and still gets work.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Withdrawal, registered server, departs before it is acknowledged",
+                 "[control]")
+{
+  Beat(100, 1);
+  const CallId id = mNextId++;
+  Do(ServerWithdrawal{ id, { "i-1" } });
+  Run(3);
+  CHECK(AnswerTo<ServerAnswer>(id)->mAccepted);
+  CHECK(Registered().mLeaving);
+}
+
+// Guards against an acknowledgement by a process that cannot pass it on.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Heartbeat, no contact to a leader, is sent elsewhere",
+                 "[control]")
+{
+  Beat(100, 1);
+  mNow += std::chrono::seconds(10);
+  ServerHeartbeat beat;
+  beat.mId = mNextId++;
+  beat.mServerId = { "i-1" };
+  beat.mServer.mIncarnation = 100;
+  mState.mWasLeader = false;
+  mState.mNode.mQuorumAt = {};
+  Do(beat);
+  CHECK_FALSE(AnswerTo<ServerAnswer>(beat.mId)->mDecided);
+}
+
+// Guards against an entry that learns late that a server is cold, or takes it for cold too long.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Heartbeat, server says it is cold, is passed on until it ends",
+                 "[control]")
+{
+  Beat(100, 1);
+  ServerHeartbeat beat;
+  beat.mId = mNextId++;
+  beat.mServerId = { "i-1" };
+  beat.mServer = Registered();
+  beat.mSequence = 2;
+  beat.mCold = Millis(3000);
+  Do(beat);
+  membership::Renew renew;
+  renew.mId = { "e1" };
+  renew.mAsk = 1;
+  const auto cold = [&] {
+    mEffects.clear();
+    ++renew.mAsk;
+    // Another incarnation gets every lease.
+    ++renew.mEntry.mIncarnation;
+    Do(FromEntry{ { "e1" }, renew });
+    for (const Effect& it : mEffects) {
+      if (const auto* send = std::get_if<SendEntry>(&it)) {
+        const auto& leases = std::get<membership::Grant>(send->mBody).mBackendLeases;
+        return leases.empty() ? Millis(-1) : leases.front().mCold;
+      }
+    }
+    return Millis(-2);
+  };
+  CHECK(cold() == Millis(3000));
+  mNow += Millis(1000);
+  CHECK(cold() == Millis(2000));
+  beat.mId = mNextId++;
+  beat.mSequence = 3;
+  beat.mCold = Millis(0);
+  Do(beat);
+  CHECK(cold() == Millis(0));
+}
+
+// Guards against leases that fill the links: each is sent once for each renewal.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Renewal of an entry, nothing renewed since, gets no lease again",
+                 "[control]")
+{
+  Beat(100, 1);
+  membership::Renew renew;
+  renew.mId = { "e1" };
+  renew.mEntry.mIncarnation = 9;
+  const auto leases = [&] {
+    mEffects.clear();
+    ++renew.mAsk;
+    renew.mHeld = mState.mConfiguration->mVersion;
+    Do(FromEntry{ { "e1" }, renew });
+    for (const Effect& it : mEffects) {
+      if (const auto* send = std::get_if<SendEntry>(&it)) {
+        return std::get<membership::Grant>(send->mBody).mBackendLeases.size();
+      }
+    }
+    return std::size_t{ 99 };
+  };
+  CHECK(leases() == 1);
+  mNow += Millis(10);
+  CHECK(leases() == 0);
+  Beat(100, 2);
+  CHECK(leases() == 1);
+}
+
+// Guards against a read that shows an older route set than another process has acknowledged.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Read of the routes, leader, waits for a majority after its arrival",
+                 "[control]")
+{
+  const CallId id = mNextId++;
+  Do(RoutesCall{ id });
+  CHECK_FALSE(AnswerTo<RoutesAnswer>(id));
+  Run(10);
+  const auto answer = AnswerTo<RoutesAnswer>(id);
+  REQUIRE(answer);
+  CHECK(answer->mCurrent);
+}
+
+// Guards against look-ups that name entries which stop, or none while some are there.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Look-up, entries of several regions, names the nearest that stay",
+                 "[control]")
+{
+  membership::Configuration configuration = *mState.mConfiguration;
+  const auto add = [&](const std::string& aId, const std::string& aRegion, bool aLeaving) {
+    membership::Entry entry;
+    entry.mAddress = { "10.0.0." + std::to_string(configuration.mEntries.size() + 1), 80 };
+    entry.mRegion = { aRegion };
+    entry.mDataCentre = { aRegion + "-a" };
+    entry.mLeaving = aLeaving;
+    configuration.mEntries[{ aId }] = entry;
+  };
+  add("e1", "leith", false);
+  add("e2", "leith", true);
+  add("e3", "bordeaux", false);
+  mState.mConfiguration = SharedValue(configuration);
+  const auto look = [&](const std::string& aRegion) {
+    const CallId id = mNextId++;
+    Do(DirectoryCall{ id, { aRegion }, { aRegion + "-a" } });
+    return AnswerTo<DirectoryAnswer>(id)->mEntries;
+  };
+  CHECK(look("leith") == std::vector<Endpoint>{ { "10.0.0.1", 80 } });
+  CHECK(look("bordeaux") == std::vector<Endpoint>{ { "10.0.0.3", 80 } });
+  CHECK(look("hongkong").size() == 2);
+}
+
+} // namespace
+} // namespace fighold::control
--- /dev/null
+++ b/packages/entry/src/forward_chart_test.cpp
@@ -0,0 +1,316 @@
+#include "fighold/entry/decide.hpp"
+#include "fighold/routes/admission.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace fighold::entry {
+namespace {
+
+/// An entry with a route set and three backend servers. The test takes the part of the other
+/// threads.
+struct ForwardFixture
+{
+  State mState;
+  Instant mNow{ std::chrono::hours(1) };
+  std::vector<Effect> mEffects;
+  membership::Configuration mConfiguration;
+  RequestId mNextId = 1;
+
+  ForwardFixture()
+  {
+    Options options;
+    options.mId = { "e1" };
+    options.mEntry.mIncarnation = 1;
+    options.mEntry.mRegion = { "leith" };
+    options.mEntry.mDataCentre = { "leith-a" };
+    options.mControls = { { "c1" } };
+    options.mServeUnleased = true;
+    mState = MakeState(options, LoadCharts(FIGHOLD_CHARTS_DIR));
+    mConfiguration.mVersion = 1;
+    routes::RouteSet set;
+    set.mNumber = 1;
+    set.mServices[{ "offers" }].mWarmUpPerSecond = 3;
+    set.mHosts = { "desk.example" };
+    for (const bool repeatable : { true, false }) {
+      routes::Route route;
+      route.mName = repeatable ? "read" : "claim";
+      route.mHost = "desk.example";
+      route.mPathPrefix = repeatable ? "/read/" : "/claim/";
+      route.mRepeatable = repeatable;
+      route.mTimeout = Millis(1500);
+      route.mTargetLatency = Millis(800);
+      route.mServices = { { { "offers" }, 1 } };
+      route.mAttempts = 2;
+      set.mRoutes[route.mName] = route;
+    }
+    mConfiguration.mRoutes = SharedValue(set);
+    mConfiguration.mEntries[{ "e1" }] = options.mEntry;
+    for (const std::string id : { "s1", "s2", "s3" }) {
+      membership::BackendServer server;
+      server.mIncarnation = 7;
+      server.mService = { "offers" };
+      server.mRegion = { "leith" };
+      server.mDataCentre = { id == "s3" ? "leith-b" : "leith-a" };
+      server.mAddress = { "10.0.0.1", static_cast<std::uint16_t>(8000 + id.back()) };
+      server.mSlots = 3;
+      mConfiguration.mBackendServers[{ id }] = server;
+    }
+  }
+
+  void Do(Event aEvent)
+  {
+    auto effects = Step(mState, std::move(aEvent), mNow);
+    std::move(effects.begin(), effects.end(), std::back_inserter(mEffects));
+  }
+
+  /// Grants a lease with the configuration and leases of all its servers.
+  void Grant()
+  {
+    Do(Tick{});
+    membership::Grant grant;
+    grant.mAsk = mState.mAsked.rbegin()->first;
+    grant.mLength = membership::kConfigurationLease;
+    ++mConfiguration.mVersion;
+    grant.mVersion = mConfiguration.mVersion;
+    grant.mConfiguration = SharedValue(mConfiguration);
+    for (const auto& [id, server] : mConfiguration.mBackendServers) {
+      grant.mBackendLeases.push_back({ id, server.mIncarnation, std::chrono::seconds(60), 0 });
+    }
+    Do(GrantReceived{ { "c1" }, grant });
+  }
+
+  RequestId Arrive(const std::string& aTarget)
+  {
+    ForwardRequest request;
+    request.mId = mNextId++;
+    request.mCallerId = "caller-" + std::to_string(request.mId);
+    net::HttpRequest payload;
+    payload.mTarget = aTarget;
+    payload.mHost = "desk.example";
+    request.mPayload = SharedValue(payload);
+    mEffects.clear();
+    Do(request);
+    return request.mId;
+  }
+
+  template<typename T>
+  std::vector<T> All() const
+  {
+    std::vector<T> found;
+    for (const Effect& it : mEffects) {
+      if (const auto* effect = std::get_if<T>(&it)) {
+        found.push_back(*effect);
+      }
+    }
+    return found;
+  }
+
+  ForwardAnswer LastAnswer() const
+  {
+    const auto replies = All<Reply>();
+    REQUIRE_FALSE(replies.empty());
+    return std::get<ForwardAnswer>(replies.back().mAnswer);
+  }
+
+  void End(net::ExchangeStage aStage, AnswerMeaning aMeaning)
+  {
+    const Dispatch dispatch = All<Dispatch>().back();
+    DispatchDone done;
+    done.mId = dispatch.mId;
+    done.mDispatch = dispatch.mDispatch;
+    done.mResult.mStage = aStage;
+    done.mResult.mResponse.mStatus = 200;
+    done.mMeaning = aMeaning;
+    mEffects.clear();
+    Do(done);
+  }
+};
+
+/// How a dispatch ends and what follows.
+struct EndRow
+{
+  const char* mName;
+  const char* mTarget;
+  net::ExchangeStage mStage;
+  AnswerMeaning mMeaning;
+  bool mAgain;
+  Outcome mOutcome;
+};
+
+// Guards against a second run of a request that may run once, and a wrong "not run".
+TEST_CASE_METHOD(ForwardFixture,
+                 "Forward, each end of its dispatch, is sent again only if allowed",
+                 "[entry]")
+{
+  using net::ExchangeStage;
+  const std::vector<EndRow> rows{
+    { "read, whole",
+      "/read/1",
+      ExchangeStage::Answered,
+      AnswerMeaning::Result,
+      false,
+      Outcome::Run },
+    { "read, shed", "/read/1", ExchangeStage::Answered, AnswerMeaning::NotRun, true, {} },
+    { "read, lost", "/read/1", ExchangeStage::NoAnswer, AnswerMeaning::Result, true, {} },
+    { "read, unusable", "/read/1", ExchangeStage::Answered, AnswerMeaning::Unusable, true, {} },
+    { "read, unsent", "/read/1", ExchangeStage::NotSent, AnswerMeaning::Result, true, {} },
+    { "claim, whole",
+      "/claim/1",
+      ExchangeStage::Answered,
+      AnswerMeaning::Result,
+      false,
+      Outcome::Run },
+    { "claim, shed", "/claim/1", ExchangeStage::Answered, AnswerMeaning::NotRun, true, {} },
+    { "claim, lost",
+      "/claim/1",
+      ExchangeStage::NoAnswer,
+      AnswerMeaning::Result,
+      false,
+      Outcome::Unknown },
+    { "claim, unusable",
+      "/claim/1",
+      ExchangeStage::Answered,
+      AnswerMeaning::Unusable,
+      false,
+      Outcome::Unknown },
+    { "claim, unsent", "/claim/1", ExchangeStage::NotSent, AnswerMeaning::Result, true, {} },
+  };
+  for (const EndRow& it : rows) {
+    INFO(it.mName);
+    mState = MakeState(mState.mOptions, LoadCharts(FIGHOLD_CHARTS_DIR));
+    Grant();
+    Arrive(it.mTarget);
+    const auto first = All<Dispatch>();
+    REQUIRE(first.size() == 1);
+    End(it.mStage, it.mMeaning);
+    const auto second = All<Dispatch>();
+    REQUIRE(second.size() == (it.mAgain ? 1 : 0));
+    if (it.mAgain) {
+      CHECK(second[0].mServer.mId != first[0].mServer.mId);
+      CHECK(All<Reply>().empty());
+    } else {
+      CHECK(LastAnswer().mOutcome == it.mOutcome);
+    }
+  }
+}
+
+// Guards against "not run" for a request of which an earlier dispatch may have run.
+TEST_CASE_METHOD(ForwardFixture, "Forward, lost and then shed, has an unknown outcome", "[entry]")
+{
+  Grant();
+  Arrive("/read/1");
+  End(net::ExchangeStage::NoAnswer, AnswerMeaning::Result);
+  REQUIRE(All<Dispatch>().size() == 1);
+  End(net::ExchangeStage::Answered, AnswerMeaning::NotRun);
+  CHECK(All<Dispatch>().empty());
+  CHECK(LastAnswer().mOutcome == Outcome::Unknown);
+}
+
+// Guards against 404 for a route that the entry does not know yet, after a restart.
+TEST_CASE_METHOD(ForwardFixture,
+                 "Forward, no route set known, is refused with the time to return",
+                 "[entry]")
+{
+  Arrive("/read/1");
+  CHECK(LastAnswer().mStatus == 503);
+  CHECK(LastAnswer().mRetryAfter > Millis(0));
+  Grant();
+  Arrive("/none/1");
+  CHECK(LastAnswer().mStatus == 404);
+}
+
+// Guards against a request that is held to its deadline although no server can take it.
+TEST_CASE_METHOD(ForwardFixture,
+                 "Forward, all servers busy for long, is refused at once",
+                 "[entry]")
+{
+  Grant();
+  for (auto& [id, load] : mState.mLoads) {
+    load.mOwn = 30;
+  }
+  Arrive("/read/1");
+  CHECK(All<Dispatch>().empty());
+  CHECK(LastAnswer().mOutcome == Outcome::NotRun);
+  CHECK(LastAnswer().mRetryAfter >= routes::kLeastRetryAfter);
+}
+
+// Guards against work for a caller who has left.
+TEST_CASE_METHOD(ForwardFixture,
+                 "Forward, caller gone, cancels the dispatch and frees its slot",
+                 "[entry]")
+{
+  Grant();
+  const RequestId id = Arrive("/read/1");
+  const Dispatch dispatch = All<Dispatch>().at(0);
+  Do(CallerGone{ id });
+  REQUIRE(All<CancelDispatch>().size() == 1);
+  CHECK(All<CancelDispatch>()[0].mDispatch == dispatch.mDispatch);
+  CHECK(mState.mLoads[dispatch.mServer.mId].mOwn == 0);
+  CHECK(mState.mForwards.empty());
+}
+
+// Pattern "evacuation": guards against requests to a data centre that is drained, and a burst to
+// its servers, cold meanwhile, when it comes back.
+TEST_CASE_METHOD(ForwardFixture,
+                 "Forward, data centre drained and taken back, gets nothing and then little",
+                 "[entry]")
+{
+  mConfiguration.mDrains.mDataCentres = { { "leith-a" } };
+  Grant();
+  for (int n = 0; n < 6; ++n) {
+    Arrive("/read/" + std::to_string(n));
+    for (const Dispatch& it : All<Dispatch>()) {
+      CHECK(it.mServer.mId.mValue == "s3");
+    }
+  }
+  routes::RouteSet set = *mConfiguration.mRoutes;
+  set.mServices[{ "offers" }].mWarmUp = std::chrono::seconds(3);
+  set.mNumber = 2;
+  mConfiguration.mRoutes = SharedValue(set);
+  mConfiguration.mDrains.mDataCentres.clear();
+  Grant();
+  std::map<std::string, int> sent;
+  for (int n = 0; n < 20; ++n) {
+    Arrive("/read/" + std::to_string(n));
+    for (const Dispatch& it : All<Dispatch>()) {
+      ++sent[it.mServer.mId.mValue];
+    }
+  }
+  CHECK(sent["s1"] <= 1);
+  CHECK(sent["s2"] <= 1);
+}
+
+// Pattern "replaced with reuse": guards against a request to an address whose former server is
+// gone.
+TEST_CASE_METHOD(ForwardFixture,
+                 "Forward, address taken by a later server, goes to that one only",
+                 "[entry]")
+{
+  membership::BackendServer later = mConfiguration.mBackendServers.at({ "s1" });
+  later.mIncarnation = 8;
+  later.mService = { "other" };
+  mConfiguration.mBackendServers[{ "s9" }] = later;
+  Grant();
+  for (int n = 0; n < 12; ++n) {
+    Arrive("/read/" + std::to_string(n));
+    for (const Dispatch& it : All<Dispatch>()) {
+      CHECK(it.mServer.mId.mValue != "s1");
+    }
+  }
+}
+
+// Pattern "group lost": guards against an entry that refuses callers because its control group is
+// away.
+TEST_CASE_METHOD(ForwardFixture, "Forward, lease lost, is served on with what is known", "[entry]")
+{
+  Grant();
+  mNow += std::chrono::minutes(2);
+  Arrive("/read/1");
+  CHECK(All<Dispatch>().size() == 1);
+  mState.mOptions.mServeUnleased = false;
+  Arrive("/read/1");
+  CHECK(LastAnswer().mStatus == 503);
+}
+
+} // namespace
+} // namespace fighold::entry
--- a/packages/net/src/http_server_test.cpp
+++ b/packages/net/src/http_server_test.cpp
@@ -87,6 +87,50 @@
   }
 };
 
+// Guards against a short request that waits behind a long one of the same client, and against
+// answers out of order.
+TEST_CASE_METHOD(ServerFixture,
+                 "HttpServer, pipelined requests, are handled at once and answered in order",
+                 "[net]")
+{
+  mHandleMs = 200;
+  Tcp::socket socket = Connect(Start());
+  constexpr int kRequests = 5;
+  std::string text;
+  for (int n = 0; n < kRequests; ++n) {
+    text += "GET /" + std::to_string(n) + " HTTP/1.1\r\nHost: h\r\n";
+    text += n + 1 == kRequests ? "Connection: close\r\n\r\n" : "\r\n";
+  }
+  const auto began = std::chrono::steady_clock::now();
+  boost::asio::write(socket, boost::asio::buffer(text));
+  const std::string answers = ReadAll(socket);
+  CHECK(std::chrono::steady_clock::now() - began < Millis(mHandleMs * kRequests));
+  CHECK(mCalls == kRequests);
+  int found = 0;
+  for (auto n = answers.find("200 OK"); n != std::string::npos; n = answers.find("200 OK", n + 1)) {
+    ++found;
+  }
+  CHECK(found == kRequests);
+}
+
+// Guards against work for a client that closed while several of its requests were handled.
+TEST_CASE_METHOD(ServerFixture,
+                 "HttpServer, client closes with pipelined requests, tells every handler",
+                 "[net]")
+{
+  mHandleMs = 300;
+  {
+    Tcp::socket socket = Connect(Start());
+    const std::string text = "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(text));
+    while (mCalls < 2) {
+      std::this_thread::sleep_for(Millis(5));
+    }
+  }
+  Stop();
+  CHECK(mGone == 2);
+}
+
 /// A request that must be refused before anything is done with it.
 struct RefusedRow
 {
