--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -444,6 +444,26 @@
   }
 }
 
+/// Logs when a backend server is left alone after failures, and when it answers again.
+void
+LogHealth(ForwardScope& aScope, const routes::ServerLoad& aBefore, const routes::ServerLoad& aAfter)
+{
+  const bool ejected = aAfter.mEjections > aBefore.mEjections;
+  const bool back = aBefore.mEjections > 0 && aAfter.mEjections == 0;
+  if (!ejected && !back) {
+    return;
+  }
+  const Forward& forward = aScope.mForward;
+  DecisionRecord record{
+    "server", forward.mServer.mId.mValue, forward.mService.mValue, "", "", {}
+  };
+  record.mChoice = ejected ? "ejected" : "regained";
+  record.mReason = ejected ? aScope.mDone.mResult.mError : "answered";
+  record.mFields = { { "request", forward.mRequest.mCallerId },
+                     { "ejections", std::to_string(aAfter.mEjections) } };
+  aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
+}
+
 void
 Learn(ForwardScope& aScope, ForwardEvent aEvent)
 {
@@ -459,8 +479,10 @@
     return;
   }
   routes::ServerLoad& load = known->second;
+  const routes::ServerLoad before = load;
   load = routes::NoteEnded(
     load, EndingOf(aEvent, aScope), forward.mKey, aScope.mDone.mLoad, aScope.mNow);
+  LogHealth(aScope, before, load);
   const auto pool = state.mPools.find(forward.mService);
   if (aEvent == ForwardEvent::Answered && pool != state.mPools.end()) {
     const Duration work = aScope.mNow - forward.mSentAt - RoundTrip(state, forward.mServer.mRegion);
--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -8,6 +8,8 @@
 #include <exception>
 #include <iostream>
 #include <random>
+#include <string>
+#include <vector>
 
 DEFINE_string(role, "", "role of this process: entry or control");
 DEFINE_string(id, "", "name of this process, unique in the deployment");
@@ -97,6 +99,21 @@
            FLAGS_retry_slack };
 }
 
+/// @return the flags of this daemon with their values; none of them is a secret
+std::string
+SettingsInForce()
+{
+  std::vector<gflags::CommandLineFlagInfo> flags;
+  gflags::GetAllFlags(&flags);
+  std::string text = "version=" FIGHOLD_VERSION;
+  for (const auto& it : flags) {
+    if (it.filename.find("figholdd_main") != std::string::npos) {
+      text += " " + it.name + "=\"" + it.current_value + "\"";
+    }
+  }
+  return text;
+}
+
 /// Signals are blocked before threads start, so that only WaitForStop receives them.
 sigset_t
 BlockStopSignals()
@@ -117,10 +134,13 @@
 {
   Daemon daemon(std::move(aOptions));
   std::cout << "listening on " << fighold::ToText(daemon.Address()) << std::endl;
+  std::cout << "event=start " << SettingsInForce() << std::endl;
   int signal = 0;
   while (sigwait(&aSignals, &signal) == 0 && signal == SIGHUP) {
-    std::cout << "settings changed; they are read at the next start" << std::endl;
+    std::cout << "event=reload reason=SIGHUP effect=\"settings are read at the next start\""
+              << std::endl;
   }
+  std::cout << "event=stopping signal=" << signal << std::endl;
   daemon.StopAndWait();
   std::cout << "stopped" << std::endl;
 }
--- a/packages/routes/src/admission.cpp
+++ b/packages/routes/src/admission.cpp
@@ -25,7 +25,9 @@
 Admit(const AdmissionRequest& aRequest)
 {
   const double expected = Milliseconds(aRequest.mExpected);
-  if (expected > Milliseconds(aRequest.mLeft) * kPartOfTimeLeft) {
+  // At a server with a free slot the estimate has no wait in it, which is its uncertain part.
+  const double part = aRequest.mSpare >= 0 ? 1 : kPartOfTimeLeft;
+  if (expected > Milliseconds(aRequest.mLeft) * part) {
     return Admission::NoTime;
   }
   if (aRequest.mElapsed + aRequest.mExpected <= aRequest.mTarget) {
