Send entries what changed of the configuration instead of all of it

With 600 backend servers each change of one of them sent some 50 KB to each entry, decoded and divided the rates of cold servers among all entries again.

Ruled out: rarer renewals, which would delay every change.

Change: a control process keeps the newest 32 versions and sends the difference to the one that the entry holds, routes included; the rate of a cold server is worked out when it is cold; the order of an object's servers is not searched for each server.

--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -19,6 +19,10 @@
 /// State that the decide thread of a control process owns.
 namespace fighold::control {
 
+/// Versions of the configuration that are kept, so that holders of them get a delta. Entries renew
+/// twice a second, and a release or a restart of many makes some ten changes a second.
+constexpr std::size_t kRecentVersions = 32;
+
 /// States of charts/plan_change.scxml, in the order of its registry.
 enum class CallStage : std::uint8_t
 {
@@ -168,10 +172,13 @@
   claims::Holder mClaims;
   bool mStartedEmpty = false; ///< no state was found at start
   SharedValue<membership::Configuration> mConfiguration;
+  std::map<Version, SharedValue<membership::Configuration>> mRecent; ///< the newest kRecentVersions
+  /// Deltas to the configuration in use, by the version that they start from.
+  std::map<Version, std::optional<SharedValue<membership::ConfigurationDelta>>> mDeltas;
   std::map<EntryId, EntryView> mEntries;
   std::map<BackendServerId, membership::BackendLife> mBackends;
   std::map<BackendServerId, std::pair<membership::BackendReport, Instant>>
-    mReports; ///< not yet passed on
+    mReports;                                         ///< not yet passed on
   std::map<BackendServerId, Instant> mLeaseChangedAt; ///< when a lease was last renewed here
   std::map<BackendServerId, ColdSpell> mCold;
   std::map<BackendKey, std::uint64_t> mSequences; ///< last heartbeat of each incarnation heard here
--- a/packages/control/src/backend_servers.cpp
+++ b/packages/control/src/backend_servers.cpp
@@ -193,13 +193,18 @@
 }
 
 std::vector<membership::BackendLease>
-LivingBackends(const State& aState, Instant aSince, Instant aNow)
+LivingBackends(const State& aState,
+               Instant aSince,
+               const membership::Configuration* aChanged,
+               Instant aNow)
 {
   std::vector<membership::BackendLease> leases;
   for (const auto& [id, life] : aState.mBackends) {
     const auto left = std::chrono::duration_cast<Millis>(life.mAliveUntil - aNow);
     const auto changed = aState.mLeaseChangedAt.find(id);
-    const bool known = changed != aState.mLeaseChangedAt.end() && changed->second < aSince;
+    const bool isNew = aChanged != nullptr && aChanged->mBackendServers.count(id) > 0;
+    const bool known =
+      !isNew && changed != aState.mLeaseChangedAt.end() && changed->second < aSince;
     if (!known && IsAlive(life, aNow) && left > Millis(0)) {
       leases.push_back({ id, life.mIncarnation, left, life.mInFlight, ColdLeft(aState, id, aNow) });
     }
--- a/packages/control/src/backend_servers.hpp
+++ b/packages/control/src/backend_servers.hpp
@@ -23,9 +23,14 @@
 
 /// @param aSince time of the last message to the same receiver, which holds the leases of then; the
 /// epoch: all leases are wanted
+/// @param aChanged parts of the configuration that the receiver gets with the leases, or null;
+/// leases of servers that it did not know were lost on it
 /// @return leases of the backend servers that may receive work, as far as they changed since
 std::vector<membership::BackendLease>
-LivingBackends(const State& aState, Instant aSince, Instant aNow);
+LivingBackends(const State& aState,
+               Instant aSince,
+               const membership::Configuration* aChanged,
+               Instant aNow);
 
 /// Lets time pass: leases end; the leader removes backend servers that are gone, and forgets
 /// departed incarnations after their time.
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -38,6 +38,11 @@
     state.mAppliedAt.emplace_back(aConfiguration->mVersion, aContext.mNow);
   }
   state.mConfiguration = aConfiguration;
+  state.mDeltas.clear();
+  state.mRecent.insert_or_assign(aConfiguration->mVersion, aConfiguration);
+  if (state.mRecent.size() > kRecentVersions) {
+    state.mRecent.erase(state.mRecent.begin());
+  }
   KeepLimits(aContext);
 }
 
--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -90,6 +90,26 @@
   aContext.mEffects.emplace_back(SendControl{ *leader, std::move(renew) });
 }
 
+/// @return delta from a version to the configuration in use, or nothing when that version is not
+/// kept
+std::optional<SharedValue<membership::ConfigurationDelta>>
+DeltaFrom(State& aState, Version aHeld)
+{
+  const auto known = aState.mDeltas.find(aHeld);
+  if (known != aState.mDeltas.end()) {
+    return known->second;
+  }
+  std::optional<SharedValue<membership::ConfigurationDelta>> delta;
+  if (const auto it = aState.mRecent.find(aHeld); it != aState.mRecent.end()) {
+    auto made = membership::MakeDelta(*it->second, *aState.mConfiguration);
+    if (made) {
+      delta = SharedValue(std::move(*made));
+    }
+  }
+  aState.mDeltas[aHeld] = delta;
+  return delta;
+}
+
 /// Time at which an entry was last heard of; an entry that a new leader has not heard of may have
 /// renewed elsewhere until just before the change of leader.
 Instant
@@ -240,6 +260,9 @@
     std::chrono::duration_cast<Millis>(*membership::GrantableLength(*right, aContext.mNow));
   grant.mVersion = state.mConfiguration->mVersion;
   if (aRenew.mHeld < grant.mVersion) {
+    grant.mDelta = DeltaFrom(state, aRenew.mHeld);
+  }
+  if (aRenew.mHeld < grant.mVersion && !grant.mDelta) {
     grant.mConfiguration = state.mConfiguration;
     grant.mSameRoutes = aRenew.mRoutesHeld == state.mConfiguration->mRoutes->mNumber;
   }
@@ -248,7 +271,8 @@
   }
   // Leases of servers that the entry did not know were lost on it.
   const Instant since = grant.mConfiguration ? Instant{} : view.mLeasesSentAt;
-  grant.mBackendLeases = LivingBackends(state, since, aContext.mNow);
+  grant.mBackendLeases = LivingBackends(
+    state, since, grant.mDelta ? &(*grant.mDelta)->mChanged : nullptr, aContext.mNow);
   view.mLeasesSentAt = aContext.mNow;
   grant.mStamp = membership::GiveStamp(aContext.mNow);
   aContext.mEffects.emplace_back(SendEntry{ aFrom, std::move(grant) });
@@ -283,7 +307,7 @@
     std::chrono::duration_cast<Millis>(*membership::GrantableLength(*right, aContext.mNow));
   grant.mVersion = state.mConfiguration->mVersion;
   grant.mInForce = state.mInForce;
-  grant.mBackendLeases = LivingBackends(state, follower.mLeasesSentAt, aContext.mNow);
+  grant.mBackendLeases = LivingBackends(state, follower.mLeasesSentAt, nullptr, aContext.mNow);
   follower.mLeasesSentAt = aContext.mNow;
   grant.mStamp = membership::GiveStamp(aContext.mNow);
   aContext.mEffects.emplace_back(SendControl{ aFrom, std::move(grant) });
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -329,10 +329,12 @@
   const routes::Server& server = *aScope.mPlacement.mServer;
   LogPlacement(aScope, forward.mSends == 0 ? "forward" : "forward-again");
   routes::ServerLoad& load = state.mLoads[server.mId];
-  const auto cold = PoolOf(aScope).mPool.mColdLimits.find(server.mId);
-  const bool limited = cold != PoolOf(aScope).mPool.mColdLimits.end();
   forward.mMemory = aScope.mPlacement.mMemory;
-  load = routes::NoteSent(load, limited ? cold->second : routes::ColdLimit{}, aScope.mNow);
+  const bool isCold = aScope.mNow < load.mColdUntil;
+  load = routes::NoteSent(load,
+                          isCold ? routes::ColdLimitOf(PoolOf(aScope).mPool, server.mId)
+                                 : routes::ColdLimit{},
+                          aScope.mNow);
   forward.mDispatch = state.mNextDispatch++;
   forward.mServer = server;
   forward.mTried.insert(server.mId);
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -195,12 +195,16 @@
   return BackendVerdict::Refused;
 }
 
-/// @return configuration of a grant, which leaves out the route set that is held already
-SharedValue<membership::Configuration>
-WithHeldRoutes(const State& aState, const membership::Grant& aGrant)
+/// @return configuration that a grant brings, or nothing. It leaves out the route set that is held
+/// already, or says only what changed.
+std::optional<SharedValue<membership::Configuration>>
+ConfigurationOf(const State& aState, const membership::Grant& aGrant)
 {
-  if (!aGrant.mSameRoutes) {
-    return *aGrant.mConfiguration;
+  if (aGrant.mDelta && (*aGrant.mDelta)->mFrom == aState.mConfiguration->mVersion) {
+    return SharedValue(membership::ApplyDelta(*aState.mConfiguration, **aGrant.mDelta));
+  }
+  if (!aGrant.mConfiguration || !aGrant.mSameRoutes) {
+    return aGrant.mConfiguration;
   }
   membership::Configuration configuration = **aGrant.mConfiguration;
   configuration.mRoutes = aState.mConfiguration->mRoutes;
@@ -286,14 +290,15 @@
     aState.mStampFrom = aGrant.mFrom;
     aState.mStampAt = aNow;
   }
-  if (grant.mConfiguration && (*grant.mConfiguration)->mVersion > aState.mConfiguration->mVersion) {
-    const plan::Plan& next = *(*grant.mConfiguration)->mPlan;
+  const auto received = ConfigurationOf(aState, grant);
+  if (received && (*received)->mVersion > aState.mConfiguration->mVersion) {
+    const plan::Plan& next = *(*received)->mPlan;
     if (aState.mConfiguration->mPlan->mNumber != next.mNumber ||
-        aState.mConfiguration->mPlanDigest != (*grant.mConfiguration)->mPlanDigest) {
+        aState.mConfiguration->mPlanDigest != (*received)->mPlanDigest) {
       aState.mClients = plan::BuildClientTable(next);
     }
     const auto previous = aState.mConfiguration;
-    aState.mConfiguration = WithHeldRoutes(aState, grant);
+    aState.mConfiguration = *received;
     // An early renewal confirms the version, which may otherwise take a renewal interval longer.
     aState.mNextRenew = aNow;
     DropUnknownServers(aState, *previous);
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -112,6 +112,9 @@
   const auto& allowed = aForward.mRoute->mAllowedRegions;
   const bool trusts = TrustsLeases(aState, aNow);
   for (const routes::Server& it : aPool.mServers) {
+    if (regions.count(it.mRegion) > 0) {
+      continue;
+    }
     const auto load = aState.mLoads.find(it.mId);
     const bool alive = !trusts || (load != aState.mLoads.end() && aNow < load->second.mAliveUntil);
     if (alive && aForward.mTried.count(it.mId) == 0 &&
@@ -148,12 +151,11 @@
   for (auto& [service, list] : servers) {
     ServicePool& pool = aState.mPools[service];
     pool.mPool.mServers = std::move(list);
-    pool.mPool.mColdLimits.clear();
-    const double perSecond = SettingsOf(now, service).mWarmUpPerSecond;
+    pool.mPool.mEntries = entries;
+    pool.mPool.mSelf = aState.mOptions.mId;
+    pool.mPool.mColdPerSecond = SettingsOf(now, service).mWarmUpPerSecond;
     for (const routes::Server& it : pool.mPool.mServers) {
       aState.mLoads[it.mId].mIncarnation = it.mIncarnation;
-      pool.mPool.mColdLimits[it.mId] =
-        routes::LimitWhileCold(it.mId, entries, aState.mOptions.mId, perSecond);
     }
     if (pool.mSplit.mParts.empty()) {
       pool.mSplit.mParts =
--- a/packages/membership/include/fighold/membership/protocol.hpp
+++ b/packages/membership/include/fighold/membership/protocol.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/membership/change.hpp"
+#include "fighold/membership/delta.hpp"
 #include "fighold/membership/lease.hpp"
 
 #include <compare>
@@ -80,8 +81,10 @@
   std::optional<SharedValue<Configuration>>
     mConfiguration; ///< set when the holder's version is older
   std::vector<BackendLease> mBackendLeases;
-  std::uint64_t mStamp = 0;           ///< to be returned by the next renewal
-  bool mSameRoutes = false;           ///< the holder has the route set of mConfiguration already
+  std::uint64_t mStamp = 0; ///< to be returned by the next renewal
+  bool mSameRoutes = false; ///< the holder has the route set of mConfiguration already
+  /// Set in place of mConfiguration when the granter knows the holder's version.
+  std::optional<SharedValue<ConfigurationDelta>> mDelta{};
   std::vector<ControlId> mControls{}; ///< voting control processes
 
   friend bool operator==(const Grant&, const Grant&) = default;
--- a/packages/membership/src/route_change_test.cpp
+++ b/packages/membership/src/route_change_test.cpp
@@ -1,4 +1,5 @@
 #include "fighold/membership/change.hpp"
+#include "fighold/membership/delta.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -132,5 +133,64 @@
   });
 }
 
+/// @return what entries hold of a configuration
+Configuration
+Held(Configuration aConfiguration)
+{
+  aConfiguration.mAnswers.clear();
+  aConfiguration.mHistory.clear();
+  return aConfiguration;
+}
+
+// Guards against an entry that follows deltas and ends with another configuration than the others.
+TEST_CASE("ApplyDelta, any two versions of random changes, leads to the later one", "[membership]")
+{
+  rc::prop("a delta leads to the later version", [] {
+    RouteChangeFixture fixture;
+    std::vector<SharedValue<Configuration>> versions{ fixture.mConfiguration };
+    const auto count = *rc::gen::inRange(1, 40);
+    for (int n = 0; n < count; ++n) {
+      const std::string id = "s" + std::to_string(*rc::gen::inRange(0, 6));
+      const auto incarnation = *rc::gen::inRange<Incarnation>(1, 4);
+      BackendServer server;
+      server.mIncarnation = incarnation;
+      server.mService = { "vardia" };
+      const std::uint64_t number = fixture.mConfiguration->mRoutes->mNumber;
+      switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+          fixture.Do("", AnnounceBackendServer{ { id }, server, incarnation - 1 });
+          break;
+        case 1:
+          fixture.Do("", DepartBackendServer{ { id }, incarnation });
+          break;
+        case 2:
+          fixture.Do("", RemoveBackendServer{ { id }, incarnation });
+          break;
+        case 3:
+          fixture.Do("", ForgetDeparted{ { id }, incarnation });
+          break;
+        case 4:
+          fixture.Do("", RegisterEntry{ { id }, Entry{ incarnation, {}, {}, {}, 0 } });
+          break;
+        case 5:
+          fixture.Do("", RemoveEntry{ { id }, incarnation });
+          break;
+        case 6:
+          fixture.Do("", SetDrain{ DrainKind::DataCentre, id, incarnation % 2 == 0 });
+          break;
+        default:
+          fixture.Do("r" + std::to_string(number),
+                     SubmitRoutes{ number, SharedValue(MakeRoutes(number + incarnation, id)) });
+          break;
+      }
+      versions.push_back(fixture.mConfiguration);
+    }
+    const auto from = *rc::gen::inRange<std::size_t>(0, versions.size());
+    const auto delta = MakeDelta(*versions[from], *versions.back());
+    RC_ASSERT(delta);
+    RC_ASSERT(ApplyDelta(Held(*versions[from]), *delta) == Held(*versions.back()));
+  });
+}
+
 } // namespace
 } // namespace fighold::membership
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -31,8 +31,8 @@
 /// Time in which the decayed part of failures halves without further requests.
 constexpr Millis kFailureHalfLife{ 3000 };
 
-/// What a request that fails costs, as a multiple of work on a new object: it runs at another server,
-/// which does not know its object, and takes one of the few second dispatches.
+/// What a request that fails costs, as a multiple of work on a new object: it runs at another
+/// server, which does not know its object, and takes one of the few second dispatches.
 constexpr double kFailureCost = 2;
 
 /// Weight of the newest request in the decayed work times.
@@ -243,12 +243,18 @@
 {
   std::map<std::uint64_t, Instant> mObjects; ///< asked for lately, and when
   std::vector<Server> mServers;
-  std::map<BackendServerId, ColdLimit> mColdLimits;
+  std::vector<EntryId> mEntries; ///< that share what a cold server bears
+  EntryId mSelf;
+  double mColdPerSecond = 0; ///< requests/s that a cold server bears; 0: not limited
   WorkTimes mTimes;
 
   friend bool operator==(const Pool&, const Pool&) = default;
 };
 
+/// @return limit of this entry on a cold server
+ColdLimit
+ColdLimitOf(const Pool& aPool, const BackendServerId& aServer);
+
 /// @return pool after one more request for an object
 /// @param aKey object; 0: none
 void
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -48,13 +48,12 @@
     return "no-lease";
   }
   if (aNow < aLoad.mColdUntil) {
-    const auto limit = aPool.mColdLimits.find(aServer.mId);
-    if (limit != aPool.mColdLimits.end() && !limit->second.mMaySend) {
-      return "cold-left-to-others";
-    }
     if (aNow < aLoad.mNextColdSend) {
       return "cold-rate";
     }
+    if (!ColdLimitOf(aPool, aServer.mId).mMaySend) {
+      return "cold-left-to-others";
+    }
   }
   return {};
 }
@@ -114,6 +113,12 @@
            Millis(static_cast<std::int64_t>(std::ceil(spacing))) };
 }
 
+ColdLimit
+ColdLimitOf(const Pool& aPool, const BackendServerId& aServer)
+{
+  return LimitWhileCold(aServer, aPool.mEntries, aPool.mSelf, aPool.mColdPerSecond);
+}
+
 double
 BusyEstimate(const ServerLoad& aLoad, Instant aNow)
 {
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -114,6 +114,9 @@
                    Answers::LeaveOut,
                    aGrant.mSameRoutes ? Routes::LeaveOut : Routes::Include);
   }
+  if (aGrant.mDelta) {
+    *out->mutable_delta() = detail::ToPb(**aGrant.mDelta);
+  }
   out->set_stamp(aGrant.mStamp);
   out->set_same_routes(aGrant.mSameRoutes);
   for (const auto& it : aGrant.mControls) {
@@ -139,6 +142,13 @@
     }
     grant.mConfiguration = SharedValue(std::move(*configuration));
   }
+  if (aGrant.has_delta()) {
+    auto delta = detail::FromPb(aGrant.delta());
+    if (!delta) {
+      return std::nullopt;
+    }
+    grant.mDelta = SharedValue(std::move(*delta));
+  }
   for (const auto& it : aGrant.backend_leases()) {
     grant.mBackendLeases.push_back(Get(it));
   }
--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -222,11 +222,21 @@
   grant.mConfiguration = SharedValue(mConfiguration);
   grant.mSameRoutes = true;
   grant.mControls = { { "10.0.0.1:7100" } };
+  ConfigurationDelta delta;
+  delta.mFrom = 3;
+  delta.mChanged.mVersion = 4;
+  delta.mChanged.mBackendServers = mConfiguration.mBackendServers;
+  delta.mRemovedEntries = { { "e9" } };
+  delta.mRemovedServers = { { "s9" } };
+  delta.mForgotten = { { "s8" } };
+  delta.mRoutes = MakePatch();
+  grant.mDelta = SharedValue(delta);
   const auto decoded = DecodeEnvelope(EncodeEnvelope({ "c1", 1, grant }));
   REQUIRE(decoded);
   const auto& received = std::get<Grant>(decoded->mBody);
   CHECK((*received.mConfiguration)->mRoutes->mNumber == 0);
   CHECK(received.mSameRoutes);
+  CHECK(received.mDelta == grant.mDelta);
   CHECK(received.mControls == grant.mControls);
 }
 
--- a/packages/wire/src/convert.cpp
+++ b/packages/wire/src/convert.cpp
@@ -566,6 +566,52 @@
   return out;
 }
 
+pb::ConfigurationDelta
+ToPb(const ConfigurationDelta& aDelta)
+{
+  pb::ConfigurationDelta out;
+  out.set_from(aDelta.mFrom);
+  *out.mutable_changed() = ToPb(aDelta.mChanged, Answers::LeaveOut, Routes::LeaveOut);
+  for (const auto& it : aDelta.mRemovedEntries) {
+    out.add_removed_entries(it.mValue);
+  }
+  for (const auto& it : aDelta.mRemovedServers) {
+    out.add_removed_servers(it.mValue);
+  }
+  for (const auto& it : aDelta.mForgotten) {
+    out.add_forgotten(it.mValue);
+  }
+  if (aDelta.mRoutes) {
+    *out.mutable_routes() = PatchToPb(*aDelta.mRoutes);
+  }
+  return out;
+}
+
+std::optional<ConfigurationDelta>
+FromPb(const pb::ConfigurationDelta& aDelta)
+{
+  auto changed = FromPb(aDelta.changed());
+  if (!changed) {
+    return std::nullopt;
+  }
+  ConfigurationDelta out;
+  out.mFrom = aDelta.from();
+  out.mChanged = std::move(*changed);
+  for (const auto& it : aDelta.removed_entries()) {
+    out.mRemovedEntries.insert({ it });
+  }
+  for (const auto& it : aDelta.removed_servers()) {
+    out.mRemovedServers.insert({ it });
+  }
+  for (const auto& it : aDelta.forgotten()) {
+    out.mForgotten.insert({ it });
+  }
+  if (aDelta.has_routes()) {
+    out.mRoutes = *PatchFromPb(aDelta.routes());
+  }
+  return out;
+}
+
 pb::Change
 ToPb(const Change& aChange)
 {
--- a/packages/wire/src/convert.hpp
+++ b/packages/wire/src/convert.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/membership/change.hpp"
+#include "fighold/membership/delta.hpp"
 #include "messages.pb.h"
 
 #include <optional>
@@ -42,6 +43,13 @@
 std::optional<membership::Configuration>
 FromPb(const pb::Configuration& aConfiguration);
 
+pb::ConfigurationDelta
+ToPb(const membership::ConfigurationDelta& aDelta);
+
+/// @return delta, or nothing when a part is malformed
+std::optional<membership::ConfigurationDelta>
+FromPb(const pb::ConfigurationDelta& aDelta);
+
 pb::Change
 ToPb(const membership::Change& aChange);
 
