--- a/packages/agreement/src/cluster_fake_test.cpp
+++ b/packages/agreement/src/cluster_fake_test.cpp
@@ -92,7 +92,7 @@
   mOptions.mConfigured = { mIds.begin(), mIds.begin() + 3 };
   // The deployment does not start for the first time, so that the new one may form no group.
   mOptions.mMayForm = false;
-  const ControlId id{ "n" + std::to_string(mNextIncarnation) };
+  ControlId id{ "n" + std::to_string(mNextIncarnation) };
   mIds.push_back(id);
   mProcesses[id].mDisk.mSynced.mIncarnation = mNextIncarnation++;
   Start(id);
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -164,9 +164,9 @@
   std::map<std::uint64_t, Instant> mAsked; ///< renewals sent, by number
   Instant mNextRenew{};
   Instant mLastGrant{};
-  std::size_t mControl = 0; ///< index of the control process in use
+  std::size_t mControl = 0;     ///< index of the control process in use
   bool mChoosingControl = true; ///< the next one that grants is used
-  std::uint64_t mStamp = 0; ///< last one received
+  std::uint64_t mStamp = 0;     ///< last one received
   ControlId mStampFrom;
   Instant mStampAt{};
   std::uint64_t mRandom = 1;
