Forward callers' requests for /healthz and /metrics with the platform's dialect

Cause: the front thread of an entry answered these two targets on every listener before it asked the dialect, so a caller whose backend server has a resource of that name got the entry's own page. Ruled out: leaving the pages out altogether; operators read them on the other listeners. Change: a dialect says whether its first listener is the callers' alone; the two fronts share one function for the process's own pages.

--- a/packages/entry/include/fighold/entry/front_codec.hpp
+++ b/packages/entry/include/fighold/entry/front_codec.hpp
@@ -37,8 +37,14 @@
   std::function<net::HttpResponse(RequestId, const net::HttpRequest&, const Answer&)> mToResponse;
   /// Answer when a request cannot be taken in.
   std::function<net::HttpResponse(const std::string& aReason)> mNotTaken;
+  /// Every target at the first listener is a caller's, also those of the process's own pages.
+  bool mFirstListenerIsCallersOnly = false;
 };
 
+/// @return whether a request is to be forwarded whatever its target is
+bool
+IsCallersOnly(const FrontCodec& aCodec, const net::HttpRequest& aRequest);
+
 /// @return the dialect of fighold's own interface
 FrontCodec
 NativeFrontCodec();
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -1,4 +1,5 @@
 #include "fighold/entry/front_codec.hpp"
+#include "fighold/net/process_pages.hpp"
 #include "threads.hpp"
 
 #include <boost/fiber/fiber.hpp>
@@ -33,11 +34,10 @@
 
   net::HttpResponse Handle(const net::HttpRequest& aRequest, net::CallerWatch& aWatch)
   {
-    if (aRequest.mTarget == "/healthz") {
-      return { 200, { { "Content-Type", "text/plain" } }, "alive\n" };
-    }
-    if (aRequest.mTarget == "/metrics") {
-      return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, mWiring.mMetrics.Text() };
+    if (!IsCallersOnly(mCodec, aRequest)) {
+      if (auto page = net::ProcessPage(aRequest, [this] { return mWiring.mMetrics.Text(); })) {
+        return std::move(*page);
+      }
     }
     const RequestId id = mNextId++;
     Parsed parsed = mCodec.mParse(id, aRequest);
