Expect of a request the work of its route, not that of its service

Their answers take 5 to 200 ms, their callers wait for less than a second, and the entry expected the 500 to 1500 ms that the older routes of the same servers take. It refused them for lack of time, and since a refused request is never answered, that did not change. Ruled out: that such a route can't be served at all (those that got through were answered within milliseconds); work on objects (they name none). Change: work times are kept for each route and service. Requests without an object are expected to take the mean, not the time on a known object.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -111,6 +111,7 @@
 struct ServicePool
 {
   routes::Pool mPool;
+  std::map<std::string, routes::WorkTimes> mRouteTimes; ///< by route
   routes::RegionSplit mSplit;
   routes::RetryBudget mRetries;
 };
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -46,7 +46,10 @@
 AdmissionOf(const ForwardScope& aScope)
 {
   const Forward& forward = aScope.mForward;
-  return { aScope.mPlacement.mExpected + aScope.mOnTheWay,
+  // Without answers of late the route's requests are not refused for the time that they may take.
+  const Duration expected =
+    aScope.mPlacement.mWorkKnown ? aScope.mPlacement.mExpected : aScope.mPlacement.mWait;
+  return { expected + aScope.mOnTheWay,
            aScope.mPlacement.mWait,
            aScope.mPlacement.mSpare,
            aScope.mPlacement.mMemory == routes::Memory::New,
@@ -394,9 +397,11 @@
   const auto pool = state.mPools.find(forward.mService);
   if (aEvent == ForwardEvent::Answered && pool != state.mPools.end()) {
     const Duration work = aScope.mNow - forward.mSentAt - RoundTrip(state, forward.mServer.mRegion);
-    load.mSlowness =
-      routes::NoteSlowness(load.mSlowness, pool->second.mPool.mTimes, work, forward.mMemory);
-    pool->second.mPool.mTimes = routes::NoteWork(pool->second.mPool.mTimes, work, forward.mMemory);
+    routes::WorkTimes& times = RouteTimes(pool->second, forward.mRoute->mName);
+    load.mSlowness = routes::NoteSlowness(load.mSlowness, times, work, forward.mMemory);
+    times = routes::NoteWork(times, work, forward.mMemory, aScope.mNow);
+    routes::WorkTimes& all = pool->second.mPool.mTimes;
+    all = routes::NoteWork(all, work, forward.mMemory, aScope.mNow);
   }
 }
 
--- a/packages/entry/src/forward_chart_test.cpp
+++ b/packages/entry/src/forward_chart_test.cpp
@@ -234,6 +234,22 @@
   CHECK(LastAnswer().mRetryAfter >= routes::kLeastRetryAfter);
 }
 
+// Pattern "routes of different work": guards against a new route whose requests are all refused
+// because those of an older route at the same servers take longer than its callers wait.
+TEST_CASE_METHOD(ForwardFixture,
+                 "Forward, route without answers beside one of long work, is sent",
+                 "[entry]")
+{
+  Grant();
+  mState.mPools.at({ "offers" }).mPool.mTimes = { 5000, 3000, 4000, 50, mNow };
+  Arrive("/read/1");
+  REQUIRE(All<Dispatch>().size() == 1);
+  mNow += Millis(5);
+  End(net::ExchangeStage::Answered, AnswerMeaning::Result);
+  Arrive("/read/2");
+  CHECK(All<Dispatch>().size() == 1);
+}
+
 // Guards against work for a caller who has left.
 TEST_CASE_METHOD(ForwardFixture,
                  "Forward, caller gone, cancels the dispatch and frees its slot",
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -154,6 +154,9 @@
     pool.mPool.mEntries = entries;
     pool.mPool.mSelf = aState.mOptions.mId;
     pool.mPool.mColdPerSecond = SettingsOf(now, service).mWarmUpPerSecond;
+    for (auto it = pool.mRouteTimes.begin(); it != pool.mRouteTimes.end();) {
+      it = now.mRoutes->mRoutes.count(it->first) > 0 ? std::next(it) : pool.mRouteTimes.erase(it);
+    }
     for (const routes::Server& it : pool.mPool.mServers) {
       aState.mLoads[it.mId].mIncarnation = it.mIncarnation;
     }
@@ -193,29 +196,40 @@
   return aRegion == aState.mOptions.mEntry.mRegion ? Duration{} : Duration(kAssumedRoundTrip);
 }
 
+routes::WorkTimes&
+RouteTimes(ServicePool& aPool, const std::string& aRoute)
+{
+  return aPool.mRouteTimes.try_emplace(aRoute, routes::WithoutAnswers(aPool.mPool.mTimes))
+    .first->second;
+}
+
 routes::Placement
 PlaceForward(State& aState, const Forward& aForward, Instant aNow)
 {
   const auto pool = aState.mPools.find(aForward.mService);
   if (pool == aState.mPools.end()) {
-    return { std::nullopt, {}, {}, 0, routes::Memory::Unknown, "service-without-servers", {} };
+    routes::Placement none;
+    none.mReason = "service-without-servers";
+    return none;
   }
+  const routes::WorkTimes& times = RouteTimes(pool->second, aForward.mRoute->mName);
   const bool trusts = TrustsLeases(aState, aNow);
   auto usable = UsableRegions(aState, pool->second.mPool, aForward, aNow);
-  routes::Placement placement{ std::nullopt,       {}, {}, 0, routes::Memory::Unknown,
-                               "no-usable-server", {} };
+  routes::Placement placement;
+  placement.mReason = "no-usable-server";
   // A region whose servers are all ruled out, such as cold ones, leaves the request to the others.
   while (!usable.empty() && !placement.mServer) {
     const auto region = routes::NextRegion(
       pool->second.mSplit, usable, aState.mOptions.mEntry.mRegion, aForward.mKey);
-    placement =
-      routes::Place(pool->second.mPool,
-                    aState.mLoads,
-                    { aForward.mKey, aForward.mTried, *region, aState.mOptions.mEntry.mDataCentre },
-                    trusts,
-                    aNow);
+    placement = routes::Place(
+      pool->second.mPool,
+      aState.mLoads,
+      { aForward.mKey, aForward.mTried, *region, aState.mOptions.mEntry.mDataCentre, times },
+      trusts,
+      aNow);
     usable.erase(*region);
   }
+  placement.mWorkKnown = routes::IsWorkKnown(times, aNow);
   return placement;
 }
 
--- a/packages/entry/src/pools.hpp
+++ b/packages/entry/src/pools.hpp
@@ -29,6 +29,10 @@
 Duration
 RoundTrip(const State& aState, const RegionId& aRegion);
 
+/// @return work times of a route at the servers of a pool; they start from those of the service
+routes::WorkTimes&
+RouteTimes(ServicePool& aPool, const std::string& aRoute);
+
 /// Chooses service, region and server of a request. A request keeps its service.
 routes::Placement
 PlaceForward(State& aState, const Forward& aForward, Instant aNow);
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -4,6 +4,7 @@
 #include "fighold/core/endpoint.hpp"
 #include "fighold/core/id.hpp"
 #include "fighold/core/time.hpp"
+#include "fighold/routes/work_times.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -35,16 +36,6 @@
 /// server, which does not know its object, and takes one of the few second dispatches.
 constexpr double kFailureCost = 2;
 
-/// Weight of the newest request in the decayed work times.
-constexpr double kWorkWeight = 0.1;
-
-/// Work time of a service of which no answer was seen yet.
-constexpr Millis kAssumedWork{ 500 };
-
-/// Work time on an object that the server handled lately, as a part of the usual one, until
-/// answers show it.
-constexpr double kAssumedWarmPart = 0.7;
-
 /// Objects that a server is taken to remember, and for how long.
 constexpr std::size_t kRememberedKeys = 24;
 constexpr std::chrono::seconds kRememberKey{ 30 };
@@ -119,16 +110,6 @@
   GivenUp,    ///< cancelled: nothing is known
 };
 
-/// Decayed work times of a service, without the time on the way.
-struct WorkTimes
-{
-  double mColdMs = static_cast<double>(kAssumedWork.count()); ///< on an object that is new there
-  double mWarmMs = static_cast<double>(kAssumedWork.count()) * kAssumedWarmPart; ///< on a known one
-  double mMeanMs = static_cast<double>(kAssumedWork.count());                    ///< of all
-
-  friend auto operator<=>(const WorkTimes&, const WorkTimes&) = default;
-};
-
 /// Limit on what a cold server gets from one entry.
 struct ColdLimit
 {
@@ -176,23 +157,6 @@
           const std::optional<LoadReport>& aReport,
           Instant aNow);
 
-/// What is known of whether a server remembered the object of a request.
-enum class Memory : std::uint8_t
-{
-  Unknown, ///< other entries may have sent it there
-  Known,   ///< this entry had sent it there lately
-  New,     ///< no entry is taken to have sent it there
-};
-
-/// @param aWork time of the request less the time on the way
-/// @return work times after an answer
-WorkTimes
-NoteWork(WorkTimes aTimes, Duration aWork, Memory aMemory);
-
-/// @return slowness of a server after an answer
-double
-NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, Memory aMemory);
-
 /// @param aKey object; 0: none
 /// @param aOwn data centre whose servers come first, or empty: the whole region is one order
 /// @return the region's servers in the order of the object. All entries of a data centre agree on
@@ -219,7 +183,8 @@
   std::uint64_t mKey = 0; ///< object of the request; 0: none
   std::set<BackendServerId> mTried;
   RegionId mRegion;
-  DataCentreId mOwn; ///< data centre of the entry
+  DataCentreId mOwn;               ///< data centre of the entry
+  std::optional<WorkTimes> mTimes; ///< of the route; nothing: those of the service
 
   friend auto operator<=>(const PlacementRequest&, const PlacementRequest&) = default;
 };
@@ -232,6 +197,7 @@
   Duration mWait{};                 ///< part of it before a slot is free
   double mSpare = 0;                ///< part of the slots that is free once the request runs
   Memory mMemory = Memory::Unknown; ///< whether the server remembers the object
+  bool mWorkKnown = true;           ///< answers of late say how long the work takes
   std::string mReason;
   std::vector<Rejected> mRejected;
 
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -195,34 +195,6 @@
   return aLoad;
 }
 
-WorkTimes
-NoteWork(WorkTimes aTimes, Duration aWork, Memory aMemory)
-{
-  const auto move = [&aWork](double& aKept) {
-    // A straggler runs many times longer and must not make every server seem busy.
-    const double work = std::clamp(Milliseconds(aWork), 1.0, 3 * aKept);
-    aKept += kWorkWeight * (work - aKept);
-  };
-  move(aTimes.mMeanMs);
-  if (aMemory != Memory::Unknown) {
-    move(aMemory == Memory::Known ? aTimes.mWarmMs : aTimes.mColdMs);
-  }
-  aTimes.mWarmMs = std::min(aTimes.mWarmMs, aTimes.mColdMs);
-  return aTimes;
-}
-
-double
-NoteSlowness(double aSlowness, const WorkTimes& aTimes, Duration aWork, Memory aMemory)
-{
-  if (aMemory == Memory::Unknown) {
-    return aSlowness;
-  }
-  constexpr double kSlowest = 5;
-  const double usual = std::max(1.0, aMemory == Memory::Known ? aTimes.mWarmMs : aTimes.mColdMs);
-  const double ratio = std::clamp(Milliseconds(aWork) / usual, 1 / kSlowest, kSlowest);
-  return aSlowness + 2 * kWorkWeight * (ratio - aSlowness);
-}
-
 std::vector<BackendServerId>
 ServerOrder(const std::vector<Server>& aServers,
             const RegionId& aRegion,
@@ -295,6 +267,7 @@
   Placement placement;
   std::vector<Scored> scored;
   bool healthy = false;
+  const WorkTimes& times = aRequest.mTimes ? *aRequest.mTimes : aPool.mTimes;
   const auto order = ServerOrder(
     aPool.mServers, aRequest.mRegion, PreferredDataCentre(aPool, aRequest.mOwn), aRequest.mKey);
   const auto first = order.empty() ? std::nullopt : std::optional(order.front());
@@ -311,8 +284,8 @@
     const Memory memory = MemoryOf(it.mId, load, aRequest.mKey, first, aNow);
     const auto place = std::find(order.begin(), order.end(), it.mId) - order.begin();
     const double behind = static_cast<double>(std::max<std::ptrdiff_t>(0, place - 1));
-    const double work = (memory == Memory::New ? aPool.mTimes.mColdMs : aPool.mTimes.mWarmMs) +
-                        behind * kOrderCost * aPool.mTimes.mColdMs;
+    const double work =
+      ExpectedWorkMs(times, aRequest.mKey != 0, memory) + behind * kOrderCost * times.mColdMs;
     const bool ejected = aNow < load.mEjectedUntil;
     healthy = healthy || !ejected;
     const double expected = CostMs(it, load, aPool.mTimes, work, aNow);
