Keep objects at few servers, and judge servers unheard of by their region

A load report faded to "idle" within a second, so the wait was estimated at 1 to 6 ms while servers had 13 requests at 9 slots. Requests went to servers that were full, and spread: an object was worked on at three servers of a data centre on average, at each as a new one, which takes four times as long. After a time in which all servers turned requests away, entries also refused callers for seconds, since past failures counted as expected work. Ruled out: lack of slots (warm work fills a third of them); the limit of second dispatches (it held only while all servers turned requests away). Change: a report fades to the load of the server's region; failures are a cost of choosing a server and no longer part of the expected time; the cost of leaving an object's first server grows with the square of the place in its order; requests without an object draw their order instead of sharing one. Tests: patterns "many entries", "all refused", "many servers", "all servers grey", "no objects" in placement_test.

--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -395,6 +395,10 @@
     load, EndingOf(aEvent, aScope), forward.mKey, aScope.mDone.mLoad, aScope.mNow);
   LogHealth(aScope, before, load);
   const auto pool = state.mPools.find(forward.mService);
+  if (aScope.mDone.mLoad && pool != state.mPools.end()) {
+    routes::RegionLoad& region = pool->second.mPool.mRegionLoads[forward.mServer.mRegion];
+    region = routes::NoteRegionLoad(region, forward.mServer, load.mForeign, aScope.mNow);
+  }
   if (aEvent == ForwardEvent::Answered && pool != state.mPools.end()) {
     const Duration work = aScope.mNow - forward.mSentAt - RoundTrip(state, forward.mServer.mRegion);
     routes::WorkTimes& times = RouteTimes(pool->second, forward.mRoute->mName);
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -158,7 +158,11 @@
       it = now.mRoutes->mRoutes.count(it->first) > 0 ? std::next(it) : pool.mRouteTimes.erase(it);
     }
     for (const routes::Server& it : pool.mPool.mServers) {
-      aState.mLoads[it.mId].mIncarnation = it.mIncarnation;
+      routes::ServerLoad& load = aState.mLoads[it.mId];
+      load.mIncarnation = it.mIncarnation;
+      if (load.mReportedAt == Instant{}) {
+        load.mReportedAt = aNow; // a server that nobody knew has no requests of others
+      }
     }
     if (pool.mSplit.mParts.empty()) {
       pool.mSplit.mParts =
@@ -224,7 +228,12 @@
     placement = routes::Place(
       pool->second.mPool,
       aState.mLoads,
-      { aForward.mKey, aForward.mTried, *region, aState.mOptions.mEntry.mDataCentre, times },
+      { aForward.mKey,
+        aForward.mKey == 0 ? Draw(aState) : 0,
+        aForward.mTried,
+        *region,
+        aState.mOptions.mEntry.mDataCentre,
+        times },
       trusts,
       aNow);
     usable.erase(*region);
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -21,6 +21,13 @@
 /// that an older report says little about those that run now.
 constexpr Millis kReportDecay{ 1000 };
 
+/// Weight of the newest report in the decayed load of a region's servers: ten reports count.
+constexpr double kRegionReportWeight = 0.1;
+
+/// Age at which the load of a region has lost two thirds of its weight. An entry that refuses
+/// everything hears of no load, and must not go on for long with the last one.
+constexpr Millis kRegionLoadDecay{ 3000 };
+
 /// Failures in a row after which a server is left alone, and for how long: twice as long each time.
 constexpr std::uint32_t kFailuresToEject = 2;
 constexpr Millis kFirstEjection{ 1000 };
@@ -40,10 +47,16 @@
 constexpr std::size_t kRememberedKeys = 24;
 constexpr std::chrono::seconds kRememberKey{ 30 };
 
-/// Part of the work time by which a server seems costlier for each place behind the second in the
-/// order of an object's servers, so that the few that leave their first server meet again.
+/// Part of the work time by which a server seems costlier, times the square of its place in the
+/// order of an object's servers: the next one may help out, and the rest do not learn objects that
+/// they would soon forget. With a cost that grows evenly, an object of a service with 25 servers in
+/// each data centre was worked on at three of them on average, each time as a new one at first.
 constexpr double kOrderCost = 0.05;
 
+/// The same for a request without an object, whose order is drawn: it decides between servers that
+/// are as busy, and leaves those of other data centres for later.
+constexpr double kDrawnOrderCost = 0.005;
+
 /// Part of the additional work on new objects that counts against moving requests to another
 /// region.
 constexpr double kMovingPart = 0.5;
@@ -131,17 +144,41 @@
                const EntryId& aSelf,
                double aPerSecond);
 
+/// What the servers of a region say of their load.
+struct RegionLoad
+{
+  double mForeignPart = 0; ///< requests of others for each slot, decayed mean of the reports
+  Instant mReportedAt{};
+
+  friend auto operator<=>(const RegionLoad&, const RegionLoad&) = default;
+};
+
+/// @return load of a region after a report of one of its servers
+/// @param aForeign requests of others at that server
+RegionLoad
+NoteRegionLoad(RegionLoad aLoad, const Server& aServer, double aForeign, Instant aNow);
+
+/// @return requests of others that a server of the region has when it has not reported of late
+double
+UsualForeign(const RegionLoad& aLoad, const Server& aServer, Instant aNow);
+
+/// @param aUsual requests of others at a server without a recent report. With many entries each
+/// server's reports are rare, and an old one must not make a busy server seem idle.
 /// @return requests that run or wait at the server now, as far as known
 double
-BusyEstimate(const ServerLoad& aLoad, Instant aNow);
+BusyEstimate(const ServerLoad& aLoad, double aUsual, Instant aNow);
 
 /// @return part of the server's slots that is free once a new request runs, below 0 when it waits
 double
-SpareEstimate(const Server& aServer, const ServerLoad& aLoad, Instant aNow);
+SpareEstimate(const Server& aServer, const ServerLoad& aLoad, double aUsual, Instant aNow);
 
 /// @return time that a new request would wait for a slot
 Duration
-WaitEstimate(const Server& aServer, const ServerLoad& aLoad, const WorkTimes& aTimes, Instant aNow);
+WaitEstimate(const Server& aServer,
+             const ServerLoad& aLoad,
+             double aUsual,
+             const WorkTimes& aTimes,
+             Instant aNow);
 
 /// @return load after one more request was sent
 ServerLoad
@@ -180,7 +217,8 @@
 /// What is asked of Place.
 struct PlacementRequest
 {
-  std::uint64_t mKey = 0; ///< object of the request; 0: none
+  std::uint64_t mKey = 0;  ///< object of the request; 0: none
+  std::uint64_t mDraw = 0; ///< random number, orders the servers of a request without an object
   std::set<BackendServerId> mTried;
   RegionId mRegion;
   DataCentreId mOwn;               ///< data centre of the entry
@@ -213,6 +251,7 @@
   EntryId mSelf;
   double mColdPerSecond = 0; ///< requests/s that a cold server bears; 0: not limited
   WorkTimes mTimes;
+  std::map<RegionId, RegionLoad> mRegionLoads;
 
   friend bool operator==(const Pool&, const Pool&) = default;
 };
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -58,18 +58,32 @@
   return {};
 }
 
-/// Expected time at a server. A server that fails a part of its requests seems slower, because a
-/// request that fails there takes another server's time as well.
+/// Time until a request ends at a server.
 double
-CostMs(const Server& aServer,
-       const ServerLoad& aLoad,
-       const WorkTimes& aTimes,
-       double aWorkMs,
-       Instant aNow)
+ExpectedMs(const Server& aServer,
+           const ServerLoad& aLoad,
+           double aUsual,
+           const WorkTimes& aTimes,
+           double aWorkMs,
+           Instant aNow)
+{
+  return Milliseconds(WaitEstimate(aServer, aLoad, aUsual, aTimes, aNow)) +
+         aWorkMs * aLoad.mSlowness;
+}
+
+/// What a server's failures add to the cost of choosing it: a request that fails there takes
+/// another server's time as well.
+double
+FailureCostMs(const ServerLoad& aLoad, const WorkTimes& aTimes, double aExpectedMs, Instant aNow)
+{
+  return FailedPart(aLoad, aNow) * kFailureCost * (aTimes.mColdMs + aExpectedMs);
+}
+
+RegionLoad
+RegionLoadOf(const Pool& aPool, const RegionId& aRegion)
 {
-  const double work = aWorkMs * aLoad.mSlowness;
-  const double wait = Milliseconds(WaitEstimate(aServer, aLoad, aTimes, aNow));
-  return wait + work + FailedPart(aLoad, aNow) * kFailureCost * (aTimes.mColdMs + wait);
+  const auto it = aPool.mRegionLoads.find(aRegion);
+  return it == aPool.mRegionLoads.end() ? RegionLoad{} : it->second;
 }
 
 const ServerLoad&
@@ -119,25 +133,45 @@
   return LimitWhileCold(aServer, aPool.mEntries, aPool.mSelf, aPool.mColdPerSecond);
 }
 
+RegionLoad
+NoteRegionLoad(RegionLoad aLoad, const Server& aServer, double aForeign, Instant aNow)
+{
+  const double part = aForeign / std::max(1U, aServer.mSlots);
+  aLoad.mForeignPart += kRegionReportWeight * (part - aLoad.mForeignPart);
+  aLoad.mReportedAt = aNow;
+  return aLoad;
+}
+
+double
+UsualForeign(const RegionLoad& aLoad, const Server& aServer, Instant aNow)
+{
+  const double age = Milliseconds(aNow - aLoad.mReportedAt) / Milliseconds(kRegionLoadDecay);
+  return aLoad.mForeignPart * std::max(1U, aServer.mSlots) * std::exp(-age);
+}
+
 double
-BusyEstimate(const ServerLoad& aLoad, Instant aNow)
+BusyEstimate(const ServerLoad& aLoad, double aUsual, Instant aNow)
 {
   const double age = Milliseconds(aNow - aLoad.mReportedAt) / Milliseconds(kReportDecay);
-  return aLoad.mOwn + aLoad.mForeign * std::exp(-age);
+  return aLoad.mOwn + aUsual + (aLoad.mForeign - aUsual) * std::exp(-age);
 }
 
 double
-SpareEstimate(const Server& aServer, const ServerLoad& aLoad, Instant aNow)
+SpareEstimate(const Server& aServer, const ServerLoad& aLoad, double aUsual, Instant aNow)
 {
   const double slots = std::max(1U, aServer.mSlots);
-  return (slots - 1 - BusyEstimate(aLoad, aNow)) / slots;
+  return (slots - 1 - BusyEstimate(aLoad, aUsual, aNow)) / slots;
 }
 
 Duration
-WaitEstimate(const Server& aServer, const ServerLoad& aLoad, const WorkTimes& aTimes, Instant aNow)
+WaitEstimate(const Server& aServer,
+             const ServerLoad& aLoad,
+             double aUsual,
+             const WorkTimes& aTimes,
+             Instant aNow)
 {
   const double slots = std::max(1U, aServer.mSlots);
-  const double ahead = BusyEstimate(aLoad, aNow) + 1 - slots;
+  const double ahead = BusyEstimate(aLoad, aUsual, aNow) + 1 - slots;
   // A slot becomes free after half a work time on average when all are taken.
   return ahead <= 0 ? Duration{}
                     : FromMilliseconds(ahead / slots * aTimes.mMeanMs * aLoad.mSlowness);
@@ -268,8 +302,13 @@
   std::vector<Scored> scored;
   bool healthy = false;
   const WorkTimes& times = aRequest.mTimes ? *aRequest.mTimes : aPool.mTimes;
-  const auto order = ServerOrder(
-    aPool.mServers, aRequest.mRegion, PreferredDataCentre(aPool, aRequest.mOwn), aRequest.mKey);
+  const RegionLoad regionLoad = RegionLoadOf(aPool, aRequest.mRegion);
+  const bool hasObject = aRequest.mKey != 0;
+  const auto order = ServerOrder(aPool.mServers,
+                                 aRequest.mRegion,
+                                 PreferredDataCentre(aPool, aRequest.mOwn),
+                                 hasObject ? aRequest.mKey : aRequest.mDraw);
+  const double orderCost = hasObject ? kOrderCost : kDrawnOrderCost;
   const auto first = order.empty() ? std::nullopt : std::optional(order.front());
   for (const Server& it : aPool.mServers) {
     if (it.mRegion != aRequest.mRegion || aRequest.mTried.count(it.mId) > 0) {
@@ -283,15 +322,18 @@
     }
     const Memory memory = MemoryOf(it.mId, load, aRequest.mKey, first, aNow);
     const auto place = std::find(order.begin(), order.end(), it.mId) - order.begin();
-    const double behind = static_cast<double>(std::max<std::ptrdiff_t>(0, place - 1));
-    const double work =
-      ExpectedWorkMs(times, aRequest.mKey != 0, memory) + behind * kOrderCost * times.mColdMs;
+    const auto behind = static_cast<double>(place);
+    const double work = ExpectedWorkMs(times, hasObject, memory);
     const bool ejected = aNow < load.mEjectedUntil;
     healthy = healthy || !ejected;
-    const double expected = CostMs(it, load, aPool.mTimes, work, aNow);
+    const double usual = UsualForeign(regionLoad, it, aNow);
+    const double expected = ExpectedMs(it, load, usual, aPool.mTimes, work, aNow);
+    const double cost = expected + FailureCostMs(load, times, expected, aNow);
+    const double orderMs = behind * behind * orderCost * times.mColdMs;
     // Work at a busy server also holds up the requests that come after it.
-    const double pressure = std::clamp(1 - SpareEstimate(it, load, aNow), 0.0, 2.0);
-    scored.push_back({ &it, expected + work * pressure, expected, memory, ejected });
+    const double pressure = std::clamp(1 - SpareEstimate(it, load, usual, aNow), 0.0, 2.0);
+    scored.push_back(
+      { &it, cost + orderMs + (work + orderMs) * pressure, expected, memory, ejected });
   }
   const Scored* best = nullptr;
   for (const Scored& it : scored) {
@@ -307,9 +349,12 @@
   }
   placement.mServer = *best->mServer;
   placement.mExpected = FromMilliseconds(best->mExpected);
-  placement.mSpare = SpareEstimate(*best->mServer, LoadOf(aLoads, best->mServer->mId), aNow);
-  placement.mWait =
-    WaitEstimate(*best->mServer, LoadOf(aLoads, best->mServer->mId), aPool.mTimes, aNow);
+  const ServerLoad& load = LoadOf(aLoads, best->mServer->mId);
+  const double usual = UsualForeign(regionLoad, *best->mServer, aNow);
+  // Only what the server itself said of late: with the load of its region, callers of a region with
+  // few servers were refused there in the first seconds, and the part that ran elsewhere jumped.
+  placement.mSpare = SpareEstimate(*best->mServer, load, 0, aNow);
+  placement.mWait = WaitEstimate(*best->mServer, load, usual, aPool.mTimes, aNow);
   placement.mMemory = best->mMemory;
   placement.mReason = healthy ? "first-expected-end" : "all-ejected";
   return placement;
@@ -330,11 +375,14 @@
 {
   double sum = 0;
   double slots = 0;
+  const RegionLoad regionLoad = RegionLoadOf(aPool, aRegion);
   for (const Server& it : aPool.mServers) {
     const ServerLoad& load = LoadOf(aLoads, it.mId);
     if (it.mRegion == aRegion && aNow >= load.mEjectedUntil &&
         (!aTrustLeases || aNow < load.mAliveUntil)) {
-      sum += it.mSlots * CostMs(it, load, aPool.mTimes, aPool.mTimes.mMeanMs, aNow);
+      const double usual = UsualForeign(regionLoad, it, aNow);
+      const double expected = ExpectedMs(it, load, usual, aPool.mTimes, aPool.mTimes.mMeanMs, aNow);
+      sum += it.mSlots * (expected + FailureCostMs(load, aPool.mTimes, expected, aNow));
       slots += it.mSlots;
     }
   }
--- a/packages/routes/src/placement_test.cpp
+++ b/packages/routes/src/placement_test.cpp
@@ -33,7 +33,7 @@
   Placement At(std::uint64_t aKey, const std::string& aDataCentre = "a")
   {
     return Place(
-      mPool, mLoads, { aKey, {}, { "leith" }, { aDataCentre }, std::nullopt }, true, mNow);
+      mPool, mLoads, { aKey, 0, {}, { "leith" }, { aDataCentre }, std::nullopt }, true, mNow);
   }
 
   ServerLoad& LoadOf(const std::string& aId) { return mLoads[{ aId }]; }
@@ -53,6 +53,22 @@
   }
 }
 
+// Pattern "no objects": guards against entries that all send requests without an object to the same
+// server, since its name comes first.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, requests without an object, are spread over the data centre",
+                 "[routes]")
+{
+  std::map<std::string, int> sent;
+  for (std::uint64_t draw = 1; draw <= 400; ++draw) {
+    const Placement placement =
+      Place(mPool, mLoads, { 0, draw, {}, { "leith" }, { "a" }, std::nullopt }, true, mNow);
+    ++sent[placement.mServer->mId.mValue];
+  }
+  CHECK(sent["a1"] > 100);
+  CHECK(sent["a2"] > 100);
+}
+
 // Pattern "few servers": guards against one server that must remember the objects of a whole data
 // centre.
 TEST_CASE_METHOD(PlacementFixture,
@@ -75,7 +91,7 @@
 {
   const WorkTimes shortWork{ 8, 4, 5, 50, mNow };
   const Placement placement =
-    Place(mPool, mLoads, { 0, {}, { "leith" }, { "a" }, shortWork }, true, mNow);
+    Place(mPool, mLoads, { 0, 0, {}, { "leith" }, { "a" }, shortWork }, true, mNow);
   CHECK(placement.mExpected == Millis(5));
   CHECK(At(0).mExpected == Millis(300));
 }
@@ -93,6 +109,37 @@
   CHECK(other.mMemory == Memory::New);
 }
 
+// Pattern "many servers": guards against objects that wander over all servers of a data centre as
+// each of them is busy in its turn, so that none remembers them.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, first servers of an object busy, stays with few of many",
+                 "[routes]")
+{
+  mPool.mServers.clear();
+  mPool.mTimes = { 1200, 300, 700, 50, mNow };
+  for (int n = 0; n < 25; ++n) {
+    Server server;
+    server.mId = { "a" + std::to_string(100 + n) };
+    server.mRegion = { "leith" };
+    server.mDataCentre = { "a" };
+    server.mSlots = 9;
+    mPool.mServers.push_back(server);
+    mLoads[server.mId].mAliveUntil = mNow + std::chrono::hours(1);
+    mLoads[server.mId].mReportedAt = mNow;
+  }
+  std::set<BackendServerId> used;
+  std::uint32_t state = 1;
+  for (int n = 0; n < 300; ++n) {
+    // Every server is full at times, and none all the time.
+    for (const Server& it : mPool.mServers) {
+      state = state * 1664525U + 1013904223U;
+      mLoads[it.mId].mOwn = (state >> 24U) % 31;
+    }
+    used.insert(At(7).mServer->mId);
+  }
+  CHECK(used.size() <= 6);
+}
+
 // Pattern "server full for a moment": guards against work on a new object, three times as long, in
 // place of a short wait.
 TEST_CASE_METHOD(PlacementFixture,
@@ -147,7 +194,8 @@
     load.mAliveUntil = mNow;
   }
   CHECK_FALSE(At(7).mServer);
-  CHECK(Place(mPool, mLoads, { 7, {}, { "leith" }, { "a" }, std::nullopt }, false, mNow).mServer);
+  CHECK(
+    Place(mPool, mLoads, { 7, 0, {}, { "leith" }, { "a" }, std::nullopt }, false, mNow).mServer);
 }
 
 // Pattern "grey server": guards against a server that turns requests away at once and seems the
@@ -167,6 +215,21 @@
   CHECK(At(7).mServer->mId.mValue == first);
 }
 
+// Pattern "all servers grey": guards against a service that goes on refusing its callers because
+// its servers turned requests away some seconds ago: that makes no request longer.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, every server turned requests away, expects no longer work for it",
+                 "[routes]")
+{
+  const Duration before = At(7).mExpected;
+  for (auto& [id, load] : mLoads) {
+    for (int n = 0; n < 8; ++n) {
+      load = NoteEnded(NoteSent(load, {}, mNow), Ending::TurnedAway, 0, std::nullopt, mNow);
+    }
+  }
+  CHECK(At(7).mExpected == before);
+}
+
 // Pattern "server lost": guards against requests that each find out anew that a server is gone.
 TEST_CASE_METHOD(PlacementFixture,
                  "NoteEnded, failures in a row, eject for twice as long each time",
@@ -217,13 +280,43 @@
   }
 }
 
+// Pattern "many entries": each of seventy hears of one server every few seconds. Guards against a
+// service of which every server is full and seems idle because its last report is old.
+TEST_CASE_METHOD(PlacementFixture,
+                 "Place, all reports old and the region busy, expects the wait of the region",
+                 "[routes]")
+{
+  for (auto& [id, load] : mLoads) {
+    load.mReportedAt = mNow - std::chrono::seconds(10);
+  }
+  CHECK(At(7).mWait == Duration{});
+  RegionLoad& region = mPool.mRegionLoads[{ "leith" }];
+  for (int n = 0; n < 60; ++n) {
+    region = NoteRegionLoad(region, mPool.mServers.front(), 9, mNow);
+  }
+  // Nine requests of others at three slots: three work times of 300 ms, the last one half over.
+  CHECK(At(7).mWait > Millis(600));
+  // A report from now goes before what the region says.
+  LoadOf("a2").mReportedAt = mNow;
+  CHECK(At(7).mServer->mId.mValue == "a2");
+  CHECK(At(7).mWait == Duration{});
+}
+
+// Pattern "all refused": guards against an entry that refuses on and on for a load of long ago.
+TEST_CASE_METHOD(PlacementFixture, "UsualForeign, no reports for long, falls", "[routes]")
+{
+  const RegionLoad region{ 4, mNow };
+  CHECK(UsualForeign(region, mPool.mServers.front(), mNow) == Approx(12));
+  CHECK(UsualForeign(region, mPool.mServers.front(), mNow + 3 * kRegionLoadDecay) < 1);
+}
+
 // Guards against an estimate that takes an old report for the present load.
 TEST_CASE_METHOD(PlacementFixture, "BusyEstimate, report grows old, counts less", "[routes]")
 {
   ServerLoad load = NoteSent({}, {}, mNow);
   load = NoteEnded(NoteSent(load, {}, mNow), Ending::Answered, 5, LoadReport{ 3, 4, 3 }, mNow);
-  CHECK(BusyEstimate(load, mNow) == Approx(7));
-  CHECK(BusyEstimate(load, mNow + kReportDecay) == Approx(1 + 6 * std::exp(-1.0)));
+  CHECK(BusyEstimate(load, 0, mNow) == Approx(7));
+  CHECK(BusyEstimate(load, 0, mNow + kReportDecay) == Approx(1 + 6 * std::exp(-1.0)));
 }
 
 } // namespace
