figholdctl explain: the lines of one request in order, and the one that decided

Cause: the way from a request's identifier to its cause led through a search in the logs of every process, by hand. Change: the command puts the lines of all given logs in order, adds those in which a process changed its mind about a server that the request was sent to, marks the deciding line and says which lines are missing. The lines of an entry name two more inputs, the requests expected at the server and whether the work of the route is known. Found by its property test: a value with a vertical tab or an escape character was logged without quotes and with the character itself. Control characters are quoted and replaced now.

--- a/packages/core/src/decision_record.cpp
+++ b/packages/core/src/decision_record.cpp
@@ -1,10 +1,18 @@
 #include "fighold/core/decision_record.hpp"
 
+#include <algorithm>
 #include <string_view>
 
 namespace fighold {
 namespace {
 
+/// @return true for characters that end a line or that a terminal acts on
+bool
+IsControl(char aChar)
+{
+  return static_cast<unsigned char>(aChar) < 0x20;
+}
+
 void
 AppendPair(std::string& aOut, std::string_view aKey, std::string_view aValue)
 {
@@ -13,9 +21,10 @@
   }
   aOut += aKey;
   aOut += '=';
-  const bool plain =
-    !aValue.empty() && aValue.find_first_of(" \"=\\\n\r\t") == std::string_view::npos;
-  if (plain) {
+  const auto special = [](char aChar) {
+    return aChar == ' ' || aChar == '"' || aChar == '=' || aChar == '\\' || IsControl(aChar);
+  };
+  if (!aValue.empty() && std::none_of(aValue.begin(), aValue.end(), special)) {
     aOut += aValue;
     return;
   }
@@ -24,8 +33,7 @@
     if (c == '"' || c == '\\') {
       aOut += '\\';
     }
-    const bool control = static_cast<unsigned char>(c) < 0x20;
-    aOut += control ? ' ' : c;
+    aOut += IsControl(c) ? ' ' : c;
   }
   aOut += '"';
 }
--- a/packages/ctl/src/command.cpp
+++ b/packages/ctl/src/command.cpp
@@ -2,6 +2,7 @@
 
 #include "fighold/plan/sheet.hpp"
 
+#include "explain.hpp"
 #include "progress.hpp"
 #include "session.hpp"
 
@@ -152,7 +153,37 @@
   return kExitDone;
 }
 
-/// A command with its words and arguments.
+int
+ExplainRequest(const std::vector<std::string>& aArguments, const Session& aSession)
+{
+  std::vector<LogFile> files;
+  for (auto it = aArguments.begin() + 1; it != aArguments.end(); ++it) {
+    auto text = aSession.mEnvironment.mReadFile(*it);
+    if (!text) {
+      aSession.mEnvironment.mError(*it + ": cannot be read");
+      return kExitBadUsage;
+    }
+    files.push_back({ *it, std::move(*text) });
+  }
+  const Explanation explanation = Explain(aArguments[0], files);
+  if (explanation.mLines.empty()) {
+    aSession.mEnvironment.mError("no line names request " + aArguments[0]);
+    return kExitFailed;
+  }
+  for (std::size_t n = 0; n < explanation.mLines.size(); ++n) {
+    const ExplainedLine& line = explanation.mLines[n];
+    aSession.mEnvironment.mPrint((n == explanation.mDeciding ? "> " : "  ") + line.mFile + ": " +
+                                 line.mText);
+  }
+  for (const std::string& it : explanation.mMissing) {
+    aSession.mEnvironment.mPrint("missing: " + it);
+  }
+  aSession.mEnvironment.mPrint(
+    "outcome: " + (explanation.mVerdict.empty() ? "not in these logs" : explanation.mVerdict));
+  return kExitDone;
+}
+
+/// A command with its words and arguments. A last argument that ends with "..." may be repeated.
 struct Command
 {
   std::vector<std::string> mWords;
@@ -184,6 +215,10 @@
       { "on|off", "backend-server|entry|region", "NAME" },
       "start or end a drain; a start waits until nothing is in flight",
       Drain },
+    { { "explain" },
+      { "ID", "FILE..." },
+      "print the log lines of one request in order and the one that decided it",
+      ExplainRequest },
     { { "keys", "new" }, { "FILE" }, "make the keys of a daemon: FILE and FILE.pub", NewKeys },
   };
   return commands;
@@ -192,7 +227,10 @@
 bool
 Matches(const Command& aCommand, const std::vector<std::string>& aArguments)
 {
-  return aArguments.size() == aCommand.mWords.size() + aCommand.mArguments.size() &&
+  const std::size_t least = aCommand.mWords.size() + aCommand.mArguments.size();
+  const bool repeats =
+    !aCommand.mArguments.empty() && aCommand.mArguments.back().find("...") != std::string::npos;
+  return (aArguments.size() == least || (repeats && aArguments.size() > least)) &&
          std::equal(aCommand.mWords.begin(), aCommand.mWords.end(), aArguments.begin());
 }
 
--- a/packages/ctl/src/command_test.cpp
+++ b/packages/ctl/src/command_test.cpp
@@ -46,6 +46,21 @@
   CHECK(mErrors.find("plan submit SHEET") != std::string::npos);
 }
 
+// Guards against a command that takes one log file only.
+TEST_CASE_METHOD(CommandFixture, "explain, several files, marks the line that decided", "[ctl]")
+{
+  mSheet =
+    "time=1.0 decision=answer subject=9c41 outcome=not-run status=503 reason=no-room-in-time "
+    "elapsed_ms=0 sends=0\n";
+  CHECK(Run({ "explain", "9c41", "sheet.csv", "sheet.csv" }) == kExitDone);
+  CHECK(mOutput.find("> sheet.csv: time=1.0 decision=answer") != std::string::npos);
+  CHECK(mOutput.find("outcome: not run, answered 503 after 0 ms: no-room-in-time") !=
+        std::string::npos);
+  CHECK(Run({ "explain", "0000", "sheet.csv" }) == kExitFailed);
+  CHECK(Run({ "explain", "9c41", "none.log" }) == kExitBadUsage);
+  CHECK(Run({ "explain", "9c41" }) == kExitBadUsage);
+}
+
 TEST_CASE_METHOD(CommandFixture,
                  "plan check, sheet with findings, prints them and exits 2",
                  "[ctl]")
--- a/packages/entry/src/forward_log.cpp
+++ b/packages/entry/src/forward_log.cpp
@@ -64,6 +64,8 @@
     { "memory", MemoryName(aScope.mPlacement.mMemory) },
     { "wait_ms", MillisText(aScope.mPlacement.mWait) },
     { "expected_ms", MillisText(aScope.mPlacement.mExpected + aScope.mOnTheWay) },
+    { "work_known", aScope.mPlacement.mWorkKnown ? "yes" : "no" },
+    { "busy", std::to_string(static_cast<int>(aScope.mPlacement.mBusy)) },
     { "own", std::to_string(load.mOwn) },
     { "foreign", std::to_string(static_cast<int>(load.mForeign)) },
     { "report_age_ms", MillisText(aScope.mNow - load.mReportedAt) },
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -233,6 +233,7 @@
   std::optional<Server> mServer;    ///< nothing: no server may get it
   Duration mExpected{};             ///< time at the server, without the time on the way
   Duration mWait{};                 ///< part of it before a slot is free
+  double mBusy = 0;                 ///< requests that run or wait there, as far as known
   double mSpare = 0;                ///< part of the slots that is free once the request runs
   Memory mMemory = Memory::Unknown; ///< whether the server remembers the object
   bool mWorkKnown = true;           ///< answers of late say how long the work takes
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -351,6 +351,7 @@
   placement.mExpected = FromMilliseconds(best->mExpected);
   const ServerLoad& load = LoadOf(aLoads, best->mServer->mId);
   const double usual = UsualForeign(regionLoad, *best->mServer, aNow);
+  placement.mBusy = BusyEstimate(load, usual, aNow);
   // Only what the server itself said of late: with the load of its region, callers of a region with
   // few servers were refused there in the first seconds, and the part that ran elsewhere jumped.
   placement.mSpare = SpareEstimate(*best->mServer, load, 0, aNow);
