Planned stop: a caller who is still there is not taken for gone

On a connection with a running request, one more request arrives after the stop; the wait for a third one ends at once because of the stop, and this was treated as the end of the caller's connection. Ruled out: the end of the entry's wait for quiet (it only closes listeners); the backend server (the cut came from the entry). Change: a wait that the stop ended leaves the running requests alone; the caller's end is watched on. Tests: "request behind a running one after the stop, both are answered" and "stop while an answer is written, closes after the answer" fail on the code before.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -64,8 +64,9 @@
   bool mFresh = true;                               ///< no request has begun
   bool mReading = false;                            ///< a request is being read
   bool mWriting = false;
-  bool mBroken = false;  ///< nothing can be written any more
-  bool mClosing = false; ///< no further request is read
+  bool mBroken = false;    ///< nothing can be written any more
+  bool mClosing = false;   ///< no further request is read
+  bool mStopEnded = false; ///< a stop, not the client, ended the wait for a request
   Instant mIdleSince = std::chrono::steady_clock::now();
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
@@ -117,6 +118,7 @@
 {
   beast::error_code ec;
   if (aStopping && !aConnection.mFresh && aConnection.mStream.socket().available(ec) == 0) {
+    aConnection.mStopEnded = true;
     return false;
   }
   const auto read = [&aConnection] {
@@ -247,6 +249,10 @@
     if ((aConnection.mClosing || aConnection.mBroken) && !aConnection.mReading) {
       aConnection.mClosing = true;
       aConnection.mStream.cancel();
+    } else if (aState->mStopping && !aConnection.mReading) {
+      // The stop came during the write and left this connection alone. A request that has arrived
+      // since then is still read.
+      aConnection.mStream.cancel();
     }
   }
   aConnection.mChanged.notify_all();
@@ -288,6 +294,9 @@
     const auto exchange = std::make_shared<Exchange>();
     const unsigned status = ReadRequest(connection, aState->mOptions, aState->mStopping, *exchange);
     if (status == 0) {
+      if (connection.mStopEnded) {
+        break;
+      }
       if (!connection.mClosing) {
         MarkGone(connection);
       }
@@ -310,13 +319,14 @@
     connection.mChanged.wait(
       lock, [&] { return connection.mExchanges.size() < aState->mOptions.mMaxPipelined; });
   }
-  // The client sends nothing more, but its end is still watched for the sake of its requests.
+  // Nothing more is taken from the client, but its end is still watched for the sake of its
+  // requests.
   if (!connection.mExchanges.empty() && !connection.mClosing) {
     connection.mStream.expires_never();
     const auto end = Await([&](auto aHandler) {
       connection.mStream.async_read_some(connection.mBuffer.prepare(1), std::move(aHandler));
     });
-    if (end.mError && !connection.mClosing) {
+    if (end.mError && end.mError != asio::error::operation_aborted && !connection.mClosing) {
       MarkGone(connection);
     }
   }
--- a/packages/net/src/http_server_test.cpp
+++ b/packages/net/src/http_server_test.cpp
@@ -26,6 +26,7 @@
   std::atomic<int> mGone{ 0 };
   int mHandleMs = 0;
   Headers mAnswerHeaders;
+  std::string mAnswerBody = "ok";
   FiberLoop mLoop;
   std::promise<Endpoint> mStarted;
   std::unique_ptr<boost::fibers::promise<void>> mStop;
@@ -45,7 +46,7 @@
                             ++mCalls;
                             aWatch.mOnGone = [this] { ++mGone; };
                             boost::this_fiber::sleep_for(Millis(mHandleMs));
-                            return HttpResponse{ 200, mAnswerHeaders, "ok" };
+                            return HttpResponse{ 200, mAnswerHeaders, mAnswerBody };
                           }));
         boost::fibers::fiber serve([&server] { server.Serve(); });
         mStarted.set_value(server.Address());
@@ -251,5 +252,45 @@
   mThread.join();
 }
 
+// Guards against running requests that a stop takes for abandoned: their dispatches were cancelled
+// and their callers, still there, got 502.
+TEST_CASE_METHOD(ServerFixture,
+                 "HttpServer, request behind a running one after the stop, both are answered",
+                 "[net]")
+{
+  mHandleMs = 300;
+  Tcp::socket socket = Connect(Start());
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::this_thread::sleep_for(Millis(100));
+  RequestStop();
+  std::this_thread::sleep_for(Millis(50));
+  boost::asio::write(socket, boost::asio::buffer(request));
+  const std::string answers = ReadAll(socket);
+  CHECK(mGone == 0);
+  CHECK(mCalls == 2);
+  CHECK(answers.find("ok") != answers.rfind("ok"));
+  mThread.join();
+}
+
+// Guards against a stop that waits for a connection without a request: it came while the answer was
+// written, and nothing ended the wait for the next request.
+TEST_CASE_METHOD(ServerFixture,
+                 "HttpServer, stop while an answer is written, closes after the answer",
+                 "[net]")
+{
+  mAnswerBody.assign(std::size_t{ 16 } << 20U, 'x');
+  Tcp::socket socket = Connect(Start());
+  boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  std::this_thread::sleep_for(Millis(200));
+  REQUIRE(mCalls == 1);
+  RequestStop();
+  std::this_thread::sleep_for(Millis(100));
+  const auto began = std::chrono::steady_clock::now();
+  CHECK(ReadAll(socket).size() > mAnswerBody.size());
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(10));
+  mThread.join();
+}
+
 } // namespace
 } // namespace fighold::net
