Tests: a stopped process stands still when Signal returns

One thread of a process has to take SIGSTOP before the others stop; on a busy machine that took longer than the request, so a holder that was to stand still granted the claim. Ruled out: a grant by one holder (the check is as it was and holds). Change: after SIGSTOP the test waits until the process is reported as stopped.

--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -242,7 +242,14 @@
 void
 Cluster::Signal(const std::string& aName, int aSignal)
 {
-  kill(mProcesses.at(aName), aSignal);
+  const pid_t pid = mProcesses.at(aName);
+  kill(pid, aSignal);
+  if (aSignal == SIGSTOP) {
+    // A thread of the process has to run before the others stop, which takes a while on a busy
+    // machine.
+    siginfo_t info{};
+    waitid(P_PID, static_cast<id_t>(pid), &info, WSTOPPED);
+  }
 }
 
 int
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -48,7 +48,8 @@
                     const std::string& aServers,
                     const std::vector<std::string>& aFlags = {});
 
-  /// Sends a signal to a process: SIGKILL, SIGSTOP, SIGCONT, SIGTERM.
+  /// Sends a signal to a process: SIGKILL, SIGSTOP, SIGCONT, SIGTERM. After SIGSTOP it stands still
+  /// when the call returns.
   void Signal(const std::string& aName, int aSignal);
 
   /// Waits until a process has ended.
