--- a/packages/entry/include/fighold/entry/front_codec.hpp
+++ b/packages/entry/include/fighold/entry/front_codec.hpp
@@ -42,8 +42,11 @@
 };
 
 /// @return whether a request is to be forwarded whatever its target is
-bool
-IsCallersOnly(const FrontCodec& aCodec, const net::HttpRequest& aRequest);
+inline bool
+IsCallersOnly(const FrontCodec& aCodec, const net::HttpRequest& aRequest)
+{
+  return aCodec.mFirstListenerIsCallersOnly && aRequest.mListener == 0;
+}
 
 /// @return the dialect of fighold's own interface
 FrontCodec
--- a/packages/entry/src/front_codec.cpp
+++ b/packages/entry/src/front_codec.cpp
@@ -354,12 +354,6 @@
            [](const std::string& aReason) { return NotRunResponse(aReason); } };
 }
 
-bool
-IsCallersOnly(const FrontCodec& aCodec, const net::HttpRequest& aRequest)
-{
-  return aCodec.mFirstListenerIsCallersOnly && aRequest.mListener == 0;
-}
-
 net::HttpResponse
 NotRunResponse(const std::string& aReason, unsigned aStatus)
 {
