--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -225,17 +225,16 @@
   while (!usable.empty() && !placement.mServer) {
     const auto region = routes::NextRegion(
       pool->second.mSplit, usable, aState.mOptions.mEntry.mRegion, aForward.mKey);
-    placement = routes::Place(
-      pool->second.mPool,
-      aState.mLoads,
-      { aForward.mKey,
-        aForward.mKey == 0 ? Draw(aState) : 0,
-        aForward.mTried,
-        *region,
-        aState.mOptions.mEntry.mDataCentre,
-        times },
-      trusts,
-      aNow);
+    placement = routes::Place(pool->second.mPool,
+                              aState.mLoads,
+                              { aForward.mKey,
+                                aForward.mKey == 0 ? Draw(aState) : 0,
+                                aForward.mTried,
+                                *region,
+                                aState.mOptions.mEntry.mDataCentre,
+                                times },
+                              trusts,
+                              aNow);
     usable.erase(*region);
   }
   placement.mWorkKnown = routes::IsWorkKnown(times, aNow);
