Show what an entry believes about cold servers and how old its grants are

The hypotheses for the flooded cold server differ in what the entries believed: the log had no word on it.

--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -1,5 +1,7 @@
 #include "gauges.hpp"
 
+#include <algorithm>
+
 namespace fighold::entry {
 namespace {
 
@@ -83,6 +85,12 @@
                  { { "class", std::string(ToText(it)) } });
   }
   SetShares(aMetrics, aState, aNow);
+  aMetrics.Set("grant_age_seconds", ToSeconds(aNow - aState.mLastGrant));
+  aMetrics.Set("backend_servers_cold",
+               static_cast<double>(std::count_if(
+                 aState.mServerLoads.begin(), aState.mServerLoads.end(), [aNow](const auto& aLoad) {
+                   return aNow < aLoad.second.mColdUntil;
+                 })));
 }
 
 } // namespace fighold::entry
--- a/packages/entry/src/gauges_test.cpp
+++ b/packages/entry/src/gauges_test.cpp
@@ -54,5 +54,18 @@
     Contains("fighold_share_units{from=\"\",kind=\"region\",region=\"attiki\",service=\"\"} 30"));
 }
 
+// Guards against an outage of the control group in which nobody can see what an entry believes.
+TEST_CASE_METHOD(GaugesFixture,
+                 "SetGauges, one server cold and the last grant old, reports both",
+                 "[entry]")
+{
+  mState.mLastGrant = mNow - std::chrono::seconds(4);
+  mState.mServerLoads[{ "s1" }].mColdUntil = mNow + Millis(1);
+  mState.mServerLoads[{ "s2" }].mColdUntil = mNow;
+  SetGauges(mMetrics, mState, mNow);
+  CHECK(Contains("fighold_grant_age_seconds 4"));
+  CHECK(Contains("fighold_backend_servers_cold 1"));
+}
+
 } // namespace
 } // namespace fighold::entry
