Bound the requests to servers that may have turned cold unheard

Cause: entries learn from heartbeats, through the control group, that a server is cold. Without grants they kept "not cold" for as long as the outage lasted: age_ms grew from 3,388 to 6,502 while three entries sent the server its full rate. Ruled out: entries that know that it is cold and exceed their shares (none held it for cold), and requests that bunch up on the way (the decisions alone are 14 within the second).

Change: a server whose last heartbeat is older than a heartbeat interval and two grants may be cold. The entries that may send to a cold server then send it, together, what a cold server tolerates within a second. Only a heartbeat ends this, not a grant. The number of these entries is bounded by the slack, since the rate as a bound exceeds the sum for rates above 10/s.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -61,10 +61,11 @@
   membership::Entry mEntry;
   std::vector<ControlId> mControls; ///< control processes, the preferred one first
   Millis mLookupTimeToLive{ 5000 };
-  Millis mLongestDrain{ 60'000 };  ///< maximum duration of the drain of a planned stop
-  bool mServeUnleased = false;     ///< forward requests also without a lease
-  double mRetryRatio = 0.1;        ///< maximum retries per request, over all entries
-  double mRetrySlack = 20;         ///< retries allowed beyond that per window, over all entries
+  Millis mLongestDrain{ 60'000 }; ///< maximum duration of the drain of a planned stop
+  bool mServeUnleased = false;    ///< forward requests also without a lease
+  double mRetryRatio = 0.1;       ///< maximum retries per request, over all entries
+  double mRetrySlack = 20;        ///< retries allowed beyond that per window, over all entries
+  routes::ColdLimits mCold{ 0, 1.5, 5, Millis(1500) }; ///< the rate is that of the service
   std::size_t mMaxInFlight = 2048; ///< equals the capacity of Channels::mDispatches
   std::uint64_t mSeed = 1;         ///< seed of NextRandom()
 };
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -262,11 +262,8 @@
   LogPlacement(aScope, forward.mDispatchCount == 0 ? "forward" : "forward-again");
   routes::ServerLoad& load = state.mServerLoads[server.mId];
   forward.mCacheState = aScope.mPlacement.mCacheState;
-  const bool isCold = aScope.mNow < load.mColdUntil;
-  load = routes::RecordDispatch(load,
-                                isCold ? routes::ColdLimitOf(PoolOf(aScope).mPool, server.mId)
-                                       : routes::ColdLimit{},
-                                aScope.mNow);
+  load = routes::RecordDispatch(
+    load, routes::RateShareOf(PoolOf(aScope).mPool, server, load, aScope.mNow), aScope.mNow);
   forward.mDispatchId = state.mNextDispatchId++;
   forward.mServer = server;
   forward.mTried.insert(server.mId);
--- a/packages/entry/src/forward_log.cpp
+++ b/packages/entry/src/forward_log.cpp
@@ -71,6 +71,7 @@
     { "own", std::to_string(load.mOwnRequests) },
     { "foreign", std::to_string(static_cast<int>(load.mOtherRequests)) },
     { "report_age_ms", MillisText(aScope.mNow - load.mReportedAt) },
+    { "heartbeat_age_ms", MillisText(aScope.mNow - load.mHeartbeatAt) },
     { "cold_ms", MillisText(std::max(Duration{}, load.mColdUntil - aScope.mNow)) },
   };
   aRecord.mFields.insert(aRecord.mFields.end(), fields.begin(), fields.end());
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -5,6 +5,10 @@
 namespace fighold::entry {
 namespace {
 
+/// Extension of a lease that shows a new heartbeat. The end of an unchanged lease moves by less
+/// when another control process reports it.
+constexpr Millis kMinLeaseExtension{ 200 };
+
 /// Round trip time assumed for another region until a connection to it was opened.
 constexpr Millis kInitialRoundTripTime{ 50 };
 
@@ -159,7 +163,8 @@
     pool.mPool.mServers = std::move(list);
     pool.mPool.mEntries = entries;
     pool.mPool.mThisEntry = aState.mOptions.mId;
-    pool.mPool.mColdPerSecond = SettingsOf(current, service).mWarmUpPerSecond;
+    pool.mPool.mCold = aState.mOptions.mCold;
+    pool.mPool.mCold.mPerSecond = SettingsOf(current, service).mWarmUpPerSecond;
     for (auto it = pool.mRouteProcessingTimes.begin(); it != pool.mRouteProcessingTimes.end();) {
       it = current.mRoutes->mRoutes.count(it->first) > 0 ? std::next(it)
                                                          : pool.mRouteProcessingTimes.erase(it);
@@ -188,6 +193,9 @@
   if (it == aState.mServerLoads.end() || it->second.mIncarnation != aLease.mIncarnation) {
     return;
   }
+  if (aLeaseEnd > it->second.mAliveUntil + kMinLeaseExtension) {
+    it->second.mHeartbeatAt = aNow;
+  }
   it->second.mAliveUntil = std::max(it->second.mAliveUntil, aLeaseEnd);
   if (aLease.mCold > Millis(0)) {
     it->second.mColdUntil = std::max(it->second.mColdUntil, aNow + aLease.mCold);
--- a/packages/figholdd/include/fighold/figholdd/settings.hpp
+++ b/packages/figholdd/include/fighold/figholdd/settings.hpp
@@ -41,6 +41,9 @@
   std::int64_t mLongestDrainMs = 60'000;
   double mRetryRatio = 0.1;
   double mRetrySlack = 20;
+  std::int64_t mHeartbeatMs = 500;
+  double mColdBurstFactor = 1.5;
+  double mColdBurstSlack = 5;
 };
 
 /// Checked settings of either role.
--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -53,6 +53,14 @@
 DEFINE_double(retry_slack,
               20,
               "second dispatches beyond that at once, of all entries together (entry)");
+DEFINE_int64(heartbeat_ms, 500, "interval of a backend server's heartbeats, in ms (entry)");
+DEFINE_double(cold_burst_factor,
+              1.5,
+              "within a second, a cold backend server tolerates its rate times this plus "
+              "cold_burst_slack requests, of all entries together (entry)");
+DEFINE_double(cold_burst_slack,
+              5,
+              "requests that a cold backend server tolerates beyond its rate (entry)");
 
 namespace {
 
@@ -66,7 +74,8 @@
   "role,id,region,data_centre,listen,message_listen,controls,data,charts,token_file,"
   "key_file,peer_keys,insecure,lookup_ttl_ms,max_connections,log_dir,minloglevel,logtostderr,"
   "dialect,also_listen,seeds,message_port,data_centres,first_start,serve_unleased,"
-  "server_lease_ms,longest_drain_ms,retry_ratio,retry_slack";
+  "server_lease_ms,longest_drain_ms,retry_ratio,retry_slack,heartbeat_ms,cold_burst_factor,"
+  "cold_burst_slack";
 
 fighold::figholdd::Settings
 SettingsFromFlags()
@@ -96,7 +105,10 @@
            FLAGS_server_lease_ms,
            FLAGS_longest_drain_ms,
            FLAGS_retry_ratio,
-           FLAGS_retry_slack };
+           FLAGS_retry_slack,
+           FLAGS_heartbeat_ms,
+           FLAGS_cold_burst_factor,
+           FLAGS_cold_burst_slack };
 }
 
 /// @return the flags of this daemon with their values; none of them is a secret
--- a/packages/figholdd/src/settings.cpp
+++ b/packages/figholdd/src/settings.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t kMaxPort = 65'535;
 constexpr std::int64_t kMaxLeaseMs = 60'000;
 constexpr double kMaxRetries = 1e6;
+constexpr double kMaxColdBurst = 1e6;
 
 /// Collects findings about flags.
 struct Checker
@@ -119,6 +120,15 @@
     return aDialect == "platform";
   }
 
+  void Number(const std::string& aFlag, double aValue, double aMin, double aMax)
+  {
+    if (!(aValue >= aMin && aValue <= aMax)) {
+      Fail(aFlag,
+           "must be from " + std::to_string(aMin) + " to " + std::to_string(aMax) + ", is " +
+             std::to_string(aValue));
+    }
+  }
+
   void Retries(const std::string& aFlag, double aValue)
   {
     if (!(aValue >= 0 && aValue <= kMaxRetries)) {
@@ -225,6 +235,14 @@
   options.mDecide.mServeUnleased = aSettings.mServeUnleased;
   options.mDecide.mRetryRatio = aSettings.mRetryRatio;
   options.mDecide.mRetrySlack = aSettings.mRetrySlack;
+  aChecker.Range("heartbeat_ms", aSettings.mHeartbeatMs, 1, kMaxLeaseMs);
+  aChecker.Number("cold_burst_factor", aSettings.mColdBurstFactor, 1, kMaxColdBurst);
+  aChecker.Number("cold_burst_slack", aSettings.mColdBurstSlack, 0, kMaxColdBurst);
+  options.mDecide.mCold.mBurstFactor = aSettings.mColdBurstFactor;
+  options.mDecide.mCold.mBurstSlack = aSettings.mColdBurstSlack;
+  // A heartbeat reaches an entry with the next grant, and one grant may be late.
+  options.mDecide.mCold.mMaxHeartbeatAge =
+    Millis(aSettings.mHeartbeatMs) + 2 * membership::kRenewInterval;
   aChecker.Present("region", aSettings.mRegion);
   aChecker.Present("data_centre", aSettings.mDataCentre);
   aChecker.Range("lookup_ttl_ms", aSettings.mLookupTimeToLiveMs, 1, kMaxTimeToLiveMs);
--- a/packages/figholdd/src/settings_test.cpp
+++ b/packages/figholdd/src/settings_test.cpp
@@ -40,12 +40,18 @@
   mSettings.mRegion = "";
   mSettings.mControls = "c1=127.0.0.1:7001,c1=127.0.0.1:7002,x";
   mSettings.mLookupTimeToLiveMs = 0;
+  mSettings.mHeartbeatMs = 0;
+  mSettings.mColdBurstFactor = 0.5;
+  mSettings.mColdBurstSlack = -1;
   const std::string text = Text();
   CHECK(text.find("--listen: expected an IPv4 address") != std::string::npos);
   CHECK(text.find("--region: must be set") != std::string::npos);
   CHECK(text.find("--controls: \"c1\" is named twice") != std::string::npos);
   CHECK(text.find("--controls: expected id=address:port, found \"x\"") != std::string::npos);
   CHECK(text.find("--lookup_ttl_ms: must be from 1 to 60000, is 0") != std::string::npos);
+  CHECK(text.find("--heartbeat_ms: must be from 1 to 60000, is 0") != std::string::npos);
+  CHECK(text.find("--cold_burst_factor: must be from 1") != std::string::npos);
+  CHECK(text.find("--cold_burst_slack: must be from 0") != std::string::npos);
 }
 
 TEST_CASE_METHOD(SettingsFixture,
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -113,8 +113,9 @@
   std::uint32_t mConsecutiveEjections = 0;
   Instant mEjectedUntil{};
   Instant mAliveUntil{};
-  Instant mColdUntil{};        ///< until then its request rate is limited by ColdLimit
-  Instant mNextColdDispatch{}; ///< earliest next request of this entry while it is cold
+  Instant mColdUntil{};        ///< until then its request rate is limited by RateShare
+  Instant mHeartbeatAt{};      ///< when this entry last learned of a new heartbeat of the server
+  Instant mNextRateDispatch{}; ///< earliest next request of this entry while its rate is limited
   double mSlowness = 1; ///< moving average of its processing times relative to those of the route
   /// Objects that it processed for this entry, and when.
   std::map<std::uint64_t, Instant> mCachedObjects;
@@ -131,27 +132,41 @@
   Abandoned, ///< cancelled or out of time: says nothing about the server
 };
 
-/// Rate limit of one entry for a cold server.
-struct ColdLimit
+/// Share of one entry in the request rate of a server.
+struct RateShare
 {
-  bool mIsSender = true;    ///< whether this entry may send to the server while it is cold
+  bool mIsSender = true;    ///< whether this entry may send to the server at all
   Millis mMinInterval{ 0 }; ///< minimum time between two requests
 
-  friend auto operator<=>(const ColdLimit&, const ColdLimit&) = default;
+  friend auto operator<=>(const RateShare&, const RateShare&) = default;
 };
 
-/// Divides the request rate of a cold server between the entries. Only as many entries as the rate
-/// in requests/s send at all, so that together they cannot exceed the rate in any second, whatever
-/// load each of them sees.
+/// Divides the request rate of a server between the entries. Only aMaxSenders entries send at all,
+/// so that within any second they send at most the rate plus one request each, whatever load each
+/// of them sees.
 /// @param aServer server
 /// @param aEntries all entries
 /// @param aThisEntry this entry
-/// @param aPerSecond requests/s that the server can handle while it is cold; 0: unlimited
-ColdLimit
-ComputeColdLimit(const BackendServerId& aServer,
+/// @param aPerSecond requests/s of all entries together; 0: unlimited
+/// @param aMaxSenders maximum number of entries that send to the server
+RateShare
+ComputeRateShare(const BackendServerId& aServer,
                  const std::vector<EntryId>& aEntries,
                  const EntryId& aThisEntry,
-                 double aPerSecond);
+                 double aPerSecond,
+                 std::size_t aMaxSenders);
+
+/// Requests that a cold server tolerates: within any second, its rate times mBurstFactor plus
+/// mBurstSlack, from all entries together.
+struct ColdLimits
+{
+  double mPerSecond = 0;     ///< requests/s of a cold server; 0: unlimited
+  double mBurstFactor = 1.5; ///< at least 1
+  double mBurstSlack = 5;    ///< also the maximum number of entries that send to the server
+  Millis mMaxHeartbeatAge = Millis::max(); ///< a server that was not heard for longer may be cold
+
+  friend auto operator<=>(const ColdLimits&, const ColdLimits&) = default;
+};
 
 /// Load of the servers of a region, from their reports.
 struct RegionLoad
@@ -195,8 +210,9 @@
              Instant aNow);
 
 /// @return load after one more request was sent
+/// @param aShare limit of this entry for the server, if its rate is limited
 ServerLoad
-RecordDispatch(ServerLoad aLoad, const ColdLimit& aCold, Instant aNow);
+RecordDispatch(ServerLoad aLoad, const std::optional<RateShare>& aShare, Instant aNow);
 
 /// @param aObjectKey key of the request's object; 0: none
 /// @param aReport load report that came with the answer
@@ -266,18 +282,37 @@
 {
   std::map<std::uint64_t, Instant> mRecentObjects; ///< objects requested recently, and when
   std::vector<Server> mServers;
-  std::vector<EntryId> mEntries; ///< entries that share the request rate of a cold server
+  std::vector<EntryId> mEntries; ///< entries that share the request rate of a server
   EntryId mThisEntry;
-  double mColdPerSecond = 0; ///< requests/s that a cold server can handle; 0: unlimited
+  ColdLimits mCold;
   ProcessingTimes mProcessingTimes;
   std::map<RegionId, RegionLoad> mRegionLoads;
 
   friend bool operator==(const ServerPool&, const ServerPool&) = default;
 };
 
-/// @return limit of this entry for a cold server
-ColdLimit
-ColdLimitOf(const ServerPool& aPool, const BackendServerId& aServer);
+/// @return whether the server may have become cold since its last heartbeat
+bool
+MayBeCold(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow);
+
+/// How the entries share a server that may be cold: each of some entries sends at most a number of
+/// requests within any second.
+struct ColdShares
+{
+  std::size_t mSenders = 1;
+  std::size_t mPerSecond = 1; ///< requests/s of each sender
+
+  friend auto operator<=>(const ColdShares&, const ColdShares&) = default;
+};
+
+/// @param aEntries number of entries
+/// @return the division that leaves the least of the tolerated requests unused
+ColdShares
+DivideColdBurst(const ColdLimits& aLimits, std::size_t aEntries);
+
+/// @return limit of this entry for a server that is cold or may be, otherwise nothing
+std::optional<RateShare>
+RateShareOf(const ServerPool& aPool, const Server& aServer, const ServerLoad& aLoad, Instant aNow);
 
 /// Records a request for an object in the pool.
 /// @param aObjectKey key of the object; 0: none
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -9,6 +9,14 @@
 namespace fighold::routes {
 namespace {
 
+/// Requests of those that a cold server tolerates within a second that are not given to any entry:
+/// an entry that was started or cut off meanwhile may divide them differently.
+constexpr double kColdReserve = 1;
+
+/// Factor on the rate of an entry that may send a number of requests within any second: requests
+/// that waited for a connection arrive closer together than they were sent.
+constexpr double kSendJitterFactor = 0.95;
+
 double
 Milliseconds(Duration aTime)
 {
@@ -49,12 +57,13 @@
   if (aTrustLeases && aNow >= aLoad.mAliveUntil) {
     return "no-lease";
   }
-  if (aNow < aLoad.mColdUntil) {
-    if (aNow < aLoad.mNextColdDispatch) {
-      return "cold-rate";
+  if (const auto share = RateShareOf(aPool, aServer, aLoad, aNow)) {
+    const std::string kind = aNow < aLoad.mColdUntil ? "cold" : "maybe-cold";
+    if (!share->mIsSender) {
+      return kind + "-left-to-others";
     }
-    if (!ColdLimitOf(aPool, aServer.mId).mIsSender) {
-      return "cold-left-to-others";
+    if (aNow < aLoad.mNextRateDispatch) {
+      return kind + "-rate";
     }
   }
   return {};
@@ -110,33 +119,67 @@
 
 } // namespace
 
-ColdLimit
-ComputeColdLimit(const BackendServerId& aServer,
+RateShare
+ComputeRateShare(const BackendServerId& aServer,
                  const std::vector<EntryId>& aEntries,
                  const EntryId& aThisEntry,
-                 double aPerSecond)
+                 double aPerSecond,
+                 std::size_t aMaxSenders)
 {
   if (aPerSecond <= 0) {
     return {};
   }
-  const auto senders = std::max<std::size_t>(1, static_cast<std::size_t>(aPerSecond));
   const std::uint64_t seed = XXH3_64bits(aServer.mValue.data(), aServer.mValue.size());
   const std::uint64_t ownHash = RendezvousHash(aThisEntry.mValue, seed);
   const auto higherRanked =
     std::count_if(aEntries.begin(), aEntries.end(), [&](const EntryId& aEntry) {
       return aEntry != aThisEntry && RendezvousHash(aEntry.mValue, seed) > ownHash;
     });
-  const std::size_t active = std::min(senders, std::max<std::size_t>(1, aEntries.size()));
+  const std::size_t senders = std::max<std::size_t>(1, std::min(aMaxSenders, aEntries.size()));
   constexpr double kMillisPerSecond = 1000;
-  const double spacing = kMillisPerSecond * static_cast<double>(active) / aPerSecond;
+  const double interval = kMillisPerSecond * static_cast<double>(senders) / aPerSecond;
   return { static_cast<std::size_t>(higherRanked) < senders,
-           Millis(static_cast<std::int64_t>(std::ceil(spacing))) };
+           Millis(static_cast<std::int64_t>(std::ceil(interval))) };
+}
+
+bool
+MayBeCold(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow)
+{
+  return aPool.mCold.mPerSecond > 0 && aNow - aLoad.mHeartbeatAt > aPool.mCold.mMaxHeartbeatAge;
 }
 
-ColdLimit
-ColdLimitOf(const ServerPool& aPool, const BackendServerId& aServer)
+ColdShares
+DivideColdBurst(const ColdLimits& aLimits, std::size_t aEntries)
 {
-  return ComputeColdLimit(aServer, aPool.mEntries, aPool.mThisEntry, aPool.mColdPerSecond);
+  const auto tolerated = static_cast<std::size_t>(aLimits.mPerSecond * aLimits.mBurstFactor +
+                                                  aLimits.mBurstSlack - kColdReserve);
+  const std::size_t maxSenders = std::min(aEntries, static_cast<std::size_t>(aLimits.mBurstSlack));
+  ColdShares best;
+  for (std::size_t senders = 1; senders <= maxSenders; ++senders) {
+    const std::size_t each = tolerated / senders;
+    if (each > 0 && senders * each >= best.mSenders * best.mPerSecond) {
+      best = { senders, each };
+    }
+  }
+  return best;
+}
+
+std::optional<RateShare>
+RateShareOf(const ServerPool& aPool, const Server& aServer, const ServerLoad& aLoad, Instant aNow)
+{
+  const bool cold = aNow < aLoad.mColdUntil;
+  if (!cold && !MayBeCold(aPool, aLoad, aNow)) {
+    return std::nullopt;
+  }
+  // The same entries send in both cases, because some may know that the server is cold and others
+  // not.
+  const ColdShares shares = DivideColdBurst(aPool.mCold, aPool.mEntries.size());
+  const double burst = static_cast<double>(shares.mSenders * shares.mPerSecond) * kSendJitterFactor;
+  return ComputeRateShare(aServer.mId,
+                          aPool.mEntries,
+                          aPool.mThisEntry,
+                          cold ? aPool.mCold.mPerSecond : burst,
+                          shares.mSenders);
 }
 
 RegionLoad
@@ -188,11 +231,11 @@
 }
 
 ServerLoad
-RecordDispatch(ServerLoad aLoad, const ColdLimit& aCold, Instant aNow)
+RecordDispatch(ServerLoad aLoad, const std::optional<RateShare>& aShare, Instant aNow)
 {
   ++aLoad.mOwnRequests;
-  if (aNow < aLoad.mColdUntil) {
-    aLoad.mNextColdDispatch = aNow + aCold.mMinInterval;
+  if (aShare) {
+    aLoad.mNextRateDispatch = aNow + aShare->mMinInterval;
   }
   return aLoad;
 }
--- a/packages/routes/src/placement_test.cpp
+++ b/packages/routes/src/placement_test.cpp
@@ -166,7 +166,7 @@
     { "cold-rate",
       [](ServerLoad& aLoad, Instant aNow) {
         aLoad.mColdUntil = aNow + Millis(10);
-        aLoad.mNextColdDispatch = aNow + Millis(5);
+        aLoad.mNextRateDispatch = aNow + Millis(5);
       } },
     { "ejected", [](ServerLoad& aLoad, Instant aNow) { aLoad.mEjectedUntil = aNow + Millis(10); } },
   };
@@ -203,7 +203,7 @@
   ServerLoad load = LoadOf(first);
   for (int n = 0; n < 8; ++n) {
     load = RecordOutcome(
-      RecordDispatch(load, {}, mNow), DispatchOutcome::Refused, 0, std::nullopt, mNow);
+      RecordDispatch(load, std::nullopt, mNow), DispatchOutcome::Refused, 0, std::nullopt, mNow);
   }
   LoadOf(first) = load;
   CHECK(ChooseFor(7).mServer->mId.mValue != first);
@@ -221,7 +221,7 @@
   for (auto& [id, load] : mLoads) {
     for (int n = 0; n < 8; ++n) {
       load = RecordOutcome(
-        RecordDispatch(load, {}, mNow), DispatchOutcome::Refused, 0, std::nullopt, mNow);
+        RecordDispatch(load, std::nullopt, mNow), DispatchOutcome::Refused, 0, std::nullopt, mNow);
     }
   }
   CHECK(ChooseFor(7).mExpectedTime == before);
@@ -237,7 +237,7 @@
   for (int n = 0; n < 5; ++n) {
     for (std::uint32_t k = 0; k < kConsecutiveFailuresToEject; ++k) {
       load = RecordOutcome(
-        RecordDispatch(load, {}, mNow), DispatchOutcome::Failed, 0, std::nullopt, mNow);
+        RecordDispatch(load, std::nullopt, mNow), DispatchOutcome::Failed, 0, std::nullopt, mNow);
     }
     const Duration length = load.mEjectedUntil - mNow;
     CHECK(length == std::min<Duration>(kMaxEjectionTime, n == 0 ? kBaseEjectionTime : before * 2));
@@ -245,14 +245,15 @@
     mNow = load.mEjectedUntil;
   }
   CHECK(
-    RecordOutcome(RecordDispatch(load, {}, mNow), DispatchOutcome::Answered, 0, std::nullopt, mNow)
+    RecordOutcome(
+      RecordDispatch(load, std::nullopt, mNow), DispatchOutcome::Answered, 0, std::nullopt, mNow)
       .mConsecutiveEjections == 0);
 }
 
 // Guards against entries that together exceed the rate of a cold server in any second, whatever
 // load each of them sees.
 TEST_CASE_METHOD(PlacementFixture,
-                 "ComputeColdLimit, any number of entries, stay below the rate plus a small burst",
+                 "ComputeRateShare, any number of entries, stay below the rate plus a small burst",
                  "[routes]")
 {
   for (const std::size_t count : { 1, 2, 8, 11, 70, 79 }) {
@@ -260,14 +261,14 @@
     for (std::size_t n = 0; n < count; ++n) {
       entries.push_back({ "entry-" + std::to_string(n) });
     }
-    for (const double rate : { 1.0, 3.0, 3.8, 5.7 }) {
+    for (const double rate : { 1.0, 3.0, 3.8, 5.7, 20.0 }) {
       double perSecond = 0;
       std::size_t senders = 0;
       for (const EntryId& it : entries) {
-        const ColdLimit limit = ComputeColdLimit({ "s1" }, entries, it, rate);
-        if (limit.mIsSender) {
+        const RateShare share = ComputeRateShare({ "s1" }, entries, it, rate, 5);
+        if (share.mIsSender) {
           ++senders;
-          perSecond += 1000.0 / static_cast<double>(limit.mMinInterval.count());
+          perSecond += 1000.0 / static_cast<double>(share.mMinInterval.count());
         }
       }
       INFO(count << " entries, " << rate << "/s");
@@ -279,6 +280,29 @@
   }
 }
 
+// Guards against entries that together send a server which may be cold more than a cold one
+// tolerates within a second, and against a division that leaves much of it unused.
+TEST_CASE("DivideColdBurst, any rate and number of entries, stays below the burst", "[routes]")
+{
+  for (const double rate : { 0.5, 1.0, 3.0, 3.8, 5.7, 20.0 }) {
+    for (const double slack : { 0.0, 1.0, 5.0, 8.0 }) {
+      for (const std::size_t entries : { 1, 2, 8, 11, 79 }) {
+        const ColdLimits limits{ rate, 1.5, slack, Millis(2500) };
+        const ColdShares shares = DivideColdBurst(limits, entries);
+        INFO(rate << "/s, slack " << slack << ", " << entries << " entries");
+        const auto sum = static_cast<double>(shares.mSenders * shares.mPerSecond);
+        CHECK(shares.mSenders <= entries);
+        CHECK(sum <= std::max(1.0, rate * 1.5 + slack - 1));
+        // Entries that know that it is cold send at the rate, at most one request more each.
+        CHECK(static_cast<double>(shares.mSenders) <= std::max(1.0, rate * 0.5 + slack));
+        if (slack == 5) {
+          CHECK(sum >= 0.6 * (rate * 1.5 + slack - 1));
+        }
+      }
+    }
+  }
+}
+
 // With seventy entries, each gets a report of one server only every few seconds. Guards against
 // full servers that seem idle because their last reports are old.
 TEST_CASE_METHOD(
@@ -318,9 +342,12 @@
 // Guards against an estimate that takes an old report for the current load.
 TEST_CASE_METHOD(PlacementFixture, "EstimateInFlight, old report, counts less", "[routes]")
 {
-  ServerLoad load = RecordDispatch({}, {}, mNow);
-  load = RecordOutcome(
-    RecordDispatch(load, {}, mNow), DispatchOutcome::Answered, 5, LoadReport{ 3, 4, 3 }, mNow);
+  ServerLoad load = RecordDispatch({}, std::nullopt, mNow);
+  load = RecordOutcome(RecordDispatch(load, std::nullopt, mNow),
+                       DispatchOutcome::Answered,
+                       5,
+                       LoadReport{ 3, 4, 3 },
+                       mNow);
   CHECK(EstimateInFlight(load, 0, mNow) == Approx(7));
   CHECK(EstimateInFlight(load, 0, mNow + kLoadReportTimeConstant) ==
         Approx(1 + 6 * std::exp(-1.0)));
