Read the rate limits that backend servers name, and log them

The hypotheses for the ignored limits differ in what the entries knew of them; the logs had no word on it. A change of it is a line "decision=server", and a gauge counts the limited servers. Nothing decides on it yet.

--- a/packages/entry/include/fighold/entry/backend_codec.hpp
+++ b/packages/entry/include/fighold/entry/backend_codec.hpp
@@ -18,10 +18,17 @@
   std::function<bool(const Dispatch&, const net::HttpResponse&)> mMatchesDispatch;
   /// Classifies a complete response.
   std::function<AnswerMeaning(const Dispatch&, const net::HttpResponse&)> mMeaning;
-  /// Reads the load report from a response, if it has one.
-  std::function<std::optional<routes::LoadReport>(const net::HttpResponse&)> mLoad;
+  /// Reads what the server says of itself in a response to the dispatch.
+  std::function<routes::ServerReport(const Dispatch&, const net::HttpResponse&)> mReport;
 };
 
+/// Reads from the headers of a response whether the server limits its request rate.
+/// @param aName name of the header; its value is a decimal number of requests/s without exponent.
+/// If there are several, the lowest readable one counts.
+/// @param aReport its mRate and mUnreadableRate are set
+void
+ReadRate(const net::Headers& aHeaders, std::string_view aName, routes::ServerReport& aReport);
+
 /// @return the dialect of fighold's own interface
 BackendCodec
 NativeBackendCodec();
--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -105,7 +105,7 @@
   std::uint64_t mDispatchId = 0;
   net::ExchangeResult mResult;
   AnswerMeaning mMeaning = AnswerMeaning::Result; ///< valid for a complete response
-  std::optional<routes::LoadReport> mLoad{};      ///< reported with the response
+  routes::ServerReport mReport{};                 ///< sent with the response
 
   friend auto operator<=>(const DispatchDone&, const DispatchDone&) = default;
 };
--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -1,10 +1,15 @@
 #include "fighold/entry/backend_codec.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace fighold::entry {
 namespace {
 
+/// Lowest limit that is kept to, in requests/s. A server that names a lower one, or 0, still gets a
+/// request now and then, whose answer tells when the limit has ended.
+constexpr double kMinNamedRate = 0.1;
+
 net::HttpRequest
 Encode(const Dispatch& aDispatch, Millis aTimeLeft)
 {
@@ -30,15 +35,50 @@
            : AnswerMeaning::Result;
 }
 
+/// @return the number if the text is one without sign and exponent, at least kMinNamedRate
+std::optional<double>
+ParseRate(const std::string& aText)
+{
+  constexpr std::size_t kMaxLength = 32;
+  const bool plain = !aText.empty() && aText.size() <= kMaxLength &&
+                     aText.find_first_not_of("0123456789.") == std::string::npos;
+  double rate = 0;
+  const auto parsed =
+    std::from_chars(aText.data(), aText.data() + aText.size(), rate, std::chars_format::fixed);
+  const bool whole = parsed.ec == std::errc() && parsed.ptr == aText.data() + aText.size();
+  return plain && whole ? std::optional(std::max(rate, kMinNamedRate)) : std::nullopt;
+}
+
 } // namespace
 
+void
+ReadRate(const net::Headers& aHeaders, std::string_view aName, routes::ServerReport& aReport)
+{
+  std::optional<double> lowest;
+  for (const net::Header& it : aHeaders) {
+    const auto value = net::FindHeader({ it }, aName);
+    const auto rate = value ? ParseRate(*value) : std::nullopt;
+    aReport.mUnreadableRate = aReport.mUnreadableRate || (value && !rate);
+    if (rate) {
+      lowest = std::min(*rate, lowest.value_or(*rate));
+    }
+  }
+  if (lowest || !aReport.mUnreadableRate) {
+    aReport.mRate = routes::RateStatement{ lowest };
+  }
+}
+
 BackendCodec
 NativeBackendCodec()
 {
   return { Encode,
            [](const Dispatch&, const net::HttpResponse&) { return true; },
            Meaning,
-           [](const net::HttpResponse&) { return std::optional<routes::LoadReport>(); } };
+           [](const Dispatch&, const net::HttpResponse& aResponse) {
+             routes::ServerReport report;
+             ReadRate(aResponse.mHeaders, "Fighold-Max-Requests-Per-Second", report);
+             return report;
+           } };
 }
 
 } // namespace fighold::entry
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -105,7 +105,7 @@
   DispatchDone done{ aDispatch.mId, aDispatch.mDispatchId, Exchange(aDispatch) };
   if (done.mResult.mStage == net::ExchangeStage::Answered) {
     done.mMeaning = mCodec.mMeaning(aDispatch, done.mResult.mResponse);
-    done.mLoad = mCodec.mLoad(done.mResult.mResponse);
+    done.mReport = mCodec.mReport(aDispatch, done.mResult.mResponse);
   }
   if (done.mResult.mSilent) {
     mChannels.mMetrics.Count("connections_silent_total");
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -394,11 +394,16 @@
   }
   routes::ServerLoad& load = known->second;
   const routes::ServerLoad before = load;
-  load = routes::RecordOutcome(
-    load, ToDispatchOutcome(aEvent, aScope), forward.mObjectKey, aScope.mDone.mLoad, aScope.mNow);
+  load = routes::RecordOutcome(load,
+                               ToDispatchOutcome(aEvent, aScope),
+                               forward.mObjectKey,
+                               aScope.mDone.mReport.mLoad,
+                               aScope.mNow);
+  load = routes::RecordRate(load, aScope.mDone.mReport.mRate);
   LogEjection(aScope, before, load);
+  LogRate(aScope, before, load);
   const auto pool = state.mPools.find(forward.mService);
-  if (aScope.mDone.mLoad && pool != state.mPools.end()) {
+  if (aScope.mDone.mReport.mLoad && pool != state.mPools.end()) {
     routes::RegionLoad& region = pool->second.mPool.mRegionLoads[forward.mServer.mRegion];
     region = routes::UpdateRegionLoad(region, forward.mServer, load.mOtherRequests, aScope.mNow);
   }
--- a/packages/entry/src/forward_log.cpp
+++ b/packages/entry/src/forward_log.cpp
@@ -107,4 +107,24 @@
   aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
 }
 
+void
+LogRate(ForwardScope& aScope, const routes::ServerLoad& aBefore, const routes::ServerLoad& aAfter)
+{
+  const bool unreadable = aScope.mDone.mReport.mUnreadableRate;
+  if (aBefore.mNamedPerSecond == aAfter.mNamedPerSecond && !unreadable) {
+    return;
+  }
+  const Forward& forward = aScope.mForward;
+  DecisionRecord record{ "server", forward.mServer.mId.mValue, forward.mService.mValue,
+                         "",       "named-in-answer",          {} };
+  record.mChoice = aAfter.mNamedPerSecond ? "rate-limited" : "rate-unlimited";
+  if (unreadable) {
+    record.mReason = "unreadable-rate-limit";
+  }
+  record.mFields = { { "request", forward.mRequest.mCallerRequestId },
+                     { "per_second", std::to_string(aAfter.mNamedPerSecond.value_or(0)) },
+                     { "per_second_before", std::to_string(aBefore.mNamedPerSecond.value_or(0)) } };
+  aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
+}
+
 } // namespace fighold::entry
--- a/packages/entry/src/forward_log.hpp
+++ b/packages/entry/src/forward_log.hpp
@@ -24,4 +24,9 @@
             const routes::ServerLoad& aBefore,
             const routes::ServerLoad& aAfter);
 
+/// Logs that a backend server named another limit on its request rate than before, no longer names
+/// one, or named one that cannot be read.
+void
+LogRate(ForwardScope& aScope, const routes::ServerLoad& aBefore, const routes::ServerLoad& aAfter);
+
 } // namespace fighold::entry
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -86,11 +86,14 @@
   }
   SetShares(aMetrics, aState, aNow);
   aMetrics.Set("grant_age_seconds", ToSeconds(aNow - aState.mLastGrant));
-  aMetrics.Set("backend_servers_cold",
-               static_cast<double>(std::count_if(
-                 aState.mServerLoads.begin(), aState.mServerLoads.end(), [aNow](const auto& aLoad) {
-                   return aNow < aLoad.second.mColdUntil;
-                 })));
+  std::size_t cold = 0;
+  std::size_t limited = 0;
+  for (const auto& [id, load] : aState.mServerLoads) {
+    cold += aNow < load.mColdUntil ? 1 : 0;
+    limited += load.mNamedPerSecond ? 1 : 0;
+  }
+  aMetrics.Set("backend_servers_cold", static_cast<double>(cold));
+  aMetrics.Set("backend_servers_rate_limited", static_cast<double>(limited));
 }
 
 } // namespace fighold::entry
--- a/packages/entry/src/gauges_test.cpp
+++ b/packages/entry/src/gauges_test.cpp
@@ -56,15 +56,17 @@
 
 // Guards against an outage of the control group in which nobody can see what an entry believes.
 TEST_CASE_METHOD(GaugesFixture,
-                 "SetGauges, one server cold and the last grant old, reports both",
+                 "SetGauges, servers cold or limited and the last grant old, reports all",
                  "[entry]")
 {
   mState.mLastGrant = mNow - std::chrono::seconds(4);
   mState.mServerLoads[{ "s1" }].mColdUntil = mNow + Millis(1);
   mState.mServerLoads[{ "s2" }].mColdUntil = mNow;
+  mState.mServerLoads[{ "s3" }].mNamedPerSecond = 2.5;
   SetGauges(mMetrics, mState, mNow);
   CHECK(Contains("fighold_grant_age_seconds 4"));
   CHECK(Contains("fighold_backend_servers_cold 1"));
+  CHECK(Contains("fighold_backend_servers_rate_limited 1"));
 }
 
 } // namespace
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -100,6 +100,24 @@
   friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
 };
 
+/// Whether a backend server limits its request rate, as an answer of it says.
+struct RateStatement
+{
+  std::optional<double> mPerSecond; ///< requests/s from all entries together; nothing: no limit
+
+  friend auto operator<=>(const RateStatement&, const RateStatement&) = default;
+};
+
+/// What a backend server says of itself with an answer.
+struct ServerReport
+{
+  std::optional<LoadReport> mLoad;
+  std::optional<RateStatement> mRate; ///< nothing: unreadable, or the answer is not the server's
+  bool mUnreadableRate = false;       ///< the answer names a limit that makes no sense
+
+  friend auto operator<=>(const ServerReport&, const ServerReport&) = default;
+};
+
 /// What an entry knows about one incarnation of a backend server.
 struct ServerLoad
 {
@@ -116,6 +134,7 @@
   Instant mColdUntil{};        ///< until then its request rate is limited by RateShare
   Instant mHeartbeatAt{};      ///< when this entry last learned of a new heartbeat of the server
   Instant mNextRateDispatch{}; ///< earliest next request of this entry while its rate is limited
+  std::optional<double> mNamedPerSecond; ///< limit on requests/s of all entries that it named last
   double mSlowness = 1; ///< moving average of its processing times relative to those of the route
   /// Objects that it processed for this entry, and when.
   std::map<std::uint64_t, Instant> mCachedObjects;
@@ -224,6 +243,11 @@
               const std::optional<LoadReport>& aReport,
               Instant aNow);
 
+/// @param aRate statement that came with an answer of the server, or nothing
+/// @return load after the answer
+ServerLoad
+RecordRate(ServerLoad aLoad, const std::optional<RateStatement>& aRate);
+
 /// Ranks the servers of a region for an object by rendezvous hashing. All entries of a data centre
 /// compute the same ranking, so the first server is assumed to have the object cached.
 /// @param aLocalDataCentre data centre whose servers come first; empty: all servers of the region
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -284,6 +284,15 @@
   return aLoad;
 }
 
+ServerLoad
+RecordRate(ServerLoad aLoad, const std::optional<RateStatement>& aRate)
+{
+  if (aRate) {
+    aLoad.mNamedPerSecond = aRate->mPerSecond;
+  }
+  return aLoad;
+}
+
 std::vector<BackendServerId>
 RankServers(const std::vector<Server>& aServers,
             const RegionId& aRegion,
