Keep to the request rates that backend servers name

Cause: nothing acted on the statement. Next would have come the sum: eleven entries that each keep to 4.5 a second send 49.

Change: a few entries of the server's region share the named rate, one request for each in its interval. All others together send it one request a second, from which they learn when the limit has ended. The first requests are spread over the interval. A limit holds until an answer without it, or the end of the incarnation.

--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -263,7 +263,7 @@
   routes::ServerLoad& load = state.mServerLoads[server.mId];
   forward.mCacheState = aScope.mPlacement.mCacheState;
   load = routes::RecordDispatch(
-    load, routes::RateShareOf(PoolOf(aScope).mPool, server, load, aScope.mNow), aScope.mNow);
+    load, routes::RateLimitOf(PoolOf(aScope).mPool, server, load, aScope.mNow), aScope.mNow);
   forward.mDispatchId = state.mNextDispatchId++;
   forward.mServer = server;
   forward.mTried.insert(server.mId);
@@ -399,10 +399,13 @@
                                forward.mObjectKey,
                                aScope.mDone.mReport.mLoad,
                                aScope.mNow);
-  load = routes::RecordRate(load, aScope.mDone.mReport.mRate);
+  const auto pool = state.mPools.find(forward.mService);
+  if (pool != state.mPools.end()) {
+    load = routes::RecordRate(
+      pool->second.mPool, forward.mServer, load, aScope.mDone.mReport.mRate, aScope.mNow);
+  }
   LogEjection(aScope, before, load);
   LogRate(aScope, before, load);
-  const auto pool = state.mPools.find(forward.mService);
   if (aScope.mDone.mReport.mLoad && pool != state.mPools.end()) {
     routes::RegionLoad& region = pool->second.mPool.mRegionLoads[forward.mServer.mRegion];
     region = routes::UpdateRegionLoad(region, forward.mServer, load.mOtherRequests, aScope.mNow);
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -45,6 +45,16 @@
   return servers;
 }
 
+std::map<RegionId, std::vector<EntryId>>
+EntriesByRegion(const membership::Configuration& aConfiguration)
+{
+  std::map<RegionId, std::vector<EntryId>> entries;
+  for (const auto& [id, entry] : aConfiguration.mEntries) {
+    entries[entry.mRegion].push_back(id);
+  }
+  return entries;
+}
+
 std::vector<EntryId>
 EntryIds(const membership::Configuration& aConfiguration)
 {
@@ -154,6 +164,7 @@
   ResetStaleLoads(aState);
   MarkColdAfterDrain(aState, aPrevious, aNow);
   const auto entries = EntryIds(current);
+  const auto entriesByRegion = EntriesByRegion(current);
   auto servers = UsableServers(current);
   for (const auto& [service, pool] : aState.mPools) {
     servers.try_emplace(service);
@@ -162,6 +173,7 @@
     ServicePool& pool = aState.mPools[service];
     pool.mPool.mServers = std::move(list);
     pool.mPool.mEntries = entries;
+    pool.mPool.mEntriesByRegion = entriesByRegion;
     pool.mPool.mThisEntry = aState.mOptions.mId;
     pool.mPool.mCold = aState.mOptions.mCold;
     pool.mPool.mCold.mPerSecond = SettingsOf(current, service).mWarmUpPerSecond;
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -156,10 +156,20 @@
 {
   bool mIsSender = true;    ///< whether this entry may send to the server at all
   Millis mMinInterval{ 0 }; ///< minimum time between two requests
+  Millis mFirstDelay{ 0 };  ///< time until the first request after the limit began
 
   friend auto operator<=>(const RateShare&, const RateShare&) = default;
 };
 
+/// Limit on the requests of this entry to a server.
+struct RateLimit
+{
+  RateShare mShare;
+  std::string mReason; ///< "cold", "maybe-cold" or "named"
+
+  friend auto operator<=>(const RateLimit&, const RateLimit&) = default;
+};
+
 /// Divides the request rate of a server between the entries. Only aMaxSenders entries send at all,
 /// so that within any second they send at most the rate plus one request each, whatever load each
 /// of them sees.
@@ -168,6 +178,7 @@
 /// @param aThisEntry this entry
 /// @param aPerSecond requests/s of all entries together; 0: unlimited
 /// @param aMaxSenders maximum number of entries that send to the server
+/// @return share; the first delays of the entries spread their requests over the interval
 RateShare
 ComputeRateShare(const BackendServerId& aServer,
                  const std::vector<EntryId>& aEntries,
@@ -229,9 +240,9 @@
              Instant aNow);
 
 /// @return load after one more request was sent
-/// @param aShare limit of this entry for the server, if its rate is limited
+/// @param aLimit limit of this entry for the server, if there is one
 ServerLoad
-RecordDispatch(ServerLoad aLoad, const std::optional<RateShare>& aShare, Instant aNow);
+RecordDispatch(ServerLoad aLoad, const std::optional<RateLimit>& aLimit, Instant aNow);
 
 /// @param aObjectKey key of the request's object; 0: none
 /// @param aReport load report that came with the answer
@@ -243,11 +254,6 @@
               const std::optional<LoadReport>& aReport,
               Instant aNow);
 
-/// @param aRate statement that came with an answer of the server, or nothing
-/// @return load after the answer
-ServerLoad
-RecordRate(ServerLoad aLoad, const std::optional<RateStatement>& aRate);
-
 /// Ranks the servers of a region for an object by rendezvous hashing. All entries of a data centre
 /// compute the same ranking, so the first server is assumed to have the object cached.
 /// @param aLocalDataCentre data centre whose servers come first; empty: all servers of the region
@@ -307,6 +313,7 @@
   std::map<std::uint64_t, Instant> mRecentObjects; ///< objects requested recently, and when
   std::vector<Server> mServers;
   std::vector<EntryId> mEntries; ///< entries that share the request rate of a server
+  std::map<RegionId, std::vector<EntryId>> mEntriesByRegion; ///< the same, by their region
   EntryId mThisEntry;
   ColdLimits mCold;
   ProcessingTimes mProcessingTimes;
@@ -334,9 +341,17 @@
 ColdShares
 DivideColdBurst(const ColdLimits& aLimits, std::size_t aEntries);
 
-/// @return limit of this entry for a server that is cold or may be, otherwise nothing
-std::optional<RateShare>
-RateShareOf(const ServerPool& aPool, const Server& aServer, const ServerLoad& aLoad, Instant aNow);
+/// Share of this entry in the rate that a server names in its answers. A few entries of the
+/// server's region share the rate. The others send so seldom that it adds little, since only an
+/// answer tells them that the limit has ended.
+/// @param aPerSecond named rate in requests/s
+RateShare
+ComputeNamedRateShare(const ServerPool& aPool, const Server& aServer, double aPerSecond);
+
+/// @return limit of this entry for a server that is cold or may be, or that names a limit;
+/// otherwise nothing
+std::optional<RateLimit>
+RateLimitOf(const ServerPool& aPool, const Server& aServer, const ServerLoad& aLoad, Instant aNow);
 
 /// Records a request for an object in the pool.
 /// @param aObjectKey key of the object; 0: none
@@ -348,6 +363,15 @@
 DataCentreId
 PreferredDataCentre(const ServerPool& aPool, const DataCentreId& aLocalDataCentre);
 
+/// @param aRate statement that came with an answer of the server, or nothing
+/// @return load after the answer
+ServerLoad
+RecordRate(const ServerPool& aPool,
+           const Server& aServer,
+           ServerLoad aLoad,
+           const std::optional<RateStatement>& aRate,
+           Instant aNow);
+
 using ServerLoads = std::map<BackendServerId, ServerLoad>;
 
 /// Chooses the server of a region at which a request is expected to complete first.
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -37,6 +37,14 @@
   return XXH3_64bits_withSeed(aName.data(), aName.size(), aSeed);
 }
 
+/// Entries that share a named rate: one, and as many more for each request/s. Within any span they
+/// may together send one request each beyond the rate, which must stay small beside it.
+constexpr double kNamedSendersPerRate = 2;
+constexpr double kMaxNamedSenders = 5;
+
+/// Rate at which the other entries together send to a server that named a limit, in requests/s.
+constexpr double kNamedRecheckPerSecond = 1;
+
 /// @return failure rate after the decay since the last request
 double
 FailureRate(const ServerLoad& aLoad, Instant aNow)
@@ -57,13 +65,12 @@
   if (aTrustLeases && aNow >= aLoad.mAliveUntil) {
     return "no-lease";
   }
-  if (const auto share = RateShareOf(aPool, aServer, aLoad, aNow)) {
-    const std::string kind = aNow < aLoad.mColdUntil ? "cold" : "maybe-cold";
-    if (!share->mIsSender) {
-      return kind + "-left-to-others";
+  if (const auto limit = RateLimitOf(aPool, aServer, aLoad, aNow)) {
+    if (!limit->mShare.mIsSender) {
+      return limit->mReason + "-left-to-others";
     }
     if (aNow < aLoad.mNextRateDispatch) {
-      return kind + "-rate";
+      return limit->mReason + "-rate";
     }
   }
   return {};
@@ -137,9 +144,33 @@
     });
   const std::size_t senders = std::max<std::size_t>(1, std::min(aMaxSenders, aEntries.size()));
   constexpr double kMillisPerSecond = 1000;
-  const double interval = kMillisPerSecond * static_cast<double>(senders) / aPerSecond;
-  return { static_cast<std::size_t>(higherRanked) < senders,
-           Millis(static_cast<std::int64_t>(std::ceil(interval))) };
+  const double perRequest = kMillisPerSecond / aPerSecond;
+  const auto rank = static_cast<std::size_t>(higherRanked);
+  return { rank < senders,
+           Millis(static_cast<std::int64_t>(std::ceil(perRequest * static_cast<double>(senders)))),
+           Millis(
+             static_cast<std::int64_t>(std::ceil(perRequest * static_cast<double>(rank + 1)))) };
+}
+
+RateShare
+ComputeNamedRateShare(const ServerPool& aPool, const Server& aServer, double aPerSecond)
+{
+  // Entries of other regions send few requests to a server, so that their shares would mostly stay
+  // unused.
+  const auto near = aPool.mEntriesByRegion.find(aServer.mRegion);
+  const auto& sharers = near == aPool.mEntriesByRegion.end() ? aPool.mEntries : near->second;
+  const double senders = std::clamp(1 + kNamedSendersPerRate * aPerSecond, 1.0, kMaxNamedSenders);
+  if (std::find(sharers.begin(), sharers.end(), aPool.mThisEntry) != sharers.end()) {
+    const RateShare share = ComputeRateShare(
+      aServer.mId, sharers, aPool.mThisEntry, aPerSecond, static_cast<std::size_t>(senders));
+    if (share.mIsSender) {
+      return share;
+    }
+  }
+  RateShare others = ComputeRateShare(
+    aServer.mId, aPool.mEntries, aPool.mThisEntry, kNamedRecheckPerSecond, aPool.mEntries.size());
+  others.mIsSender = true;
+  return others;
 }
 
 bool
@@ -164,22 +195,49 @@
   return best;
 }
 
-std::optional<RateShare>
-RateShareOf(const ServerPool& aPool, const Server& aServer, const ServerLoad& aLoad, Instant aNow)
+std::optional<RateLimit>
+RateLimitOf(const ServerPool& aPool, const Server& aServer, const ServerLoad& aLoad, Instant aNow)
 {
+  std::optional<RateLimit> limit;
   const bool cold = aNow < aLoad.mColdUntil;
-  if (!cold && !MayBeCold(aPool, aLoad, aNow)) {
-    return std::nullopt;
+  if (cold || MayBeCold(aPool, aLoad, aNow)) {
+    // The same entries send in both cases, because some may know that the server is cold and others
+    // not.
+    const ColdShares shares = DivideColdBurst(aPool.mCold, aPool.mEntries.size());
+    const double burst =
+      static_cast<double>(shares.mSenders * shares.mPerSecond) * kSendJitterFactor;
+    limit = RateLimit{ ComputeRateShare(aServer.mId,
+                                        aPool.mEntries,
+                                        aPool.mThisEntry,
+                                        cold ? aPool.mCold.mPerSecond : burst,
+                                        shares.mSenders),
+                       cold ? "cold" : "maybe-cold" };
+  }
+  if (aLoad.mNamedPerSecond) {
+    const RateShare named = ComputeNamedRateShare(aPool, aServer, *aLoad.mNamedPerSecond);
+    if (!limit || (limit->mShare.mIsSender && named.mMinInterval > limit->mShare.mMinInterval)) {
+      limit = RateLimit{ named, "named" };
+    }
   }
-  // The same entries send in both cases, because some may know that the server is cold and others
-  // not.
-  const ColdShares shares = DivideColdBurst(aPool.mCold, aPool.mEntries.size());
-  const double burst = static_cast<double>(shares.mSenders * shares.mPerSecond) * kSendJitterFactor;
-  return ComputeRateShare(aServer.mId,
-                          aPool.mEntries,
-                          aPool.mThisEntry,
-                          cold ? aPool.mCold.mPerSecond : burst,
-                          shares.mSenders);
+  return limit;
+}
+
+ServerLoad
+RecordRate(const ServerPool& aPool,
+           const Server& aServer,
+           ServerLoad aLoad,
+           const std::optional<RateStatement>& aRate,
+           Instant aNow)
+{
+  if (!aRate) {
+    return aLoad;
+  }
+  if (aRate->mPerSecond && !aLoad.mNamedPerSecond) {
+    const RateShare share = ComputeNamedRateShare(aPool, aServer, *aRate->mPerSecond);
+    aLoad.mNextRateDispatch = std::max(aLoad.mNextRateDispatch, aNow + share.mFirstDelay);
+  }
+  aLoad.mNamedPerSecond = aRate->mPerSecond;
+  return aLoad;
 }
 
 RegionLoad
@@ -231,11 +289,11 @@
 }
 
 ServerLoad
-RecordDispatch(ServerLoad aLoad, const std::optional<RateShare>& aShare, Instant aNow)
+RecordDispatch(ServerLoad aLoad, const std::optional<RateLimit>& aLimit, Instant aNow)
 {
   ++aLoad.mOwnRequests;
-  if (aShare) {
-    aLoad.mNextRateDispatch = aNow + aShare->mMinInterval;
+  if (aLimit) {
+    aLoad.mNextRateDispatch = aNow + aLimit->mShare.mMinInterval;
   }
   return aLoad;
 }
@@ -284,15 +342,6 @@
   return aLoad;
 }
 
-ServerLoad
-RecordRate(ServerLoad aLoad, const std::optional<RateStatement>& aRate)
-{
-  if (aRate) {
-    aLoad.mNamedPerSecond = aRate->mPerSecond;
-  }
-  return aLoad;
-}
-
 std::vector<BackendServerId>
 RankServers(const std::vector<Server>& aServers,
             const RegionId& aRegion,
--- a/packages/routes/src/placement_test.cpp
+++ b/packages/routes/src/placement_test.cpp
@@ -303,6 +303,45 @@
   }
 }
 
+// Guards against entries that together send a server more than half as much again as it takes, and
+// against a rate that nobody uses.
+TEST_CASE_METHOD(PlacementFixture,
+                 "ComputeNamedRateShare, entries with many requests, keep to the rate",
+                 "[routes]")
+{
+  constexpr double kWindowMs = 4000;
+  constexpr double kEndMs = 120'000;
+  for (const std::size_t count : { 1, 2, 8, 11, 70, 300 }) {
+    mPool.mEntries.clear();
+    mPool.mEntriesByRegion.clear();
+    for (std::size_t n = 0; n < count; ++n) {
+      const EntryId id{ "entry-" + std::to_string(n) };
+      mPool.mEntries.push_back(id);
+      mPool.mEntriesByRegion[{ n % 3 == 0 ? "leith" : "bordeaux" }].push_back(id);
+    }
+    for (const double rate : { 0.1, 0.5, 1.0, 3.8, 20.0 }) {
+      std::vector<double> sent;
+      for (const EntryId& it : mPool.mEntries) {
+        mPool.mThisEntry = it;
+        const RateShare share = ComputeNamedRateShare(mPool, mPool.mServers.front(), rate);
+        REQUIRE(share.mIsSender);
+        for (auto ms = static_cast<double>(share.mFirstDelay.count()); ms < kEndMs;
+             ms += static_cast<double>(share.mMinInterval.count())) {
+          sent.push_back(ms);
+        }
+      }
+      std::sort(sent.begin(), sent.end());
+      std::ptrdiff_t most = 0;
+      for (auto it = sent.begin(); it != sent.end(); ++it) {
+        most = std::max(most, std::lower_bound(it, sent.end(), *it + kWindowMs) - it);
+      }
+      INFO(count << " entries, " << rate << "/s");
+      CHECK(static_cast<double>(most) <= 1.5 * rate * kWindowMs / 1000 + 5);
+      CHECK(static_cast<double>(sent.size()) >= 0.9 * rate * kEndMs / 1000);
+    }
+  }
+}
+
 // With seventy entries, each gets a report of one server only every few seconds. Guards against
 // full servers that seem idle because their last reports are old.
 TEST_CASE_METHOD(
