--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -25,6 +25,15 @@
   return request;
 }
 
+/// A backend server need not repeat the identifier of the request; one that does is protected
+/// against its late and repeated answers.
+bool
+MatchesDispatch(const Dispatch& aDispatch, const net::HttpResponse& aResponse)
+{
+  const auto id = net::FindHeader(aResponse.mHeaders, "Fighold-Request-Id");
+  return !id || *id == std::to_string(aDispatch.mId);
+}
+
 /// A backend server may report in a header that it did not run the request, for example because of
 /// overload.
 AnswerMeaning
@@ -72,7 +81,7 @@
 NativeBackendCodec()
 {
   return { Encode,
-           [](const Dispatch&, const net::HttpResponse&) { return true; },
+           MatchesDispatch,
            Meaning,
            [](const Dispatch&, const net::HttpResponse& aResponse) {
              routes::ServerReport report;
