Bound the memory that an answer without end can take

On the code before, a chunk size of zeros without end grew the connection's buffer until the allocation failed and the process ended (std::bad_alloc); the rows before it were broken off at the limits of head and body.

Causes: the read buffer had no limit, though Beast limits only heads and bodies; and each answer was bounded by itself (64 MiB), so that a few of them fill the memory of an entry's VM (260 MB).

Change: the buffer holds at most two heads or reads, and the answers that are being read share a budget of 64 MiB; beyond it those over 1 MiB are broken off. Interim answers (1xx) are passed over like answers to earlier requests, at most four, and never reach a caller.

--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -32,6 +32,7 @@
     , mCodec(std::move(aOptions.mCodec))
   {
     mPool.mChart = std::move(aChart);
+    aOptions.mClient.mBudget = std::make_shared<net::AnswerBudget>();
     mPool.mCreateConnection = [this, options = aOptions.mClient](const Endpoint& aEndpoint) {
       return std::make_unique<net::HttpConnection>(mLoop, aEndpoint, options);
     };
--- a/packages/net/include/fighold/net/http_client.hpp
+++ b/packages/net/include/fighold/net/http_client.hpp
@@ -33,12 +33,23 @@
   friend auto operator<=>(const ExchangeResult&, const ExchangeResult&) = default;
 };
 
+/// Bytes of the answers that are being read on all connections of a loop. A server may send an
+/// answer without end on each of its connections.
+struct AnswerBudget
+{
+  std::size_t mMaxBytes = 64U << 20U; ///< beyond that, answers over mMaxShare are broken off
+  std::size_t mMaxShare = 1U << 20U;
+  std::size_t mUsed = 0;
+  std::size_t mHighest = 0; ///< highest mUsed so far
+};
+
 /// Limits of an answer.
 struct ClientOptions
 {
   std::size_t mMaxHeaderBytes = 64U << 10U;
   std::size_t mMaxBodyBytes = 64U << 20U;
   bool mUntilClose = false; ///< an answer without a length is whole when its connection ends
+  std::shared_ptr<AnswerBudget> mBudget{}; ///< shared by the connections of a loop; may be null
 };
 
 /// Time limits of an exchange.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace fighold::net {
@@ -24,12 +25,17 @@
 
 constexpr std::size_t kReadSize = 16U << 10U;
 
+/// Beast's reads take at most this much more than what is buffered.
+constexpr std::size_t kMaxBeastRead = 64U << 10U;
+
+constexpr unsigned kFirstFinalStatus = 200;
+
 /// An answer without a length ends with the connection, so a cut answer would look whole.
 bool
 HasEnd(const http::response<http::string_body>& aAnswer, bool aHead)
 {
   const unsigned status = aAnswer.result_int();
-  const bool bodiless = aHead || status == 204 || status == 304;
+  const bool bodiless = aHead || status < kFirstFinalStatus || status == 204 || status == 304;
   return bodiless || aAnswer.has_content_length() || aAnswer.chunked();
 }
 
@@ -54,8 +60,10 @@
 {
   State(FiberLoop& aLoop, Endpoint aEndpoint, ClientOptions aOptions)
     : mStream(aLoop.Context())
+    // Without a limit, a chunk size or extension without an end fills the memory.
+    , mBuffer(2 * std::max(aOptions.mMaxHeaderBytes, kMaxBeastRead))
     , mEndpoint(std::move(aEndpoint))
-    , mOptions(aOptions)
+    , mOptions(std::move(aOptions))
   {
   }
 
@@ -67,6 +75,10 @@
   bool mUsed = false; ///< carried an exchange
   Millis mKeepAlive{ 0 };
 
+  /// Reads a whole message within the budget.
+  /// @return empty, or the error
+  std::string ReadMessage(http::response_parser<http::string_body>& aParser);
+
   /// Reads one answer.
   /// @return empty, or the error
   std::string ReadAnswer(bool aHead, HttpResponse& aResponse, bool& aKeepAlive);
@@ -74,7 +86,8 @@
 
 namespace {
 
-/// Answers to earlier requests that are passed over before the connection counts as broken.
+/// Interim answers and answers to earlier requests that are passed over before the connection
+/// counts as broken.
 constexpr int kMaxForeignAnswers = 4;
 
 /// @return time of a Keep-Alive header such as "timeout=5, max=100", 0 without one
@@ -96,6 +109,34 @@
 
 } // namespace
 
+std::string
+HttpConnection::State::ReadMessage(http::response_parser<http::string_body>& aParser)
+{
+  std::size_t counted = 0;
+  std::string failed;
+  while (failed.empty() && !aParser.is_done()) {
+    const auto read = Await([&](auto aHandler) {
+      http::async_read_some(mStream, mBuffer, aParser, std::move(aHandler));
+    });
+    if (read.mError) {
+      failed = "read: " + read.mError.message();
+    }
+    if (AnswerBudget* budget = mOptions.mBudget.get()) {
+      const std::size_t size = aParser.get().body().size();
+      budget->mUsed += size - counted;
+      counted = size;
+      budget->mHighest = std::max(budget->mHighest, budget->mUsed);
+      if (budget->mUsed > budget->mMaxBytes && size > budget->mMaxShare) {
+        failed = "read: too many bytes of answers at once";
+      }
+    }
+  }
+  if (mOptions.mBudget) {
+    mOptions.mBudget->mUsed -= counted;
+  }
+  return failed;
+}
+
 std::string
 HttpConnection::State::ReadAnswer(bool aHead, HttpResponse& aResponse, bool& aKeepAlive)
 {
@@ -103,10 +144,9 @@
   parser.header_limit(static_cast<std::uint32_t>(mOptions.mMaxHeaderBytes));
   parser.body_limit(mOptions.mMaxBodyBytes);
   parser.skip(aHead);
-  const auto read =
-    Await([&](auto aHandler) { http::async_read(mStream, mBuffer, parser, std::move(aHandler)); });
-  if (read.mError) {
-    return "read: " + read.mError.message();
+  const std::string failed = ReadMessage(parser);
+  if (!failed.empty()) {
+    return failed;
   }
   auto& answer = parser.get();
   if (!HasEnd(answer, aHead) && !mOptions.mUntilClose) {
@@ -124,7 +164,7 @@
 }
 
 HttpConnection::HttpConnection(FiberLoop& aLoop, Endpoint aEndpoint, ClientOptions aOptions)
-  : mState(std::make_unique<State>(aLoop, std::move(aEndpoint), aOptions))
+  : mState(std::make_unique<State>(aLoop, std::move(aEndpoint), std::move(aOptions)))
 {
 }
 
@@ -199,7 +239,8 @@
     if (!failed.empty()) {
       return lost(failed, false);
     }
-    if (!aLimits.mBelongs || aLimits.mBelongs(result.mResponse)) {
+    const bool interim = result.mResponse.mStatus < kFirstFinalStatus;
+    if (!interim && (!aLimits.mBelongs || aLimits.mBelongs(result.mResponse))) {
       if (!keepAlive || state.mBuffer.size() > 0) {
         Close();
       }
@@ -209,7 +250,7 @@
       break;
     }
   }
-  return lost("read: only answers to other requests", false);
+  return lost("read: only interim answers or answers to other requests", false);
 }
 
 Millis
--- a/tests/support/faulty_server.hpp
+++ b/tests/support/faulty_server.hpp
@@ -42,10 +42,12 @@
     return !ec;
   }
 
-  void Write(const std::string& aText)
+  /// @return false when the client closed the connection
+  bool Write(const std::string& aText)
   {
     boost::system::error_code ec;
     boost::asio::write(mSocket, boost::asio::buffer(aText), ec);
+    return !ec;
   }
 
   /// Answers whole; the body names the connection.
