--- a/packages/net/src/beast_convert.hpp
+++ b/packages/net/src/beast_convert.hpp
@@ -8,9 +8,12 @@
 
 #include <string>
 
-/// Conversion between Beast messages and values.
+/// Conversion between Beast messages and values, and what both sides of a connection know of Beast.
 namespace fighold::net::detail {
 
+/// Maximum size of one read of Beast, in bytes. A read buffer has to hold one besides a head.
+constexpr std::size_t kMaxBeastRead = 64U << 10U;
+
 /// Copies end-to-end header fields; fields of one connection stay behind.
 Headers
 CopyHeaders(const boost::beast::http::fields& aFields);
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -25,9 +25,6 @@
 
 constexpr std::size_t kReadSize = 16U << 10U;
 
-/// Beast's reads take at most this much more than what is buffered.
-constexpr std::size_t kMaxBeastRead = 64U << 10U;
-
 constexpr unsigned kFirstFinalStatus = 200;
 
 /// An answer without a length ends with the connection, so a cut answer would look whole.
@@ -61,7 +58,7 @@
   State(FiberLoop& aLoop, Endpoint aEndpoint, ClientOptions aOptions)
     : mStream(aLoop.Context())
     // Without a limit, a chunk size or extension without an end fills the memory.
-    , mBuffer(2 * std::max(aOptions.mMaxHeaderBytes, kMaxBeastRead))
+    , mBuffer(2 * std::max(aOptions.mMaxHeaderBytes, detail::kMaxBeastRead))
     , mEndpoint(std::move(aEndpoint))
     , mOptions(std::move(aOptions))
   {
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -153,6 +153,8 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(aOptions.mMaxHeaderBytes));
   parser.body_limit(aOptions.mMaxBodyBytes);
+  // Without a limit, a chunk size or extension without an end fills the memory.
+  aConnection.mBuffer.max_size(2 * std::max(aOptions.mMaxHeaderBytes, detail::kMaxBeastRead));
   if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aStopping)) {
     return 0;
   }
@@ -323,6 +325,7 @@
   // requests.
   if (!connection.mExchanges.empty() && !connection.mClosing) {
     connection.mStream.expires_never();
+    connection.mBuffer.clear();
     const auto end = Await([&](auto aHandler) {
       connection.mStream.async_read_some(connection.mBuffer.prepare(1), std::move(aHandler));
     });
--- a/packages/net/src/http_server_test.cpp
+++ b/packages/net/src/http_server_test.cpp
@@ -88,6 +88,23 @@
   }
 };
 
+// Guards against a process that runs out of memory by one request without end.
+TEST_CASE_METHOD(ServerFixture, "HttpServer, chunk size without end, is refused early", "[net]")
+{
+  Tcp::socket socket = Connect(Start());
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  const std::string block(64U << 10U, '0');
+  constexpr std::size_t kMaxWritten = 32U << 20U;
+  std::size_t written = 0;
+  boost::system::error_code ec;
+  while (!ec && written < kMaxWritten) {
+    written += boost::asio::write(socket, boost::asio::buffer(block), ec);
+  }
+  CHECK(ec);
+  CHECK(mCalls == 0);
+}
+
 // Guards against a short request that waits behind a long one of the same client, and against
 // answers out of order.
 TEST_CASE_METHOD(ServerFixture,
