--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -45,26 +45,18 @@
   return servers;
 }
 
-std::map<RegionId, std::vector<EntryId>>
-EntriesByRegion(const membership::Configuration& aConfiguration)
+routes::SharingEntries
+EntriesOf(const membership::Configuration& aConfiguration, const EntryId& aThisEntry)
 {
-  std::map<RegionId, std::vector<EntryId>> entries;
+  routes::SharingEntries entries;
   for (const auto& [id, entry] : aConfiguration.mEntries) {
-    entries[entry.mRegion].push_back(id);
+    entries.mAll.push_back(id);
+    entries.mByRegion[entry.mRegion].push_back(id);
   }
+  entries.mThis = aThisEntry;
   return entries;
 }
 
-std::vector<EntryId>
-EntryIds(const membership::Configuration& aConfiguration)
-{
-  std::vector<EntryId> ids;
-  for (const auto& [id, entry] : aConfiguration.mEntries) {
-    ids.push_back(id);
-  }
-  return ids;
-}
-
 const routes::ServiceSettings&
 SettingsOf(const membership::Configuration& aConfiguration, const ServiceId& aId)
 {
@@ -163,8 +155,7 @@
   }
   ResetStaleLoads(aState);
   MarkColdAfterDrain(aState, aPrevious, aNow);
-  const auto entries = EntryIds(current);
-  const auto entriesByRegion = EntriesByRegion(current);
+  const auto entries = EntriesOf(current, aState.mOptions.mId);
   auto servers = UsableServers(current);
   for (const auto& [service, pool] : aState.mPools) {
     servers.try_emplace(service);
@@ -173,8 +164,6 @@
     ServicePool& pool = aState.mPools[service];
     pool.mPool.mServers = std::move(list);
     pool.mPool.mEntries = entries;
-    pool.mPool.mEntriesByRegion = entriesByRegion;
-    pool.mPool.mThisEntry = aState.mOptions.mId;
     pool.mPool.mCold = aState.mOptions.mCold;
     pool.mPool.mCold.mPerSecond = SettingsOf(current, service).mWarmUpPerSecond;
     for (auto it = pool.mRouteProcessingTimes.begin(); it != pool.mRouteProcessingTimes.end();) {
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -5,6 +5,7 @@
 #include "fighold/core/id.hpp"
 #include "fighold/core/time.hpp"
 #include "fighold/routes/processing_times.hpp"
+#include "fighold/routes/rate_limit.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -100,14 +101,6 @@
   friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
 };
 
-/// Whether a backend server limits its request rate, as an answer of it says.
-struct RateStatement
-{
-  std::optional<double> mPerSecond; ///< requests/s from all entries together; nothing: no limit
-
-  friend auto operator<=>(const RateStatement&, const RateStatement&) = default;
-};
-
 /// What a backend server says of itself with an answer.
 struct ServerReport
 {
@@ -131,7 +124,7 @@
   std::uint32_t mConsecutiveEjections = 0;
   Instant mEjectedUntil{};
   Instant mAliveUntil{};
-  Instant mColdUntil{};        ///< until then its request rate is limited by RateShare
+  Instant mColdUntil{};        ///< until then its request rate is limited
   Instant mHeartbeatAt{};      ///< when this entry last learned of a new heartbeat of the server
   Instant mNextRateDispatch{}; ///< earliest next request of this entry while its rate is limited
   std::optional<double> mNamedPerSecond; ///< limit on requests/s of all entries that it named last
@@ -151,53 +144,6 @@
   Abandoned, ///< cancelled or out of time: says nothing about the server
 };
 
-/// Share of one entry in the request rate of a server.
-struct RateShare
-{
-  bool mIsSender = true;    ///< whether this entry may send to the server at all
-  Millis mMinInterval{ 0 }; ///< minimum time between two requests
-  Millis mFirstDelay{ 0 };  ///< time until the first request after the limit began
-
-  friend auto operator<=>(const RateShare&, const RateShare&) = default;
-};
-
-/// Limit on the requests of this entry to a server.
-struct RateLimit
-{
-  RateShare mShare;
-  std::string mReason; ///< "cold", "maybe-cold" or "named"
-
-  friend auto operator<=>(const RateLimit&, const RateLimit&) = default;
-};
-
-/// Divides the request rate of a server between the entries. Only aMaxSenders entries send at all,
-/// so that within any second they send at most the rate plus one request each, whatever load each
-/// of them sees.
-/// @param aServer server
-/// @param aEntries all entries
-/// @param aThisEntry this entry
-/// @param aPerSecond requests/s of all entries together; 0: unlimited
-/// @param aMaxSenders maximum number of entries that send to the server
-/// @return share; the first delays of the entries spread their requests over the interval
-RateShare
-ComputeRateShare(const BackendServerId& aServer,
-                 const std::vector<EntryId>& aEntries,
-                 const EntryId& aThisEntry,
-                 double aPerSecond,
-                 std::size_t aMaxSenders);
-
-/// Requests that a cold server tolerates: within any second, its rate times mBurstFactor plus
-/// mBurstSlack, from all entries together.
-struct ColdLimits
-{
-  double mPerSecond = 0;     ///< requests/s of a cold server; 0: unlimited
-  double mBurstFactor = 1.5; ///< at least 1
-  double mBurstSlack = 5;    ///< also the maximum number of entries that send to the server
-  Millis mMaxHeartbeatAge = Millis::max(); ///< a server that was not heard for longer may be cold
-
-  friend auto operator<=>(const ColdLimits&, const ColdLimits&) = default;
-};
-
 /// Load of the servers of a region, from their reports.
 struct RegionLoad
 {
@@ -312,9 +258,7 @@
 {
   std::map<std::uint64_t, Instant> mRecentObjects; ///< objects requested recently, and when
   std::vector<Server> mServers;
-  std::vector<EntryId> mEntries; ///< entries that share the request rate of a server
-  std::map<RegionId, std::vector<EntryId>> mEntriesByRegion; ///< the same, by their region
-  EntryId mThisEntry;
+  SharingEntries mEntries;
   ColdLimits mCold;
   ProcessingTimes mProcessingTimes;
   std::map<RegionId, RegionLoad> mRegionLoads;
@@ -326,28 +270,6 @@
 bool
 MayBeCold(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow);
 
-/// How the entries share a server that may be cold: each of some entries sends at most a number of
-/// requests within any second.
-struct ColdShares
-{
-  std::size_t mSenders = 1;
-  std::size_t mPerSecond = 1; ///< requests/s of each sender
-
-  friend auto operator<=>(const ColdShares&, const ColdShares&) = default;
-};
-
-/// @param aEntries number of entries
-/// @return the division that leaves the least of the tolerated requests unused
-ColdShares
-DivideColdBurst(const ColdLimits& aLimits, std::size_t aEntries);
-
-/// Share of this entry in the rate that a server names in its answers. A few entries of the
-/// server's region share the rate. The others send so seldom that it adds little, since only an
-/// answer tells them that the limit has ended.
-/// @param aPerSecond named rate in requests/s
-RateShare
-ComputeNamedRateShare(const ServerPool& aPool, const Server& aServer, double aPerSecond);
-
 /// @return limit of this entry for a server that is cold or may be, or that names a limit;
 /// otherwise nothing
 std::optional<RateLimit>
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -1,6 +1,6 @@
 #include "fighold/routes/placement.hpp"
 
-#include <xxhash.h>
+#include "rendezvous.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -9,14 +9,6 @@
 namespace fighold::routes {
 namespace {
 
-/// Requests of those that a cold server tolerates within a second that are not given to any entry:
-/// an entry that was started or cut off meanwhile may divide them differently.
-constexpr double kColdReserve = 1;
-
-/// Factor on the rate of an entry that may send a number of requests within any second: requests
-/// that waited for a connection arrive closer together than they were sent.
-constexpr double kSendJitterFactor = 0.95;
-
 double
 Milliseconds(Duration aTime)
 {
@@ -29,22 +21,6 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aTime));
 }
 
-/// Rendezvous hash: the ranking of the servers for a key changes only where a server is added or
-/// removed.
-std::uint64_t
-RendezvousHash(const std::string& aName, std::uint64_t aSeed)
-{
-  return XXH3_64bits_withSeed(aName.data(), aName.size(), aSeed);
-}
-
-/// Entries that share a named rate: one, and as many more for each request/s. Within any span they
-/// may together send one request each beyond the rate, which must stay small beside it.
-constexpr double kNamedSendersPerRate = 2;
-constexpr double kMaxNamedSenders = 5;
-
-/// Rate at which the other entries together send to a server that named a limit, in requests/s.
-constexpr double kNamedRecheckPerSecond = 1;
-
 /// @return failure rate after the decay since the last request
 double
 FailureRate(const ServerLoad& aLoad, Instant aNow)
@@ -126,95 +102,24 @@
 
 } // namespace
 
-RateShare
-ComputeRateShare(const BackendServerId& aServer,
-                 const std::vector<EntryId>& aEntries,
-                 const EntryId& aThisEntry,
-                 double aPerSecond,
-                 std::size_t aMaxSenders)
-{
-  if (aPerSecond <= 0) {
-    return {};
-  }
-  const std::uint64_t seed = XXH3_64bits(aServer.mValue.data(), aServer.mValue.size());
-  const std::uint64_t ownHash = RendezvousHash(aThisEntry.mValue, seed);
-  const auto higherRanked =
-    std::count_if(aEntries.begin(), aEntries.end(), [&](const EntryId& aEntry) {
-      return aEntry != aThisEntry && RendezvousHash(aEntry.mValue, seed) > ownHash;
-    });
-  const std::size_t senders = std::max<std::size_t>(1, std::min(aMaxSenders, aEntries.size()));
-  constexpr double kMillisPerSecond = 1000;
-  const double perRequest = kMillisPerSecond / aPerSecond;
-  const auto rank = static_cast<std::size_t>(higherRanked);
-  return { rank < senders,
-           Millis(static_cast<std::int64_t>(std::ceil(perRequest * static_cast<double>(senders)))),
-           Millis(
-             static_cast<std::int64_t>(std::ceil(perRequest * static_cast<double>(rank + 1)))) };
-}
-
-RateShare
-ComputeNamedRateShare(const ServerPool& aPool, const Server& aServer, double aPerSecond)
-{
-  // Entries of other regions send few requests to a server, so that their shares would mostly stay
-  // unused.
-  const auto near = aPool.mEntriesByRegion.find(aServer.mRegion);
-  const auto& sharers = near == aPool.mEntriesByRegion.end() ? aPool.mEntries : near->second;
-  const double senders = std::clamp(1 + kNamedSendersPerRate * aPerSecond, 1.0, kMaxNamedSenders);
-  if (std::find(sharers.begin(), sharers.end(), aPool.mThisEntry) != sharers.end()) {
-    const RateShare share = ComputeRateShare(
-      aServer.mId, sharers, aPool.mThisEntry, aPerSecond, static_cast<std::size_t>(senders));
-    if (share.mIsSender) {
-      return share;
-    }
-  }
-  RateShare others = ComputeRateShare(
-    aServer.mId, aPool.mEntries, aPool.mThisEntry, kNamedRecheckPerSecond, aPool.mEntries.size());
-  others.mIsSender = true;
-  return others;
-}
-
 bool
 MayBeCold(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow)
 {
   return aPool.mCold.mPerSecond > 0 && aNow - aLoad.mHeartbeatAt > aPool.mCold.mMaxHeartbeatAge;
 }
 
-ColdShares
-DivideColdBurst(const ColdLimits& aLimits, std::size_t aEntries)
-{
-  const auto tolerated = static_cast<std::size_t>(aLimits.mPerSecond * aLimits.mBurstFactor +
-                                                  aLimits.mBurstSlack - kColdReserve);
-  const std::size_t maxSenders = std::min(aEntries, static_cast<std::size_t>(aLimits.mBurstSlack));
-  ColdShares best;
-  for (std::size_t senders = 1; senders <= maxSenders; ++senders) {
-    const std::size_t each = tolerated / senders;
-    if (each > 0 && senders * each >= best.mSenders * best.mPerSecond) {
-      best = { senders, each };
-    }
-  }
-  return best;
-}
-
 std::optional<RateLimit>
 RateLimitOf(const ServerPool& aPool, const Server& aServer, const ServerLoad& aLoad, Instant aNow)
 {
   std::optional<RateLimit> limit;
   const bool cold = aNow < aLoad.mColdUntil;
   if (cold || MayBeCold(aPool, aLoad, aNow)) {
-    // The same entries send in both cases, because some may know that the server is cold and others
-    // not.
-    const ColdShares shares = DivideColdBurst(aPool.mCold, aPool.mEntries.size());
-    const double burst =
-      static_cast<double>(shares.mSenders * shares.mPerSecond) * kSendJitterFactor;
-    limit = RateLimit{ ComputeRateShare(aServer.mId,
-                                        aPool.mEntries,
-                                        aPool.mThisEntry,
-                                        cold ? aPool.mCold.mPerSecond : burst,
-                                        shares.mSenders),
+    limit = RateLimit{ ComputeColdShare(aServer.mId, aPool.mEntries, aPool.mCold, cold),
                        cold ? "cold" : "maybe-cold" };
   }
   if (aLoad.mNamedPerSecond) {
-    const RateShare named = ComputeNamedRateShare(aPool, aServer, *aLoad.mNamedPerSecond);
+    const RateShare named =
+      ComputeNamedRateShare(aServer.mId, aServer.mRegion, aPool.mEntries, *aLoad.mNamedPerSecond);
     if (!limit || (limit->mShare.mIsSender && named.mMinInterval > limit->mShare.mMinInterval)) {
       limit = RateLimit{ named, "named" };
     }
@@ -233,7 +138,8 @@
     return aLoad;
   }
   if (aRate->mPerSecond && !aLoad.mNamedPerSecond) {
-    const RateShare share = ComputeNamedRateShare(aPool, aServer, *aRate->mPerSecond);
+    const RateShare share =
+      ComputeNamedRateShare(aServer.mId, aServer.mRegion, aPool.mEntries, *aRate->mPerSecond);
     aLoad.mNextRateDispatch = std::max(aLoad.mNextRateDispatch, aNow + share.mFirstDelay);
   }
   aLoad.mNamedPerSecond = aRate->mPerSecond;
@@ -352,7 +258,7 @@
   for (const Server& it : aServers) {
     if (it.mRegion == aRegion) {
       ranked.emplace_back(
-        it.mDataCentre == aLocalDataCentre, RendezvousHash(it.mId.mValue, aObjectKey), it.mId);
+        it.mDataCentre == aLocalDataCentre, detail::Hash(it.mId.mValue, aObjectKey), it.mId);
     }
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
