Tell callers when the next turn at a limited server comes

When all servers of a service are at their limits, callers were told to come back after 100 to 200 ms, as if a slot were about to become free, and were rejected again. The time to come back now starts from the first turn of the entry at one of the servers. The check in the test "Forward, all servers at their limits, ..." failed before: no caller was told more than 200 ms, while the turns are seconds apart.

--- a/packages/entry/src/entry_group_fixture.hpp
+++ b/packages/entry/src/entry_group_fixture.hpp
@@ -37,6 +37,7 @@
   std::map<BackendServerId, std::vector<Instant>> mSent; ///< arrivals at each server
   std::vector<std::size_t> mSentBy;                      ///< requests that each entry sent on
   std::map<BackendServerId, double> mNamedPerSecond;     ///< limits that servers name
+  Millis mLongestRetryAfter{ 0 };                        ///< of the rejected requests
   std::size_t mNotRun = 0;                               ///< requests that were rejected
   std::optional<Instant> mLeaseEnd; ///< of the servers; nothing: a heartbeat came just now
   RequestId mNextId = 1;
@@ -129,7 +130,9 @@
         }
         mRunning.push_back({ mNow + mServiceTime, aEntry, done });
       } else if (const auto* reply = std::get_if<Reply>(&it)) {
-        mNotRun += std::get<ForwardAnswer>(reply->mAnswer).mOutcome == Outcome::NotRun ? 1 : 0;
+        const auto& answer = std::get<ForwardAnswer>(reply->mAnswer);
+        mNotRun += answer.mOutcome == Outcome::NotRun ? 1 : 0;
+        mLongestRetryAfter = std::max(mLongestRetryAfter, answer.mRetryAfter);
       }
     }
   }
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -149,7 +149,11 @@
 Millis
 RetryAfter(ForwardScope& aScope)
 {
-  return routes::RetryAfter(MakeAdmissionRequest(aScope), NextRandom(aScope.mState));
+  routes::AdmissionRequest request = MakeAdmissionRequest(aScope);
+  if (NoServer(aScope) && aScope.mPlacement.mNextTurn) {
+    request.mWait = *aScope.mPlacement.mNextTurn;
+  }
+  return routes::RetryAfter(request, NextRandom(aScope.mState));
 }
 
 void
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -246,6 +246,7 @@
   while (!usable.empty() && !placement.mServer) {
     const auto region = routes::NextRegion(
       pool->second.mSplit, usable, aState.mOptions.mEntry.mRegion, aForward.mObjectKey);
+    const auto nextTurn = placement.mNextTurn;
     placement = routes::ChooseServer(pool->second.mPool,
                                      aState.mServerLoads,
                                      { aForward.mObjectKey,
@@ -256,6 +257,9 @@
                                        times },
                                      trustLeases,
                                      aNow);
+    if (nextTurn) {
+      placement.mNextTurn = std::min(*nextTurn, placement.mNextTurn.value_or(*nextTurn));
+    }
     usable.erase(*region);
   }
   placement.mProcessingTimeKnown = routes::IsProcessingTimeKnown(times, aNow);
--- a/packages/entry/src/rate_limit_test.cpp
+++ b/packages/entry/src/rate_limit_test.cpp
@@ -1,4 +1,5 @@
 #include "entry_group_fixture.hpp"
+#include "fighold/routes/admission.hpp"
 
 namespace fighold::entry {
 namespace {
@@ -117,6 +118,8 @@
   }
   CHECK(sent + mNotRun == 800);
   CHECK(sent >= 24);
+  // The next turns of the entries are seconds apart.
+  CHECK(mLongestRetryAfter > routes::kMaxRetryAfter / 2);
 }
 
 } // namespace
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -247,6 +247,8 @@
   double mFreeShare = 0;         ///< share of the slots that is free once the request runs
   CacheState mCacheState = CacheState::Unknown; ///< whether the server has the object cached
   bool mProcessingTimeKnown = true;             ///< the processing time rests on recent answers
+  /// Without a server: time until a server with a limited rate may get a request of this entry.
+  std::optional<Duration> mNextTurn;
   std::string mReason;
   std::vector<Rejected> mRejected;
 
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -340,6 +340,11 @@
     const std::string reason = ExclusionReason(aPool, it, load, aTrustLeases, aNow);
     if (!reason.empty()) {
       placement.mRejected.push_back({ it.mId.mValue, reason });
+      const auto limit = RateLimitOf(aPool, it, load, aNow);
+      if (limit && limit->mShare.mIsSender && aNow < load.mNextRateDispatch) {
+        const Duration turn = load.mNextRateDispatch - aNow;
+        placement.mNextTurn = std::min(turn, placement.mNextTurn.value_or(turn));
+      }
       continue;
     }
     const CacheState cacheState = CacheStateOf(it.mId, load, aRequest.mObjectKey, first, aNow);
