Ask servers whether they are cold while they are not heard

Seen: the bound on servers without a fresh heartbeat rejected many callers in an outage of the control group.

Cause: shares by hash exclude an entry from half of the servers, so that requests also miss the server that has their object cached.

Change: while a server's last heartbeat is too old to rely on, the entries that use it ask its health path five times a second. An answer that it is not cold lets them send without a limit for 400 ms from the request. Without an answer the shares hold as before.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -109,6 +109,16 @@
   Instant mDispatchedAt{};
 };
 
+/// A health request that was not answered yet.
+struct Probe
+{
+  ServiceId mService;
+  routes::Server mServer;
+  Instant mSentAt{};
+
+  friend auto operator<=>(const Probe&, const Probe&) = default;
+};
+
 /// Backend servers of a service of the route set, and the split of its requests between regions.
 struct ServicePool
 {
@@ -159,6 +169,8 @@
   routes::ServerLoads mServerLoads;
   std::map<RegionId, Duration> mRoundTrips; ///< shortest connect time, by region
   std::uint64_t mNextDispatchId = 1;
+  std::map<std::uint64_t, Probe> mProbes; ///< by dispatch
+  Instant mNextProbes = Instant::max();   ///< next time at which a health request may be due
   routing::ServerStates mServers;
   std::map<BackendServerId, Incarnation> mDeparted; ///< at this entry, not yet in the configuration
   std::map<BackendServerId, std::pair<membership::BackendReport, Instant>>
--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -85,6 +85,12 @@
            Meaning,
            [](const Dispatch&, const net::HttpResponse& aResponse) {
              routes::ServerReport report;
+             const auto cold = net::FindHeader(aResponse.mHeaders, "Fighold-Cold-Ms");
+             std::uint32_t millis = 0;
+             if (cold && std::from_chars(cold->data(), cold->data() + cold->size(), millis).ec ==
+                           std::errc()) {
+               report.mCold = Millis(millis);
+             }
              ReadRate(aResponse.mHeaders, "Fighold-Max-Requests-Per-Second", report);
              return report;
            } };
--- a/packages/entry/src/cold_server_test.cpp
+++ b/packages/entry/src/cold_server_test.cpp
@@ -18,6 +18,44 @@
   CHECK(BusiestSecond() <= kMaxColdPerSecond);
 }
 
+// Guards against an outage of the control group in which callers are rejected, although the servers
+// say themselves that they are not cold.
+TEST_CASE_METHOD(EntryGroupFixture,
+                 "Forward, control group down and servers healthy, serves as before",
+                 "[entry]")
+{
+  StartEntries(kEightEntries);
+  mHealthAnswer = Millis(0);
+  Run(std::chrono::seconds(2), [](std::size_t) { return true; });
+  CHECK(mProbes == 0);
+  Run(std::chrono::seconds(4), [](std::size_t) { return false; });
+  mNotRun = 0;
+  mSent.clear();
+  Run(std::chrono::seconds(6), [](std::size_t) { return false; });
+  CHECK(mNotRun <= 60); // of 1,200
+  CHECK(BusiestSecond() > kMaxColdPerSecond);
+}
+
+// Guards against a server that turns cold between two health requests and gets the full rate of all
+// entries until the next one is answered.
+TEST_CASE_METHOD(EntryGroupFixture,
+                 "Forward, control group down and servers turn cold, keeps to their bound",
+                 "[entry]")
+{
+  StartEntries(kEightEntries);
+  mHealthAnswer = Millis(0);
+  Run(std::chrono::seconds(5), [](std::size_t) { return false; });
+  for (int n = 0; n < 5; ++n) {
+    INFO("turn " << n);
+    mHealthAnswer = Millis(3000);
+    mSent.clear();
+    Run(Millis(2900), [](std::size_t) { return false; });
+    CHECK(BusiestSecond() <= kMaxColdPerSecond);
+    mHealthAnswer = Millis(0);
+    Run(Millis(2900 + 70 * n), [](std::size_t) { return false; });
+  }
+}
+
 // Guards against entries that know that a server is cold and entries that are cut off from the
 // control group which together exceed what the server bears.
 TEST_CASE_METHOD(
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -4,6 +4,7 @@
 #include "forward_chart.hpp"
 #include "lease_keeping.hpp"
 #include "pools.hpp"
+#include "probing.hpp"
 #include "queueing.hpp"
 #include "request_chart.hpp"
 #include "stage_chart.hpp"
@@ -36,6 +37,9 @@
 void
 Handle(DispatchDone aDone, Context& aContext)
 {
+  if (HandleProbeDone(aContext.mState, aDone, aContext.mEffects, aContext.mNow)) {
+    return;
+  }
   if (!HandleForwardDispatchDone(aContext.mState, aDone, aContext.mEffects, aContext.mNow)) {
     HandleDispatchDone(aContext.mState, std::move(aDone), aContext.mEffects, aContext.mNow);
   }
@@ -169,6 +173,7 @@
   HandleClaimEvent(aContext.mState, claims::ClientTick{}, aContext.mEffects, aContext.mNow);
   MaintainLease(aContext.mState, aContext.mEffects, aContext.mNow);
   AdjustSplits(aContext.mState, aContext.mNow);
+  ProbeServers(aContext.mState, aContext.mEffects, aContext.mNow);
   FireStage(aContext.mState, StageEvent::Tick, aContext.mEffects, aContext.mNow);
 }
 
@@ -214,8 +219,8 @@
 NextTick(const State& aState, Instant aNow)
 {
   const bool draining = aState.mStage == EntryStage::Draining;
-  const Instant next =
-    draining ? std::min(aState.mNextRenew, aNow + kDrainCheckInterval) : aState.mNextRenew;
+  const Instant due = std::min(aState.mNextRenew, aState.mNextProbes);
+  const Instant next = draining ? std::min(due, aNow + kDrainCheckInterval) : due;
   if (!routing::IsEmpty(aState.mQueue)) {
     return std::min(next, aNow + kQueueCheckInterval);
   }
--- a/packages/entry/src/entry_group_fixture.hpp
+++ b/packages/entry/src/entry_group_fixture.hpp
@@ -30,6 +30,7 @@
 
   const std::vector<std::string> mRegions{ "attiki", "makedonia", "kriti" };
   const Millis mServiceTime{ 200 };
+  const Millis mHealthTime{ 70 }; ///< round trip to another region
   Instant mNow{ std::chrono::hours(1) };
   membership::Configuration mConfiguration;
   std::vector<State> mEntries;
@@ -38,8 +39,10 @@
   std::vector<std::size_t> mSentBy;                      ///< requests that each entry sent on
   std::map<BackendServerId, double> mNamedPerSecond;     ///< limits that servers name
   Millis mLongestRetryAfter{ 0 };                        ///< of the rejected requests
-  std::size_t mNotRun = 0;                               ///< requests that were rejected
-  std::optional<Instant> mLeaseEnd; ///< of the servers; nothing: a heartbeat came just now
+  std::optional<Millis> mHealthAnswer; ///< time for which the servers say that they stay cold
+  std::size_t mProbes = 0;             ///< health requests
+  std::size_t mNotRun = 0;             ///< requests that were rejected
+  std::optional<Instant> mLeaseEnd;    ///< of the servers; nothing: a heartbeat came just now
   RequestId mNextId = 1;
 
   EntryGroupFixture()
@@ -116,13 +119,19 @@
   {
     for (const Effect& it : aEffects) {
       if (const auto* dispatch = std::get_if<Dispatch>(&it)) {
-        mSent[dispatch->mServer.mId].push_back(mNow);
-        ++mSentBy[aEntry];
         DispatchDone done;
         done.mId = dispatch->mId;
         done.mDispatchId = dispatch->mDispatchId;
         done.mResult.mStage = net::ExchangeStage::Answered;
         done.mResult.mResponse.mStatus = 200;
+        if (dispatch->mPayload->mTarget == "/health") {
+          ++mProbes;
+          done.mReport.mCold = mHealthAnswer;
+          mRunning.push_back({ mNow + mHealthTime, aEntry, done });
+          continue;
+        }
+        mSent[dispatch->mServer.mId].push_back(mNow);
+        ++mSentBy[aEntry];
         const auto named = mNamedPerSecond.find(dispatch->mServer.mId);
         done.mReport.mRate = routes::RateStatement{};
         if (named != mNamedPerSecond.end()) {
@@ -176,6 +185,11 @@
       for (const Running& it : done) {
         Collect(it.mEntry, Step(mEntries[it.mEntry], it.mDone, mNow));
       }
+      for (std::size_t n = 0; n < mEntries.size(); ++n) {
+        if (mNow >= NextTick(mEntries[n], mNow - Millis(1))) {
+          Collect(n, Step(mEntries[n], Tick{}, mNow));
+        }
+      }
       Arrive(mNextId % mEntries.size());
       mNow += kArrivalInterval;
     }
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -76,8 +76,9 @@
 bool
 TooManyInFlight(const ForwardScope& aScope)
 {
-  return aScope.mState.mForwards.size() + aScope.mState.mInFlight.size() >
-         aScope.mState.mOptions.mMaxInFlight;
+  const State& state = aScope.mState;
+  return state.mForwards.size() + state.mInFlight.size() + state.mProbes.size() >
+         state.mOptions.mMaxInFlight;
 }
 
 bool
@@ -244,19 +245,6 @@
   aScope.mForward.mMayHaveRun = true;
 }
 
-/// @return number of connections to a server that this entry may use
-std::uint32_t
-ConnectionShare(const State& aState, const ServiceId& aService)
-{
-  const auto it = aState.mRoutes.mSet->mServices.find(aService);
-  const std::uint32_t maxConnections =
-    it == aState.mRoutes.mSet->mServices.end() ? 0 : it->second.mMaxConnections;
-  const auto entries =
-    static_cast<std::uint32_t>(std::max<std::size_t>(1, aState.mConfiguration->mEntries.size()));
-  return maxConnections == 0 ? std::numeric_limits<std::uint32_t>::max()
-                             : std::max(1U, maxConnections / entries);
-}
-
 void
 DispatchForward(ForwardScope& aScope)
 {
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -219,6 +219,18 @@
   return aRegion == aState.mOptions.mEntry.mRegion ? Duration{} : Duration(kInitialRoundTripTime);
 }
 
+std::uint32_t
+ConnectionShare(const State& aState, const ServiceId& aService)
+{
+  const auto it = aState.mRoutes.mSet->mServices.find(aService);
+  const std::uint32_t maxConnections =
+    it == aState.mRoutes.mSet->mServices.end() ? 0 : it->second.mMaxConnections;
+  const auto entries =
+    static_cast<std::uint32_t>(std::max<std::size_t>(1, aState.mConfiguration->mEntries.size()));
+  return maxConnections == 0 ? std::numeric_limits<std::uint32_t>::max()
+                             : std::max(1U, maxConnections / entries);
+}
+
 routes::ProcessingTimes&
 RouteProcessingTimes(ServicePool& aPool, const std::string& aRoute)
 {
--- a/packages/entry/src/pools.hpp
+++ b/packages/entry/src/pools.hpp
@@ -29,6 +29,10 @@
 Duration
 RoundTripTime(const State& aState, const RegionId& aRegion);
 
+/// @return number of connections to a server of the service that this entry may use
+std::uint32_t
+ConnectionShare(const State& aState, const ServiceId& aService);
+
 /// @return processing times of a route at the servers of a pool, initialised from those of the
 /// service
 routes::ProcessingTimes&
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -107,6 +107,7 @@
   std::optional<LoadReport> mLoad;
   std::optional<RateStatement> mRate; ///< nothing: unreadable, or the answer is not the server's
   bool mUnreadableRate = false;       ///< the answer names a limit that makes no sense
+  std::optional<Millis> mCold;        ///< time for which the server stays cold, in a health answer
 
   friend auto operator<=>(const ServerReport&, const ServerReport&) = default;
 };
@@ -124,8 +125,11 @@
   std::uint32_t mConsecutiveEjections = 0;
   Instant mEjectedUntil{};
   Instant mAliveUntil{};
-  Instant mColdUntil{};        ///< until then its request rate is limited
-  Instant mHeartbeatAt{};      ///< when this entry last learned of a new heartbeat of the server
+  Instant mColdUntil{};   ///< until then its request rate is limited
+  Instant mHeartbeatAt{}; ///< when this entry last learned of a new heartbeat of the server
+  Instant mWarmUntil{};   ///< until then a health answer shows that it is not cold
+  Instant mNextProbe{};   ///< earliest next health request
+  Instant mLastDispatch{};
   Instant mNextRateDispatch{}; ///< earliest next request of this entry while its rate is limited
   std::optional<double> mNamedPerSecond; ///< limit on requests/s of all entries that it named last
   double mSlowness = 1; ///< moving average of its processing times relative to those of the route
@@ -268,7 +272,11 @@
   friend bool operator==(const ServerPool&, const ServerPool&) = default;
 };
 
-/// @return whether the server may have become cold since its last heartbeat
+/// @return whether the last heartbeat of a server that can become cold is too old to rely on
+bool
+IsHeartbeatOld(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow);
+
+/// @return whether the server may have become cold without word of it
 bool
 MayBeCold(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow);
 
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -103,11 +103,17 @@
 } // namespace
 
 bool
-MayBeCold(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow)
+IsHeartbeatOld(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow)
 {
   return aPool.mCold.mPerSecond > 0 && aNow - aLoad.mHeartbeatAt > aPool.mCold.mMaxHeartbeatAge;
 }
 
+bool
+MayBeCold(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow)
+{
+  return IsHeartbeatOld(aPool, aLoad, aNow) && aNow >= aLoad.mWarmUntil;
+}
+
 std::optional<RateLimit>
 RateLimitOf(const ServerPool& aPool, const Server& aServer, const ServerLoad& aLoad, Instant aNow)
 {
@@ -198,6 +204,7 @@
 RecordDispatch(ServerLoad aLoad, const std::optional<RateLimit>& aLimit, Instant aNow)
 {
   ++aLoad.mOwnRequests;
+  aLoad.mLastDispatch = aNow;
   if (aLimit) {
     aLoad.mNextRateDispatch = aNow + aLimit->mShare.mMinInterval;
   }
