Keep asking servers whether they are cold for some time after an outage

Cause: after an outage of the control group the first heartbeat of a server renewed the trust in it. An evacuation that was ordered during the outage is not in force then, so that its servers are used while they turn cold a second before its end; they got the rate of all entries until their next heartbeat (FAILBACK). Between two health answers the requests had no bound of their own either.

A health answer allows each entry a number of requests whose sum over all entries a cold server tolerates within a second, instead of a span of time. A server that was passed over only because it may be cold is asked too.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -115,6 +115,7 @@
   ServiceId mService;
   routes::Server mServer;
   Instant mSentAt{};
+  std::uint64_t mDispatches = 0; ///< requests sent to the server until then
 
   friend auto operator<=>(const Probe&, const Probe&) = default;
 };
@@ -180,6 +181,7 @@
   std::map<std::uint64_t, Instant> mRenewalsSent; ///< send times, by request number
   Instant mNextRenew{};
   Instant mLastGrant{};
+  Instant mHeartbeatsReliableFrom{}; ///< a heartbeat before that does not show a server to be warm
   std::size_t mControlIndex = 0; ///< index of the control process in use
   bool mChoosingControl = true;  ///< the next process that grants a lease becomes the one in use
   std::uint64_t mTimestamp = 0;  ///< last one from mTimestampFrom; a renewal returns it
--- a/packages/entry/src/cold_server_test.cpp
+++ b/packages/entry/src/cold_server_test.cpp
@@ -107,5 +107,74 @@
   CHECK(BusiestSecond() <= kMaxColdPerSecond);
 }
 
+// Guards against a heartbeat after an outage that renews the trust in a server: an evacuation that was
+// ordered during the outage is not in force yet, and the servers of its data centre turn cold
+// between two heartbeats.
+TEST_CASE_METHOD(EntryGroupFixture,
+                 "Forward, contact regained and servers turn cold, keeps to their bound",
+                 "[entry]")
+{
+  StartEntries(kEightEntries);
+  mHealthAnswer = Millis(0);
+  Run(std::chrono::seconds(5), [](std::size_t) { return false; });
+  for (const int regained : { 200, 900, 2000, 5000 }) {
+    INFO("turns cold " << regained << " ms after the contact was regained");
+    Run(Millis(regained), [](std::size_t) { return true; });
+    mHealthAnswer = Millis(3000);
+    mSent.clear();
+    Run(Millis(700), [](std::size_t) { return true; });
+    Run(
+      Millis(2300), [](std::size_t) { return true; }, Millis(2300));
+    CHECK(BusiestSecond() <= kMaxColdPerSecond);
+    mHealthAnswer = Millis(0);
+    Run(std::chrono::seconds(4), [](std::size_t) { return false; });
+  }
+}
+
+// Guards against a bound on the requests between two health answers that holds only while few
+// requests arrive.
+TEST_CASE_METHOD(EntryGroupFixture,
+                 "Forward, control group down and many requests, keeps to the bound of cold servers",
+                 "[entry]")
+{
+  StartEntries(kEightEntries);
+  mHealthAnswer = Millis(0);
+  for (const int interval : { 4, 2, 1 }) {
+    INFO("a request every " << interval << " ms");
+    mArrivalInterval = Millis(interval);
+    mHealthAnswer = Millis(0);
+    Run(std::chrono::seconds(5), [](std::size_t) { return false; });
+    CHECK(BusiestSecond() > kMaxColdPerSecond);
+    mHealthAnswer = Millis(3000);
+    mSent.clear();
+    Run(Millis(2900), [](std::size_t) { return false; });
+    CHECK(BusiestSecond() <= kMaxColdPerSecond);
+  }
+}
+
+// Guards against an outage in which most of many entries can use hardly any server, although the
+// servers say themselves that they are not cold.
+TEST_CASE_METHOD(EntryGroupFixture,
+                 "Forward, control group down for many entries, serves most requests",
+                 "[entry]")
+{
+  std::vector<std::string> regions;
+  for (std::size_t n = 0; n < 60; ++n) {
+    regions.push_back(mRegions[n % 3]);
+  }
+  StartEntries(regions);
+  mArrivalInterval = Millis(10);
+  mHealthAnswer = Millis(0);
+  Run(std::chrono::seconds(4), [](std::size_t) { return false; });
+  mNotRun = 0;
+  mSent.clear();
+  Run(std::chrono::seconds(6), [](std::size_t) { return false; });
+  CHECK(mNotRun <= 120); // of 600
+  mHealthAnswer = Millis(3000);
+  mSent.clear();
+  Run(Millis(2900), [](std::size_t) { return false; });
+  CHECK(BusiestSecond() <= kMaxColdPerSecond);
+}
+
 } // namespace
 } // namespace fighold::entry
--- a/packages/entry/src/entry_group_fixture.hpp
+++ b/packages/entry/src/entry_group_fixture.hpp
@@ -31,6 +31,7 @@
   const std::vector<std::string> mRegions{ "attiki", "makedonia", "kriti" };
   const Millis mServiceTime{ 200 };
   const Millis mHealthTime{ 70 }; ///< round trip to another region
+  Millis mArrivalInterval{ 5 };   ///< between two requests at the entries
   Instant mNow{ std::chrono::hours(1) };
   membership::Configuration mConfiguration;
   std::vector<State> mEntries;
@@ -158,13 +159,12 @@
     Collect(aEntry, Step(mEntries[aEntry], request, mNow));
   }
 
-  /// Lets requests arrive at the entries in turn, one every 5 ms.
+  /// Lets requests arrive at the entries in turn, one every mArrivalInterval.
   /// @param aGrants whether the control group grants leases to an entry
   /// @param aCold time for which it reports the servers as cold
   template<typename Granted>
   void Run(Millis aLength, const Granted& aGrants, Millis aCold = {})
   {
-    constexpr Millis kArrivalInterval{ 5 };
     const Instant end = mNow + aLength;
     Instant nextGrant = mNow;
     while (mNow < end) {
@@ -191,7 +191,7 @@
         }
       }
       Arrive(mNextId % mEntries.size());
-      mNow += kArrivalInterval;
+      mNow += mArrivalInterval;
     }
   }
 
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -21,6 +21,11 @@
 /// Interval between renewals to all control processes while none of them grants a lease.
 constexpr Millis kProbeInterval{ 200 };
 
+/// Time after an outage of the control group in which a heartbeat does not show a server to be
+/// warm. An evacuation that was ordered during the outage may not be in force, so that the servers
+/// of its data centre are used while they turn cold. Longer than an evacuation that ends soon.
+constexpr Millis kUnreliableAfterOutage{ 12'000 };
+
 /// Maximum number of sent renewals whose grants are still accepted; older ones are ignored.
 constexpr std::size_t kMaxRenewalsSent = 32;
 
@@ -316,6 +321,18 @@
   if (aState.mConfiguration->mVersion < grant.mVersion) {
     return;
   }
+  if (aState.mLastGrant != Instant{} && !TrustsLeases(aState, aNow)) {
+    aState.mHeartbeatsReliableFrom = aNow + kUnreliableAfterOutage;
+    DecisionRecord record{ "outage", aState.mOptions.mId.mValue, "", "health-requests", "", {} };
+    record.mReason = "contact-regained";
+    record.mFields = {
+      { "without_grant_ms",
+        std::to_string(
+          std::chrono::duration_cast<Millis>(aNow - aState.mLastGrant).count()) },
+      { "for_ms", std::to_string(kUnreliableAfterOutage.count()) }
+    };
+    aEffects.emplace_back(LogRecord{ std::move(record) });
+  }
   aState.mLastGrant = aNow;
   ApplyBackendLeases(aState, grant, sentAt, aNow);
   if (!IsRegistered(aState)) {
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -194,7 +194,8 @@
   if (it == aState.mServerLoads.end() || it->second.mIncarnation != aLease.mIncarnation) {
     return;
   }
-  if (aLeaseEnd > it->second.mAliveUntil + kMinLeaseExtension) {
+  if (aLeaseEnd > it->second.mAliveUntil + kMinLeaseExtension &&
+      aNow >= aState.mHeartbeatsReliableFrom) {
     it->second.mHeartbeatAt = aNow;
   }
   it->second.mAliveUntil = std::max(it->second.mAliveUntil, aLeaseEnd);
@@ -272,6 +273,10 @@
     if (nextTurn) {
       placement.mNextTurn = std::min(*nextTurn, placement.mNextTurn.value_or(*nextTurn));
     }
+    if (placement.mWanted) {
+      aState.mServerLoads[*placement.mWanted].mLastWanted = aNow;
+      aState.mNextProbes = std::min(aState.mNextProbes, aNow);
+    }
     usable.erase(*region);
   }
   placement.mProcessingTimeKnown = routes::IsProcessingTimeKnown(times, aNow);
--- a/packages/entry/src/probing.cpp
+++ b/packages/entry/src/probing.cpp
@@ -12,11 +12,8 @@
 /// cold. Two intervals, so that one late answer does not limit the server.
 constexpr Millis kProbeValidity{ 400 };
 
-/// Pause in the requests to a server that turned out to be cold. The entries sent without a limit
-/// until then; with the pause, one second holds no more than those requests.
-constexpr Millis kPauseWhenCold{ 700 };
-
-/// A server counts as used for so long after a request was sent to it.
+/// A server counts as used for so long after a request was sent to it or passed it over only because
+/// it may be cold.
 constexpr Millis kUsedFor{ 2000 };
 
 bool
@@ -26,7 +23,8 @@
            Instant aNow)
 {
   const bool usable = !TrustsLeases(aState, aNow) || aNow < aLoad.mAliveUntil;
-  return usable && aNow >= aLoad.mColdUntil && aNow < aLoad.mLastDispatch + kUsedFor &&
+  return usable && aNow >= aLoad.mColdUntil &&
+         aNow < std::max(aLoad.mLastDispatch, aLoad.mLastWanted) + kUsedFor &&
          routes::IsHeartbeatOld(aPool, aLoad, aNow);
 }
 
@@ -69,7 +67,7 @@
       if (aNow >= load.mNextProbe) {
         load.mNextProbe = aNow + kProbeInterval;
         Dispatch dispatch = MakeProbe(aState, service, it, aNow);
-        aState.mProbes[dispatch.mDispatchId] = { service, it, aNow };
+        aState.mProbes[dispatch.mDispatchId] = { service, it, aNow, load.mDispatches };
         aEffects.emplace_back(std::move(dispatch));
       }
       aState.mNextProbes = std::min(aState.mNextProbes, load.mNextProbe);
@@ -97,7 +95,8 @@
   }
   routes::ServerLoad& load = known->second;
   if (*aDone.mReport.mCold == Millis(0)) {
-    load.mWarmUntil = std::max(load.mWarmUntil, probe.mSentAt + kProbeValidity);
+    load = routes::RecordWarmAnswer(
+      pool->second.mPool, probe.mServer, load, probe.mSentAt, probe.mDispatches, kProbeValidity);
     return true;
   }
   const bool wasCold = aNow < load.mColdUntil;
@@ -105,7 +104,8 @@
   if (!wasCold) {
     const auto limit = routes::RateLimitOf(pool->second.mPool, probe.mServer, load, aNow);
     load.mNextRateDispatch =
-      std::max(load.mNextRateDispatch, aNow + kPauseWhenCold + limit->mShare.mFirstDelay);
+      std::max(load.mNextRateDispatch,
+               aNow + routes::kPauseAfterHealthAnswers + limit->mShare.mFirstDelay);
     aEffects.emplace_back(LogRecord{ DecisionRecord{
       "server", probe.mServer.mId.mValue, probe.mService.mValue, "cold", "health-answer", {} } });
   }
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -77,6 +77,11 @@
 /// object cached.
 constexpr std::ptrdiff_t kMinServersPerDataCentre = 2;
 
+/// Pause in the requests of an entry to a server of which health answers allowed it to send
+/// requests. Those of the last second and the next ones of all entries then do not fall into one
+/// second.
+constexpr Millis kPauseAfterHealthAnswers{ 1000 };
+
 /// A backend server as listed in the configuration.
 struct Server
 {
@@ -126,10 +131,13 @@
   Instant mEjectedUntil{};
   Instant mAliveUntil{};
   Instant mColdUntil{};   ///< until then its request rate is limited
-  Instant mHeartbeatAt{}; ///< when this entry last learned of a new heartbeat of the server
+  Instant mHeartbeatAt{}; ///< when this entry last learned of a new heartbeat that it may rely on
   Instant mWarmUntil{};   ///< until then a health answer shows that it is not cold
   Instant mNextProbe{};   ///< earliest next health request
+  std::uint64_t mHealthAllowance = 0; ///< requests that the last health answer still allows
+  std::uint64_t mDispatches = 0;      ///< requests that this entry sent
   Instant mLastDispatch{};
+  Instant mLastWanted{}; ///< when a request last passed it over because it may be cold
   Instant mNextRateDispatch{}; ///< earliest next request of this entry while its rate is limited
   std::optional<double> mNamedPerSecond; ///< limit on requests/s of all entries that it named last
   double mSlowness = 1; ///< moving average of its processing times relative to those of the route
@@ -253,6 +261,8 @@
   bool mProcessingTimeKnown = true;             ///< the processing time rests on recent answers
   /// Without a server: time until a server with a limited rate may get a request of this entry.
   std::optional<Duration> mNextTurn;
+  /// Server that would have been preferred, had a health answer said that it is not cold.
+  std::optional<BackendServerId> mWanted;
   std::string mReason;
   std::vector<Rejected> mRejected;
 
@@ -280,6 +290,19 @@
 bool
 MayBeCold(const ServerPool& aPool, const ServerLoad& aLoad, Instant aNow);
 
+/// Records a health answer that says that a server is not cold.
+/// @param aAskedAt when the health request was sent
+/// @param aDispatches mDispatches at that time: requests sent since then may have found it cold
+/// @param aValidity time since aAskedAt for which the answer holds
+/// @return load after the answer
+ServerLoad
+RecordWarmAnswer(const ServerPool& aPool,
+                 const Server& aServer,
+                 ServerLoad aLoad,
+                 Instant aAskedAt,
+                 std::uint64_t aDispatches,
+                 Millis aValidity);
+
 /// @return limit of this entry for a server that is cold or may be, or that names a limit;
 /// otherwise nothing
 std::optional<RateLimit>
--- a/packages/routes/include/fighold/routes/rate_limit.hpp
+++ b/packages/routes/include/fighold/routes/rate_limit.hpp
@@ -93,6 +93,18 @@
 ColdShares
 DivideColdBurst(const ColdLimits& aLimits, std::size_t aEntries);
 
+/// Requests that an entry may send to a server after each health answer that says it is not cold.
+/// Until the entries learn that it has become cold, they together send at most what a cold server
+/// tolerates within a second. With more entries than that, most of those that may send are in the
+/// server's region.
+/// @param aRegion region of the server
+/// @return number of requests; 0: the entry leaves the server to others
+std::size_t
+HealthAnswerAllowance(const BackendServerId& aServer,
+                      const RegionId& aRegion,
+                      const SharingEntries& aEntries,
+                      const ColdLimits& aLimits);
+
 /// Share of an entry in the rate of a server that is cold or may be. The same entries send in both
 /// cases, because some may know that the server is cold and others not.
 /// @param aIsCold true: the server is known to be cold, so its rate is kept to; false: it may be,
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -41,6 +41,15 @@
   if (aTrustLeases && aNow >= aLoad.mAliveUntil) {
     return "no-lease";
   }
+  if (IsHeartbeatOld(aPool, aLoad, aNow) && aNow >= aLoad.mColdUntil &&
+      aLoad.mWarmUntil != Instant{}) {
+    if (aNow < aLoad.mWarmUntil && aLoad.mHealthAllowance == 0) {
+      return "maybe-cold-until-health-answer";
+    }
+    if (aNow >= aLoad.mWarmUntil && aNow < aLoad.mWarmUntil + kPauseAfterHealthAnswers) {
+      return "maybe-cold-without-health-answer";
+    }
+  }
   if (const auto limit = RateLimitOf(aPool, aServer, aLoad, aNow)) {
     if (!limit->mShare.mIsSender) {
       return limit->mReason + "-left-to-others";
@@ -91,6 +100,33 @@
   return it == aLoads.end() ? kUnknown : it->second;
 }
 
+/// @return best server of a ranking that was rejected only because it may be cold and that this
+/// entry may use after a health answer; only servers before the chosen one count
+std::optional<BackendServerId>
+FindWanted(const ServerPool& aPool,
+           const std::vector<BackendServerId>& aRanking,
+           const Placement& aPlacement)
+{
+  for (const BackendServerId& id : aRanking) {
+    if (aPlacement.mServer && aPlacement.mServer->mId == id) {
+      return std::nullopt;
+    }
+    const auto rejected = std::find_if(aPlacement.mRejected.begin(),
+                                       aPlacement.mRejected.end(),
+                                       [&](const Rejected& aIt) { return aIt.mCandidate == id.mValue; });
+    if (rejected == aPlacement.mRejected.end() || rejected->mReason.rfind("maybe-cold", 0) != 0) {
+      continue;
+    }
+    const auto server = std::find_if(aPool.mServers.begin(),
+                                     aPool.mServers.end(),
+                                     [&](const Server& aIt) { return aIt.mId == id; });
+    if (HealthAnswerAllowance(id, server->mRegion, aPool.mEntries, aPool.mCold) > 0) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 struct ScoredServer
 {
   const Server* mServer = nullptr;
@@ -152,6 +188,22 @@
   return aLoad;
 }
 
+ServerLoad
+RecordWarmAnswer(const ServerPool& aPool,
+                 const Server& aServer,
+                 ServerLoad aLoad,
+                 Instant aAskedAt,
+                 std::uint64_t aDispatches,
+                 Millis aValidity)
+{
+  const std::uint64_t allowed =
+    HealthAnswerAllowance(aServer.mId, aServer.mRegion, aPool.mEntries, aPool.mCold);
+  const std::uint64_t sentSince = aLoad.mDispatches - aDispatches;
+  aLoad.mHealthAllowance = allowed - std::min(allowed, sentSince);
+  aLoad.mWarmUntil = std::max(aLoad.mWarmUntil, aAskedAt + aValidity);
+  return aLoad;
+}
+
 RegionLoad
 UpdateRegionLoad(RegionLoad aLoad, const Server& aServer, double aOtherRequests, Instant aNow)
 {
@@ -204,6 +256,8 @@
 RecordDispatch(ServerLoad aLoad, const std::optional<RateLimit>& aLimit, Instant aNow)
 {
   ++aLoad.mOwnRequests;
+  ++aLoad.mDispatches;
+  aLoad.mHealthAllowance -= std::min<std::uint64_t>(aLoad.mHealthAllowance, 1);
   aLoad.mLastDispatch = aNow;
   if (aLimit) {
     aLoad.mNextRateDispatch = aNow + aLimit->mShare.mMinInterval;
@@ -384,9 +438,11 @@
   }
   if (best == nullptr) {
     placement.mReason = scored.empty() ? "no-usable-server" : "";
+    placement.mWanted = FindWanted(aPool, ranking, placement);
     return placement;
   }
   placement.mServer = *best->mServer;
+  placement.mWanted = FindWanted(aPool, ranking, placement);
   placement.mExpectedTime = FromMilliseconds(best->mExpectedTime);
   const ServerLoad& load = FindServerLoad(aLoads, best->mServer->mId);
   const double expectedOthers = ExpectedOtherRequests(regionLoad, *best->mServer, aNow);
--- a/packages/routes/src/rate_limit.cpp
+++ b/packages/routes/src/rate_limit.cpp
@@ -24,12 +24,42 @@
 /// Rate at which the other entries together send to a server that named a limit, in requests/s.
 constexpr double kNamedRecheckPerSecond = 1;
 
+/// Part of the entries that may send after a health answer that is not in the server's region: they
+/// serve the callers of regions without a server.
+constexpr std::size_t kFarSendersDivisor = 4;
+
 Millis
 RoundUp(double aMillis)
 {
   return Millis(static_cast<std::int64_t>(std::ceil(aMillis)));
 }
 
+/// @return requests within a second that the entries together may send to a cold server
+std::size_t
+ToleratedPerSecond(const ColdLimits& aLimits)
+{
+  const double burst = aLimits.mPerSecond * aLimits.mBurstFactor + aLimits.mBurstSlack;
+  return static_cast<std::size_t>(std::max(1.0, burst - kColdReserve));
+}
+
+/// @param aIsCandidate whether an entry is ranked
+/// @return number of candidates that come before an entry in the ranking of a server
+template<typename IsCandidate>
+std::size_t
+RankOf(const BackendServerId& aServer,
+       const std::vector<EntryId>& aEntries,
+       const EntryId& aEntry,
+       const IsCandidate& aIsCandidate)
+{
+  const std::uint64_t seed = detail::Hash(aServer.mValue, 0);
+  const std::uint64_t ownHash = detail::Hash(aEntry.mValue, seed);
+  return static_cast<std::size_t>(
+    std::count_if(aEntries.begin(), aEntries.end(), [&](const EntryId& aOther) {
+      return aOther != aEntry && aIsCandidate(aOther) &&
+             detail::Hash(aOther.mValue, seed) > ownHash;
+    }));
+}
+
 } // namespace
 
 RateShare
@@ -42,13 +72,8 @@
   if (aPerSecond <= 0) {
     return {};
   }
-  const std::uint64_t seed = detail::Hash(aServer.mValue, 0);
-  const std::uint64_t ownHash = detail::Hash(aThisEntry.mValue, seed);
-  const auto higherRanked =
-    std::count_if(aEntries.begin(), aEntries.end(), [&](const EntryId& aEntry) {
-      return aEntry != aThisEntry && detail::Hash(aEntry.mValue, seed) > ownHash;
-    });
-  const auto rank = static_cast<std::size_t>(higherRanked);
+  const std::size_t rank =
+    RankOf(aServer, aEntries, aThisEntry, [](const EntryId& /*aEntry*/) { return true; });
   const std::size_t senders = std::max<std::size_t>(1, std::min(aMaxSenders, aEntries.size()));
   constexpr double kMillisPerSecond = 1000;
   const double perRequest = kMillisPerSecond / aPerSecond;
@@ -60,8 +85,7 @@
 ColdShares
 DivideColdBurst(const ColdLimits& aLimits, std::size_t aEntries)
 {
-  const double burst = aLimits.mPerSecond * aLimits.mBurstFactor + aLimits.mBurstSlack;
-  const auto tolerated = static_cast<std::size_t>(std::max(1.0, burst - kColdReserve));
+  const std::size_t tolerated = ToleratedPerSecond(aLimits);
   const std::size_t maxSenders = std::min(aEntries, static_cast<std::size_t>(aLimits.mBurstSlack));
   ColdShares best;
   for (std::size_t senders = 1; senders <= maxSenders; ++senders) {
@@ -73,6 +97,32 @@
   return best;
 }
 
+std::size_t
+HealthAnswerAllowance(const BackendServerId& aServer,
+                      const RegionId& aRegion,
+                      const SharingEntries& aEntries,
+                      const ColdLimits& aLimits)
+{
+  const std::size_t tolerated = ToleratedPerSecond(aLimits);
+  if (aEntries.mAll.size() <= tolerated) {
+    return tolerated / std::max<std::size_t>(1, aEntries.mAll.size());
+  }
+  static const std::vector<EntryId> kNone;
+  const auto found = aEntries.mByRegion.find(aRegion);
+  const auto& near = found == aEntries.mByRegion.end() ? kNone : found->second;
+  const std::size_t nearSenders = std::min(near.size(), tolerated - tolerated / kFarSendersDivisor);
+  const auto isNear = [&near](const EntryId& aEntry) {
+    return std::find(near.begin(), near.end(), aEntry) != near.end();
+  };
+  if (isNear(aEntries.mThis)) {
+    const auto isAny = [](const EntryId& /*aEntry*/) { return true; };
+    return RankOf(aServer, near, aEntries.mThis, isAny) < nearSenders ? 1 : 0;
+  }
+  const auto isFar = [&isNear](const EntryId& aEntry) { return !isNear(aEntry); };
+  const std::size_t farSenders = tolerated - nearSenders;
+  return RankOf(aServer, aEntries.mAll, aEntries.mThis, isFar) < farSenders ? 1 : 0;
+}
+
 RateShare
 ComputeColdShare(const BackendServerId& aServer,
                  const SharingEntries& aEntries,
--- a/packages/routes/src/rate_limit_test.cpp
+++ b/packages/routes/src/rate_limit_test.cpp
@@ -75,6 +75,39 @@
   }
 }
 
+// Guards against entries that together send a server which turns cold after a health answer more
+// than it tolerates, and against regions whose entries can use none of their servers.
+TEST_CASE_METHOD(RateLimitFixture,
+                 "HealthAnswerAllowance, any number of entries, sums to at most the burst",
+                 "[routes]")
+{
+  for (const std::size_t count : { 1, 2, 8, 11, 12, 13, 70, 195 }) {
+    StartEntries(count);
+    for (const double rate : { 0.5, 3.8, 5.7, 20.0 }) {
+      const ColdLimits limits{ rate, 1.5, 5, Millis(2500) };
+      std::size_t sum = 0;
+      std::map<RegionId, std::size_t> byRegion;
+      for (const auto& [region, entries] : mEntries.mByRegion) {
+        for (const EntryId& it : entries) {
+          mEntries.mThis = it;
+          const std::size_t allowance =
+            HealthAnswerAllowance({ "s1" }, { "leith" }, mEntries, limits);
+          sum += allowance;
+          byRegion[region] += allowance;
+        }
+      }
+      INFO(count << " entries, " << rate << "/s");
+      const double tolerated = std::max(1.0, rate * 1.5 + 5 - 1);
+      CHECK(static_cast<double>(sum) <= tolerated);
+      CHECK(static_cast<double>(sum) >= std::min(static_cast<double>(count), tolerated - 1));
+      if (count > 70) {
+        CHECK(byRegion[{ "leith" }] > byRegion[{ "bordeaux" }]);
+        CHECK(byRegion[{ "bordeaux" }] > 0);
+      }
+    }
+  }
+}
+
 // Guards against entries that together send a server more than half as much again as it takes, and
 // against a rate that nobody uses.
 TEST_CASE_METHOD(RateLimitFixture,
