Keep time for the answer of a request that waits in the entry's queue

Cause: a request that waits for a share or a slot was kept until its deadline, because its expected latency was always 0. Its caller was told only then that it had not run, too late to go elsewhere.

Change: the expected latency is the shortest moving average of the servers of its group. It can't refuse without end: requests wait only while others run there, whose answers renew the averages.

Test: with servers that take 2 s a request with 1.9 s left is answered "not run" at once; before, it still waited.

--- a/packages/entry/src/queueing.cpp
+++ b/packages/entry/src/queueing.cpp
@@ -1,5 +1,7 @@
 #include "queueing.hpp"
 
+#include <algorithm>
+
 namespace fighold::entry {
 namespace {
 
@@ -41,15 +43,34 @@
   return std::min(aRequest.mDeadline, aRequest.mClaimExpiry);
 }
 
+/// @return shortest time from dispatch to answer at the servers of a group; 0 if none has answered
+Duration
+ExpectedLatency(const State& aState, const routing::GroupKey& aGroup)
+{
+  const auto group = aState.mTable.mGroups.find(aGroup);
+  if (group == aState.mTable.mGroups.end()) {
+    return {};
+  }
+  Duration expected = Duration::max();
+  for (const routing::Candidate& it : group->second) {
+    const auto server = aState.mServers.find(it.mId);
+    if (server != aState.mServers.end() && server->second.mLatency > Duration{}) {
+      expected = std::min(expected, server->second.mLatency);
+    }
+  }
+  return expected == Duration::max() ? Duration{} : expected;
+}
+
 routing::WaitingRequest
 MakeWaitingRequest(const RequestScope& aScope)
 {
   const InFlightRequest& request = aScope.mRequest;
+  const routing::GroupKey group{ request.mRequest.mService, aScope.mRoute.mRegion };
   return { request.mRequest.mId,
-           { request.mRequest.mService, aScope.mRoute.mRegion },
+           group,
            ServiceOf(aScope.mState, request.mRequest.mService).mClass,
            DispatchDeadline(request),
-           {} };
+           ExpectedLatency(aScope.mState, group) };
 }
 
 bool
@@ -102,7 +123,7 @@
   }
   const routing::WaitingRequest waiting = MakeWaitingRequest(aScope);
   const std::size_t count = routing::CountWaiting(aScope.mState.mQueue, waiting.mClass);
-  return count >= routing::kMaxWaitingPerClass || aScope.mNow >= waiting.mDeadline;
+  return count >= routing::kMaxWaitingPerClass || aScope.mNow + waiting.mExpectedLatency >= waiting.mDeadline;
 }
 
 void
--- a/packages/entry/src/request_chart_test.cpp
+++ b/packages/entry/src/request_chart_test.cpp
@@ -226,6 +226,27 @@
   CHECK(All<Dispatch>().size() == 1);
 }
 
+// Guards against a request that waits although the time left is too short for its answer: the caller
+// was told only at the deadline.
+TEST_CASE_METHOD(ShareFixture,
+                 "Request, no time left for the answer in the queue, is answered as not run",
+                 "[entry]")
+{
+  for (const std::string id : { "a1", "a2", "a3" }) {
+    mState.mServers[{ id }].mLatency = Millis(2000);
+  }
+  Arrive(1, "GET", "");
+  Arrive(2, "GET", "");
+  mNow += Millis(2900);
+  HandleEvent(Tick{});
+  CHECK(All<Reply>().empty());
+  mNow += Millis(200);
+  HandleEvent(Tick{});
+  CHECK(LastAnswer().mOutcome == Outcome::NotRun);
+  EndDispatch(All<Dispatch>()[0], Complete());
+  CHECK(All<Dispatch>().size() == 1);
+}
+
 // Guards against a share that leaks when its request is cancelled.
 TEST_CASE_METHOD(ShareFixture,
                  "Request, caller disconnected, releases its share to the next request",
