Start the split between regions by the slots, and keep it without requests

Cause: the first split was computed when the first server became known, and it was adjusted before any request came, when all regions look idle and the local one is nearest.

Change: until the first request of a service the split follows the slots of the known servers; without requests it is not adjusted. The gauge region_share shows it.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -126,6 +126,8 @@
   routes::ServerPool mPool;
   std::map<std::string, routes::ProcessingTimes> mRouteProcessingTimes; ///< by route
   routes::RegionSplit mSplit;
+  std::uint64_t mArrivals = 0;         ///< requests for the service at this entry
+  std::uint64_t mAdjustedArrivals = 0; ///< mArrivals at the last adjustment of mSplit
   routes::RetryBudget mRetryBudget;
 };
 
--- a/packages/entry/src/entry_group_fixture.hpp
+++ b/packages/entry/src/entry_group_fixture.hpp
@@ -40,10 +40,11 @@
   std::vector<std::size_t> mSentBy;                      ///< requests that each entry sent on
   std::map<BackendServerId, double> mNamedPerSecond;     ///< limits that servers name
   Millis mLongestRetryAfter{ 0 };                        ///< of the rejected requests
-  std::optional<Millis> mHealthAnswer; ///< time for which the servers say that they stay cold
-  std::size_t mProbes = 0;             ///< health requests
-  std::size_t mNotRun = 0;             ///< requests that were rejected
-  std::optional<Instant> mLeaseEnd;    ///< of the servers; nothing: a heartbeat came just now
+  std::optional<Millis> mHealthAnswer;   ///< time for which the servers say that they stay cold
+  std::optional<std::size_t> mOnlyEntry; ///< the entry that gets all requests
+  std::size_t mProbes = 0;               ///< health requests
+  std::size_t mNotRun = 0;               ///< requests that were rejected
+  std::optional<Instant> mLeaseEnd;      ///< of the servers; nothing: a heartbeat came just now
   RequestId mNextId = 1;
 
   EntryGroupFixture()
@@ -190,7 +191,7 @@
           Collect(n, Step(mEntries[n], Tick{}, mNow));
         }
       }
-      Arrive(mNextId % mEntries.size());
+      Arrive(mOnlyEntry.value_or(mNextId % mEntries.size()));
       mNow += mArrivalInterval;
     }
   }
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -478,6 +478,7 @@
     aNow + std::min(forward.mRoute->mTimeout,
                     forward.mRequest.mDeadline.value_or(forward.mRoute->mTimeout));
   if (route != nullptr) {
+    ++PoolOf(scope).mArrivals;
     routes::RecordObject(PoolOf(scope).mPool, forward.mObjectKey, aNow);
     UpdatePlacement(scope);
     routes::RetryBudget& retryBudget = PoolOf(scope).mRetryBudget;
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -86,6 +86,12 @@
   }
   SetShares(aMetrics, aState, aNow);
   aMetrics.Set("grant_age_seconds", ToSeconds(aNow - aState.mLastGrant));
+  for (const auto& [service, pool] : aState.mPools) {
+    for (const auto& [region, weight] : pool.mSplit.mWeights) {
+      aMetrics.Set(
+        "region_share", weight, { { "service", service.mValue }, { "region", region.mValue } });
+    }
+  }
   std::size_t cold = 0;
   std::size_t limited = 0;
   for (const auto& [id, load] : aState.mServerLoads) {
--- a/packages/entry/src/gauges_test.cpp
+++ b/packages/entry/src/gauges_test.cpp
@@ -69,5 +69,16 @@
   CHECK(Contains("fighold_backend_servers_rate_limited 1"));
 }
 
+// Guards against a shift between regions that nobody can see from outside.
+TEST_CASE_METHOD(GaugesFixture,
+                 "SetGauges, split between regions, reports the share of each",
+                 "[entry]")
+{
+  mState.mPools[{ "vardia" }].mSplit.mWeights = { { { "attiki" }, 0.75 }, { { "kriti" }, 0.25 } };
+  SetGauges(mMetrics, mState, mNow);
+  CHECK(Contains("fighold_region_share{region=\"attiki\",service=\"vardia\"} 0.75"));
+  CHECK(Contains("fighold_region_share{region=\"kriti\",service=\"vardia\"} 0.25"));
+}
+
 } // namespace
 } // namespace fighold::entry
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -177,7 +177,9 @@
         load.mReportedAt = aNow; // a new server has no requests of other callers yet
       }
     }
-    if (pool.mSplit.mWeights.empty()) {
+    // Servers become known one after another. Until the first request, the split follows the slots
+    // that are known, so that it starts where it will stay.
+    if (pool.mSplit.mWeights.empty() || pool.mArrivals == 0) {
       pool.mSplit.mWeights =
         routes::InitialWeights(SlotsByRegion(pool.mPool), aState.mOptions.mEntry.mRegion);
     }
@@ -288,9 +290,12 @@
 {
   const bool trustLeases = TrustsLeases(aState, aNow);
   for (auto& [service, pool] : aState.mPools) {
-    if (aNow < pool.mSplit.mNextAdjustment) {
+    // Without requests all regions look idle, so that the split would drift to the local one, which
+    // may have too little room once the requests come.
+    if (aNow < pool.mSplit.mNextAdjustment || pool.mArrivals == pool.mAdjustedArrivals) {
       continue;
     }
+    pool.mAdjustedArrivals = pool.mArrivals;
     std::map<RegionId, Duration> costs;
     for (const auto& [region, slots] : SlotsByRegion(pool.mPool)) {
       const auto cost =
