Start the turns of a weighted route at a position of each entry's own

Cause: the smooth round robin of a route started at the same position in every entry, so that the first requests of all entries went to the first service. With many entries and few requests each, a part of 10 in 100 got nothing at first.

Change: an entry starts as if a random number of requests below 100 had been picked before.

--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -328,8 +328,14 @@
   for (const auto& it : aRoute.mServices) {
     weights.push_back(it.mWeight);
   }
-  return aRoute.mServices[routes::PickNext(aState.mRouteRoundRobins[aRoute.mName], weights)]
-    .mService;
+  const auto found = aState.mRouteRoundRobins.find(aRoute.mName);
+  routes::WeightedRoundRobin& roundRobin =
+    found != aState.mRouteRoundRobins.end()
+      ? found->second
+      : aState.mRouteRoundRobins
+          .emplace(aRoute.mName, routes::StartRoundRobin(weights, NextRandom(aState)))
+          .first->second;
+  return aRoute.mServices[routes::PickNext(roundRobin, weights)].mService;
 }
 
 ForwardEvent
--- a/packages/routes/include/fighold/routes/route_table.hpp
+++ b/packages/routes/include/fighold/routes/route_table.hpp
@@ -3,6 +3,7 @@
 #include "fighold/core/shared_value.hpp"
 #include "fighold/routes/route_set.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -37,6 +38,17 @@
   friend bool operator==(const WeightedRoundRobin&, const WeightedRoundRobin&) = default;
 };
 
+/// Starts a round robin as if some requests had been picked before. Many entries with few requests
+/// each would otherwise all start with the same index, which then gets more than its share.
+/// @param aWeights weights, not negative
+/// @param aPosition number that differs between entries; its remainder to kRoundRobinStarts is the
+/// number of requests that count as picked
+WeightedRoundRobin
+StartRoundRobin(const std::vector<double>& aWeights, std::uint64_t aPosition);
+
+/// Number of positions at which a round robin starts. Weights are percentages.
+constexpr std::uint64_t kRoundRobinStarts = 100;
+
 /// @param aRoundRobin credits so far, changed in place
 /// @param aWeights weights, not negative
 /// @return index that is picked; 0 if all weights are 0
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -111,9 +111,10 @@
     if (aPlacement.mServer && aPlacement.mServer->mId == id) {
       return std::nullopt;
     }
-    const auto rejected = std::find_if(aPlacement.mRejected.begin(),
-                                       aPlacement.mRejected.end(),
-                                       [&](const Rejected& aIt) { return aIt.mCandidate == id.mValue; });
+    const auto rejected =
+      std::find_if(aPlacement.mRejected.begin(),
+                   aPlacement.mRejected.end(),
+                   [&](const Rejected& aIt) { return aIt.mCandidate == id.mValue; });
     if (rejected == aPlacement.mRejected.end() || rejected->mReason.rfind("maybe-cold", 0) != 0) {
       continue;
     }
--- a/packages/routes/src/route_set_test.cpp
+++ b/packages/routes/src/route_set_test.cpp
@@ -136,5 +136,18 @@
   }
 }
 
+// Guards against many entries that all start with the same service.
+TEST_CASE_METHOD(RouteFixture,
+                 "StartRoundRobin, each position once, picks each index by its weight first",
+                 "[routes]")
+{
+  std::vector<int> counts(3);
+  for (std::uint64_t position = 0; position < kRoundRobinStarts; ++position) {
+    WeightedRoundRobin roundRobin = StartRoundRobin({ 60, 30, 10 }, position);
+    ++counts[PickNext(roundRobin, { 60, 30, 10 })];
+  }
+  CHECK(counts == std::vector<int>{ 60, 30, 10 });
+}
+
 } // namespace
 } // namespace fighold::routes
--- a/packages/routes/src/route_table.cpp
+++ b/packages/routes/src/route_table.cpp
@@ -74,4 +74,14 @@
   return best;
 }
 
+WeightedRoundRobin
+StartRoundRobin(const std::vector<double>& aWeights, std::uint64_t aPosition)
+{
+  WeightedRoundRobin roundRobin;
+  for (std::uint64_t n = aPosition % kRoundRobinStarts; n > 0; --n) {
+    PickNext(roundRobin, aWeights);
+  }
+  return roundRobin;
+}
+
 } // namespace fighold::routes
