Take no more requests behind a running one late in a planned stop

Cause: a stop leaves a connection with a running request open for reading.

Change: half a second after the stop such a request is not taken. The answer before it closes the connection, so that it counts as not read.

Test: a request 0.8 s after the stop behind one that runs for 1.5 s is handled before, not handled after; the running one is answered and its caller not taken for gone.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -38,7 +38,8 @@
 /// Time between two looks for connections that were idle for too long.
 constexpr Millis kIdleCheck{ 500 };
 
-/// Time for the first request of a connection that was opened just before a stop.
+/// Time after a stop in which requests are still taken: the first one of a connection that was
+/// opened just before, or one behind a running request.
 constexpr Millis kLastRequestWait{ 500 };
 
 /// A request that was read, and its answer once there is one.
@@ -106,7 +107,8 @@
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
   bool mStopping = false;
-  int mStarting = 0; ///< connections whose fiber has not run yet
+  Instant mStoppedAt{}; ///< when it began to stop
+  int mStarting = 0;    ///< connections whose fiber has not run yet
 };
 
 namespace {
@@ -304,6 +306,12 @@
       }
       return;
     }
+    // A request that comes late behind a running one might not end before the process does. It
+    // counts as not read, since the answer before it closes the connection.
+    if (!connection.mExchanges.empty() && aState->mStopping &&
+        std::chrono::steady_clock::now() >= aState->mStoppedAt + kLastRequestWait) {
+      break;
+    }
     exchange->mRequest.mPeer = peer;
     exchange->mRequest.mListener = aState->mOptions.mListener;
     more = exchange->mKeepAlive;
@@ -459,6 +467,7 @@
 HttpServer::Stop(Instant aUntil)
 {
   mState->mStopping = true;
+  mState->mStoppedAt = std::chrono::steady_clock::now();
   mState->mIdleTimer.cancel();
   // Closing the listener resets the connections that wait to be accepted.
   beast::error_code ec;
--- a/packages/net/src/http_server_test.cpp
+++ b/packages/net/src/http_server_test.cpp
@@ -290,6 +290,28 @@
   mThread.join();
 }
 
+// Guards against a request that comes late during a stop and is taken behind a running one: the
+// process ended before its answer.
+TEST_CASE_METHOD(ServerFixture,
+                 "HttpServer, request behind a running one long after the stop, is not taken",
+                 "[net]")
+{
+  mHandleMs = 1500;
+  Tcp::socket socket = Connect(Start());
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::this_thread::sleep_for(Millis(100));
+  RequestStop();
+  std::this_thread::sleep_for(Millis(800));
+  boost::asio::write(socket, boost::asio::buffer(request));
+  const std::string answers = ReadAll(socket);
+  CHECK(mGone == 0);
+  CHECK(mCalls == 1);
+  CHECK(answers.find("\r\n\r\nok") != std::string::npos);
+  CHECK(answers.find("Connection: close") != std::string::npos);
+  mThread.join();
+}
+
 // Guards against a stop that waits for a connection without a request: it came while the answer was
 // written, and nothing ended the wait for the next request.
 TEST_CASE_METHOD(ServerFixture,
