Distrust heartbeats for 6 s after an outage, and without allowances

Change: 6 s instead of 12 s; while the entry has contact, the time for which a health answer holds bounds the requests, without a number.

The tests of cold servers pass unchanged.

--- a/packages/entry/src/cold_server_test.cpp
+++ b/packages/entry/src/cold_server_test.cpp
@@ -107,8 +107,8 @@
   CHECK(BusiestSecond() <= kMaxColdPerSecond);
 }
 
-// Guards against a heartbeat after an outage that renews the trust in a server: an evacuation that was
-// ordered during the outage is not in force yet, and the servers of its data centre turn cold
+// Guards against a heartbeat after an outage that renews the trust in a server: an evacuation that
+// was ordered during the outage is not in force yet, and the servers of its data centre turn cold
 // between two heartbeats.
 TEST_CASE_METHOD(EntryGroupFixture,
                  "Forward, contact regained and servers turn cold, keeps to their bound",
@@ -133,9 +133,10 @@
 
 // Guards against a bound on the requests between two health answers that holds only while few
 // requests arrive.
-TEST_CASE_METHOD(EntryGroupFixture,
-                 "Forward, control group down and many requests, keeps to the bound of cold servers",
-                 "[entry]")
+TEST_CASE_METHOD(
+  EntryGroupFixture,
+  "Forward, control group down and many requests, keeps to the bound of cold servers",
+  "[entry]")
 {
   StartEntries(kEightEntries);
   mHealthAnswer = Millis(0);
--- a/packages/entry/src/lease_keeping.cpp
+++ b/packages/entry/src/lease_keeping.cpp
@@ -23,8 +23,9 @@
 
 /// Time after an outage of the control group in which a heartbeat does not show a server to be
 /// warm. An evacuation that was ordered during the outage may not be in force, so that the servers
-/// of its data centre are used while they turn cold. Longer than an evacuation that ends soon.
-constexpr Millis kUnreliableAfterOutage{ 12'000 };
+/// of its data centre are used while they turn cold. Operators repeat an order for some seconds, so
+/// that it is in force soon after the outage or was given up a few seconds before its end.
+constexpr Millis kUnreliableAfterOutage{ 6'000 };
 
 /// Minimum interval between renewals that only confirm a new version. While hundreds of machines
 /// start, each of them makes a version; an entry that confirmed every one would renew without
--- a/packages/entry/src/probing.cpp
+++ b/packages/entry/src/probing.cpp
@@ -12,8 +12,8 @@
 /// cold. Two intervals, so that one late answer does not limit the server.
 constexpr Millis kProbeValidity{ 400 };
 
-/// A server counts as used for so long after a request was sent to it or passed it over only because
-/// it may be cold.
+/// A server counts as used for so long after a request was sent to it or passed it over only
+/// because it may be cold.
 constexpr Millis kUsedFor{ 2000 };
 
 bool
@@ -103,9 +103,8 @@
   load.mColdUntil = std::max(load.mColdUntil, aNow + *aDone.mReport.mCold);
   if (!wasCold) {
     const auto limit = routes::RateLimitOf(pool->second.mPool, probe.mServer, load, aNow);
-    load.mNextRateDispatch =
-      std::max(load.mNextRateDispatch,
-               aNow + routes::kPauseAfterHealthAnswers + limit->mShare.mFirstDelay);
+    load.mNextRateDispatch = std::max(
+      load.mNextRateDispatch, aNow + routes::kPauseAfterHealthAnswers + limit->mShare.mFirstDelay);
     aEffects.emplace_back(LogRecord{ DecisionRecord{
       "server", probe.mServer.mId.mValue, probe.mService.mValue, "cold", "health-answer", {} } });
   }
--- a/packages/entry/src/queueing.cpp
+++ b/packages/entry/src/queueing.cpp
@@ -123,7 +123,8 @@
   }
   const routing::WaitingRequest waiting = MakeWaitingRequest(aScope);
   const std::size_t count = routing::CountWaiting(aScope.mState.mQueue, waiting.mClass);
-  return count >= routing::kMaxWaitingPerClass || aScope.mNow + waiting.mExpectedLatency >= waiting.mDeadline;
+  return count >= routing::kMaxWaitingPerClass ||
+         aScope.mNow + waiting.mExpectedLatency >= waiting.mDeadline;
 }
 
 void
--- a/packages/entry/src/request_chart_test.cpp
+++ b/packages/entry/src/request_chart_test.cpp
@@ -226,8 +226,8 @@
   CHECK(All<Dispatch>().size() == 1);
 }
 
-// Guards against a request that waits although the time left is too short for its answer: the caller
-// was told only at the deadline.
+// Guards against a request that waits although the time left is too short for its answer: the
+// caller was told only at the deadline.
 TEST_CASE_METHOD(ShareFixture,
                  "Request, no time left for the answer in the queue, is answered as not run",
                  "[entry]")
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -137,7 +137,7 @@
   std::uint64_t mHealthAllowance = 0; ///< requests that the last health answer still allows
   std::uint64_t mDispatches = 0;      ///< requests that this entry sent
   Instant mLastDispatch{};
-  Instant mLastWanted{}; ///< when a request last passed it over because it may be cold
+  Instant mLastWanted{};       ///< when a request last passed it over because it may be cold
   Instant mNextRateDispatch{}; ///< earliest next request of this entry while its rate is limited
   std::optional<double> mNamedPerSecond; ///< limit on requests/s of all entries that it named last
   double mSlowness = 1; ///< moving average of its processing times relative to those of the route
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -43,7 +43,9 @@
   }
   if (IsHeartbeatOld(aPool, aLoad, aNow) && aNow >= aLoad.mColdUntil &&
       aLoad.mWarmUntil != Instant{}) {
-    if (aNow < aLoad.mWarmUntil && aLoad.mHealthAllowance == 0) {
+    // With contact, heartbeats tell all entries soon that a server is cold, so that the time for
+    // which a health answer holds bounds the requests well enough.
+    if (!aTrustLeases && aNow < aLoad.mWarmUntil && aLoad.mHealthAllowance == 0) {
       return "maybe-cold-until-health-answer";
     }
     if (aNow >= aLoad.mWarmUntil && aNow < aLoad.mWarmUntil + kPauseAfterHealthAnswers) {
