Wait for the answer of the attempt that holds a key before saying unknown

Cause: an entry answers its caller before its message with the answer, or with the release of the key, has reached the claim replicas. A resend that overtakes this message finds the key held and was told "unknown" at once.

Change: an attempt whose key another one holds asks again each 50 ms for 300 ms, and says "unknown" only then.

Tests: the order of messages fails before (decided at once as dispatched) and is replayed after. Three rows expected "dispatched" at once; they now expect no outcome before 300 ms and "dispatched" within 350 ms, since the time is what changed.

--- a/packages/claims/src/claims_test.cpp
+++ b/packages/claims/src/claims_test.cpp
@@ -54,6 +54,24 @@
     Run(aClient, StartClaim{ aNumber, "key", aDigest, mNow + Millis(5000) }, aReachable);
   }
 
+  /// Lets time pass until an attempt of a key that another one holds stops waiting for its answer.
+  /// Checks that it has no outcome before.
+  void WaitForAnswer(Client& aClient)
+  {
+    const std::size_t before = mDecisions.size();
+    constexpr Millis kStep{ 10 };
+    const Instant started = mNow;
+    while (mDecisions.size() == before && mNow < started + Millis(400)) {
+      mNow += kStep;
+      if (mNow >= NextClientTick(aClient).value_or(mNow)) {
+        Run(aClient, ClientTick{}, mIds);
+      }
+    }
+    CHECK(mDecisions.size() == before + 1);
+    CHECK(mNow - started >= Millis(300));
+    CHECK(mNow - started <= Millis(350));
+  }
+
   ClaimOutcome LastOutcome() const { return mDecisions.back().mOutcome; }
 };
 
@@ -74,6 +92,7 @@
 {
   Claim(mFirst, 1, "d", mIds);
   Claim(mSecond, 1, "d", mIds);
+  WaitForAnswer(mSecond);
   CHECK(LastOutcome() == ClaimOutcome::Dispatched);
 }
 
@@ -87,6 +106,23 @@
   CHECK(mDecisions.back().mResponse == response);
 }
 
+// Guards against a caller that resends at once through another entry and is told "unknown",
+// although it has the answer: the first entry's message with the answer was still on its way.
+TEST_CASE_METHOD(ClaimsFixture,
+                 "Claim, answer stored shortly after another entry claimed the key, is replayed",
+                 "[claims]")
+{
+  Claim(mFirst, 1, "d", mIds);
+  Claim(mSecond, 1, "d", mIds);
+  CHECK(mDecisions.size() == 1);
+  mNow += Millis(40);
+  Run(mFirst, RequestEnded{ 1, true, StoredResponse{ 201, {}, "done" } }, mIds);
+  mNow += Millis(10);
+  Run(mSecond, ClientTick{}, mIds);
+  REQUIRE(mDecisions.size() == 2);
+  CHECK(LastOutcome() == ClaimOutcome::Replay);
+}
+
 TEST_CASE_METHOD(ClaimsFixture,
                  "Claim, response over 16 KiB, is reported as dispatched",
                  "[claims]")
@@ -97,6 +133,7 @@
         1, true, StoredResponse{ 200, {}, std::string(kMaxStoredResponseBytes + 1, 'a') } },
       mIds);
   Claim(mSecond, 1, "d", mIds);
+  WaitForAnswer(mSecond);
   CHECK(LastOutcome() == ClaimOutcome::Dispatched);
 }
 
@@ -191,6 +228,7 @@
   Claim(mFirst, 1, "d", mIds);
   mNow += kRetention;
   Claim(mSecond, 1, "d", mIds);
+  WaitForAnswer(mSecond);
   CHECK(LastOutcome() == ClaimOutcome::Dispatched);
   mNow += Millis(60'000);
   Claim(mSecond, 2, "d", mIds);
--- a/packages/claims/src/client.cpp
+++ b/packages/claims/src/client.cpp
@@ -7,6 +7,12 @@
 
 constexpr Millis kResendInterval{ 200 };
 
+/// Time for which an attempt waits for the answer of another one that holds its key, and the
+/// interval in which it asks. An entry answers its caller before the replicas have the answer, so
+/// that a caller that resends at once through another entry may be faster.
+constexpr Millis kAnswerWait{ 300 };
+constexpr Millis kAnswerAskInterval{ 50 };
+
 /// Time for which a release is resent. A replica that receives a late claim request and grants the
 /// key to the attempt again is sent another release within this time.
 constexpr Millis kReleaseResendTime{ 2'000 };
@@ -105,7 +111,10 @@
     return ClaimOutcome::Granted;
   }
   if (aTally.mGranted + aTally.mOutstanding < majority) {
-    return OutcomeWithoutMajority(aClient, aTally);
+    const ClaimOutcome outcome = OutcomeWithoutMajority(aClient, aTally);
+    const bool mayBeAnswered =
+      outcome == ClaimOutcome::Dispatched && aNow < aPending.mRequestedAt + kAnswerWait;
+    return mayBeAnswered ? std::nullopt : std::optional(outcome);
   }
   return std::nullopt;
 }
@@ -135,7 +144,8 @@
   aPending.mNextSend = aContext.mNow + kResendInterval;
   for (const ControlId& it : aContext.mClient.mOptions.mReplicas) {
     const auto reply = aPending.mReplies.find(it);
-    if (reply == aPending.mReplies.end() || reply->second.mCode == ReplyCode::Abstained) {
+    if (reply == aPending.mReplies.end() || reply->second.mCode == ReplyCode::Abstained ||
+        reply->second.mCode == ReplyCode::Held) {
       aContext.mEffects.emplace_back(Send{ it, aPending.mRequest });
     }
   }
@@ -150,6 +160,10 @@
   Tally tally = CountReplies(client, it->second);
   const auto outcome = DecideOutcome(client, it->second, tally, aContext.mNow);
   if (!outcome) {
+    if (!tally.mOwners.empty()) {
+      it->second.mNextSend = std::min(it->second.mNextSend, aContext.mNow + kAnswerAskInterval);
+      ScheduleTickBy(client, it->second.mNextSend);
+    }
     return;
   }
   const ClaimRequest request = it->second.mRequest;
