Report the traffic as values, and ask servers also beyond the allowances

Reading the diff: both decide threads had the same function that set the gauges of the traffic through a callback; the gauges are values now.

While an entry has contact, health answers allow any number of requests, so that a server that was passed over is asked also by entries that the allowances leave out.

--- a/packages/control/src/decide_thread.cpp
+++ b/packages/control/src/decide_thread.cpp
@@ -63,17 +63,20 @@
   }
 };
 
-/// @return function that sets a gauge of wire::ReportTraffic()
-auto
-TrafficGauges(telemetry::Metrics& aMetrics)
+/// Sets the gauges of the traffic and logs it, when a report is due.
+void
+ReportTraffic(Channels& aChannels,
+              const std::string& aId,
+              wire::TrafficReport& aReport,
+              Instant aNow)
 {
-  return [&aMetrics](const std::string& aName,
-                     std::uint64_t aValue,
-                     const std::string& aKind,
-                     const std::string& aDirection) {
-    aMetrics.Set(
-      aName, static_cast<double>(aValue), { { "kind", aKind }, { "direction", aDirection } });
-  };
+  const wire::Traffic traffic = aChannels.mTraffic.Read();
+  if (const auto record = wire::ReportTraffic(aId, traffic, aReport, aNow)) {
+    telemetry::LogDecision(aChannels.mLog, *record);
+    for (const wire::TrafficGauge& it : wire::GaugesOf(traffic)) {
+      aChannels.mMetrics.Set(it.mName, it.mValue, it.mLabels);
+    }
+  }
 }
 
 } // namespace
@@ -82,7 +85,6 @@
 DecideThread(Channels& aChannels, State aState)
 {
   EffectExecutor executor{ aChannels, aState };
-  const auto setTrafficGauge = TrafficGauges(aChannels.mMetrics);
   Instant lastTick = std::chrono::steady_clock::now();
   wire::TrafficReport traffic;
   while (!aChannels.mInbox.Finished()) {
@@ -96,13 +98,7 @@
     if (now >= nextTick) {
       executor.ExecuteAll(Step(aState, Tick{}, now));
       lastTick = now;
-      if (const auto record = wire::ReportTraffic(aState.mNode.mOptions.mSelf.mValue,
-                                                  aChannels.mTraffic,
-                                                  traffic,
-                                                  now,
-                                                  setTrafficGauge)) {
-        telemetry::LogDecision(aChannels.mLog, *record);
-      }
+      ReportTraffic(aChannels, aState.mNode.mOptions.mSelf.mValue, traffic, now);
     }
   }
 }
--- a/packages/entry/src/cold_server_test.cpp
+++ b/packages/entry/src/cold_server_test.cpp
@@ -177,5 +177,24 @@
   CHECK(BusiestSecond() <= kMaxColdPerSecond);
 }
 
+// Guards against seconds after an outage in which most of many entries still can't use most
+// servers, although they are in contact and the servers say that they are not cold.
+TEST_CASE_METHOD(EntryGroupFixture,
+                 "Forward, contact regained for many entries, serves most requests",
+                 "[entry]")
+{
+  std::vector<std::string> regions;
+  for (std::size_t n = 0; n < 60; ++n) {
+    regions.push_back(mRegions[n % 3]);
+  }
+  StartEntries(regions);
+  mArrivalInterval = Millis(10);
+  mHealthAnswer = Millis(0);
+  Run(std::chrono::seconds(4), [](std::size_t) { return false; });
+  mNotRun = 0;
+  Run(std::chrono::seconds(4), [](std::size_t) { return true; });
+  CHECK(mNotRun <= 40); // of 400
+}
+
 } // namespace
 } // namespace fighold::entry
--- a/packages/entry/src/decide_thread.cpp
+++ b/packages/entry/src/decide_thread.cpp
@@ -75,17 +75,20 @@
   void Execute(const Stopped& /*aStopped*/) { mOnStopped(); }
 };
 
-/// @return function that sets a gauge of wire::ReportTraffic()
-auto
-TrafficGauges(telemetry::Metrics& aMetrics)
+/// Sets the gauges of the traffic and logs it, when a report is due.
+void
+ReportTraffic(Channels& aChannels,
+              const std::string& aId,
+              wire::TrafficReport& aReport,
+              Instant aNow)
 {
-  return [&aMetrics](const std::string& aName,
-                     std::uint64_t aValue,
-                     const std::string& aKind,
-                     const std::string& aDirection) {
-    aMetrics.Set(
-      aName, static_cast<double>(aValue), { { "kind", aKind }, { "direction", aDirection } });
-  };
+  const wire::Traffic traffic = aChannels.mTraffic.Read();
+  if (const auto record = wire::ReportTraffic(aId, traffic, aReport, aNow)) {
+    telemetry::LogDecision(aChannels.mLog, *record);
+    for (const wire::TrafficGauge& it : wire::GaugesOf(traffic)) {
+      aChannels.mMetrics.Set(it.mName, it.mValue, it.mLabels);
+    }
+  }
 }
 
 } // namespace
@@ -94,7 +97,6 @@
 DecideThread(Channels& aChannels, State aState, const std::function<void()>& aOnStopped)
 {
   EffectExecutor executor{ aChannels, aState, aOnStopped };
-  const auto setTrafficGauge = TrafficGauges(aChannels.mMetrics);
   Instant nextTick = std::chrono::steady_clock::now();
   wire::TrafficReport traffic;
   while (!aChannels.mInbox.Finished()) {
@@ -106,10 +108,7 @@
     if (now >= nextTick) {
       executor.ExecuteAll(Step(aState, Tick{}, now));
       SetGauges(aChannels.mMetrics, aState, now);
-      if (const auto record = wire::ReportTraffic(
-            aState.mOptions.mId.mValue, aChannels.mTraffic, traffic, now, setTrafficGauge)) {
-        telemetry::LogDecision(aChannels.mLog, *record);
-      }
+      ReportTraffic(aChannels, aState.mOptions.mId.mValue, traffic, now);
       nextTick = NextTick(aState, now);
     }
     // An event may have started a claim whose messages must be resent before the planned tick.
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -102,12 +102,14 @@
   return it == aLoads.end() ? kUnknown : it->second;
 }
 
+/// @param aTrustLeases true: health answers allow any number of requests
 /// @return best server of a ranking that was rejected only because it may be cold and that this
 /// entry may use after a health answer; only servers before the chosen one count
 std::optional<BackendServerId>
 FindWanted(const ServerPool& aPool,
            const std::vector<BackendServerId>& aRanking,
-           const Placement& aPlacement)
+           const Placement& aPlacement,
+           bool aTrustLeases)
 {
   for (const BackendServerId& id : aRanking) {
     if (aPlacement.mServer && aPlacement.mServer->mId == id) {
@@ -123,7 +125,8 @@
     const auto server = std::find_if(aPool.mServers.begin(),
                                      aPool.mServers.end(),
                                      [&](const Server& aIt) { return aIt.mId == id; });
-    if (HealthAnswerAllowance(id, server->mRegion, aPool.mEntries, aPool.mCold) > 0) {
+    if (aTrustLeases ||
+        HealthAnswerAllowance(id, server->mRegion, aPool.mEntries, aPool.mCold) > 0) {
       return id;
     }
   }
@@ -441,11 +444,11 @@
   }
   if (best == nullptr) {
     placement.mReason = scored.empty() ? "no-usable-server" : "";
-    placement.mWanted = FindWanted(aPool, ranking, placement);
+    placement.mWanted = FindWanted(aPool, ranking, placement, aTrustLeases);
     return placement;
   }
   placement.mServer = *best->mServer;
-  placement.mWanted = FindWanted(aPool, ranking, placement);
+  placement.mWanted = FindWanted(aPool, ranking, placement, aTrustLeases);
   placement.mExpectedTime = FromMilliseconds(best->mExpectedTime);
   const ServerLoad& load = FindServerLoad(aLoads, best->mServer->mId);
   const double expectedOthers = ExpectedOtherRequests(regionLoad, *best->mServer, aNow);
--- a/packages/wire/include/fighold/wire/traffic.hpp
+++ b/packages/wire/include/fighold/wire/traffic.hpp
@@ -8,8 +8,10 @@
 #include <atomic>
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// Bytes of the messages between daemons, by kind. The link of an entry is little wider than its
 /// callers' answers, so that messages of the system can crowd them out.
@@ -87,16 +89,27 @@
   friend auto operator<=>(const TrafficReport&, const TrafficReport&) = default;
 };
 
-/// Sets the gauges of the traffic, when a report is due.
-/// @param aSetGauge called with name, value, kind and direction
+/// Value of a metric about the traffic.
+struct TrafficGauge
+{
+  std::string mName;
+  std::map<std::string, std::string> mLabels;
+  double mValue = 0;
+
+  friend auto operator<=>(const TrafficGauge&, const TrafficGauge&) = default;
+};
+
+/// @return messages and bytes of each kind and direction
+std::vector<TrafficGauge>
+GaugesOf(const Traffic& aTraffic);
+
+/// @param aReport updated when a report is due
 /// @return log record of the time since the last report; nothing when none is due
-template<typename SetGauge>
 std::optional<DecisionRecord>
 ReportTraffic(const std::string& aId,
-              const TrafficCounter& aCounter,
+              const Traffic& aTraffic,
               TrafficReport& aReport,
-              Instant aNow,
-              const SetGauge& aSetGauge);
+              Instant aNow);
 
 /// @param aId identifier of the process
 /// @param aBefore traffic at the beginning of a span of time
@@ -109,31 +122,4 @@
                 const Traffic& aNow,
                 Duration aSpan);
 
-template<typename SetGauge>
-std::optional<DecisionRecord>
-ReportTraffic(const std::string& aId,
-              const TrafficCounter& aCounter,
-              TrafficReport& aReport,
-              Instant aNow,
-              const SetGauge& aSetGauge)
-{
-  if (aReport.mLastAt == Instant{}) {
-    aReport.mLastAt = aNow;
-  }
-  if (aNow < aReport.mLastAt + kTrafficReportInterval) {
-    return std::nullopt;
-  }
-  const Traffic traffic = aCounter.Read();
-  for (std::size_t n = 0; n < kMessageKinds; ++n) {
-    const std::string kind = KindName(static_cast<MessageKind>(n));
-    aSetGauge("message_bytes", traffic.mSent.at(n).mBytes, kind, "sent");
-    aSetGauge("messages", traffic.mSent.at(n).mMessages, kind, "sent");
-    aSetGauge("message_bytes", traffic.mReceived.at(n).mBytes, kind, "received");
-    aSetGauge("messages", traffic.mReceived.at(n).mMessages, kind, "received");
-  }
-  auto record = DescribeTraffic(aId, aReport.mLast, traffic, aNow - aReport.mLastAt);
-  aReport = { traffic, aNow };
-  return record;
-}
-
 } // namespace fighold::wire
--- a/packages/wire/src/grant_size_test.cpp
+++ b/packages/wire/src/grant_size_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace fighold::wire {
 namespace {
 
@@ -171,6 +173,12 @@
                                      { "received_grant_delta", "100" },
                                      { "received_grant_whole", "400" } };
   CHECK(record.mFields == expected);
+  const auto gauges = GaugesOf(counter.Read());
+  const TrafficGauge wholeBytes{ "message_bytes",
+                                 { { "kind", "grant_whole" }, { "direction", "received" } },
+                                 3000 };
+  CHECK(gauges.size() == 4 * kMessageKinds);
+  CHECK(std::find(gauges.begin(), gauges.end(), wholeBytes) != gauges.end());
 }
 
 } // namespace
--- a/packages/wire/src/traffic.cpp
+++ b/packages/wire/src/traffic.cpp
@@ -109,4 +109,36 @@
   return record;
 }
 
+std::vector<TrafficGauge>
+GaugesOf(const Traffic& aTraffic)
+{
+  std::vector<TrafficGauge> gauges;
+  const auto add = [&gauges](const std::string& aDirection, const auto& aCounts) {
+    for (std::size_t n = 0; n < kMessageKinds; ++n) {
+      const std::map<std::string, std::string> labels{
+        { "kind", KindName(static_cast<MessageKind>(n)) }, { "direction", aDirection }
+      };
+      gauges.push_back({ "messages", labels, static_cast<double>(aCounts.at(n).mMessages) });
+      gauges.push_back({ "message_bytes", labels, static_cast<double>(aCounts.at(n).mBytes) });
+    }
+  };
+  add("sent", aTraffic.mSent);
+  add("received", aTraffic.mReceived);
+  return gauges;
+}
+
+std::optional<DecisionRecord>
+ReportTraffic(const std::string& aId, const Traffic& aTraffic, TrafficReport& aReport, Instant aNow)
+{
+  if (aReport.mLastAt == Instant{}) {
+    aReport.mLastAt = aNow;
+  }
+  if (aNow < aReport.mLastAt + kTrafficReportInterval) {
+    return std::nullopt;
+  }
+  auto record = DescribeTraffic(aId, aReport.mLast, aTraffic, aNow - aReport.mLastAt);
+  aReport = { aTraffic, aNow };
+  return record;
+}
+
 } // namespace fighold::wire
