--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,8 +2,8 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 here="$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)"
 cd "$here/../.." || exit 2
-[ -x target/packages/figholdd/figholdd ] && [ -x target/review/pipeline_stop ] || exit 2
-timeout -k 2 100 target/review/pipeline_stop "$here/record.txt"
+[ -x target/packages/figholdd/figholdd ] && [ -x target/review/odd_heartbeat ] || exit 2
+timeout -k 2 100 target/review/odd_heartbeat "$here/record.txt"
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/3/padded_address.cpp
+++ b/review/2/padded_address.cc
@@ -1,6 +1,6 @@
 // Heartbeats of another writer whose address can't be read, while clients send swaps on kept
 // connections. The platform restarts processes that end.
-#include "../common/standins.hpp"
+#include "../common/standins.hh"
 
 using namespace review;
 
@@ -11,7 +11,7 @@
   std::string mId;
   std::string mEntry;
   Time mSentAt;
-  int mStatus = 0; ///< 0: the connection ended without a whole answer
+  int mStatus = 0;    ///< 0: the connection ended without a whole answer
   bool mKept = false; ///< its connection had carried a request before
 };
 
@@ -34,7 +34,9 @@
     std::string buffer;
     bool open = true;
     for (bool kept = false; open && !gStop; kept = true) {
-      Sent it{ "s" + std::to_string(aIndex) + "-" + std::to_string(++number), entry.mName, Now(), 0, kept };
+      Sent it{
+        "s" + std::to_string(aIndex) + "-" + std::to_string(++number), entry.mName, Now(), 0, kept
+      };
       open = SendAll(fd,
                      Format("POST /swap/" + it.mId + " HTTP/1.1",
                             { { "Host", "one.example" },
@@ -66,16 +68,16 @@
 main(int aArgc, char** aArgv)
 {
   gRecord.Open(aArgc > 1 ? aArgv[1] : "record.txt");
-  const bool trouble = std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
+  const bool trouble =
+    std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
   int code = 2;
   {
     Cluster cluster(3, 4); // entries in attiki-a, makedonia-a, kriti-a, attiki-b
-    const int acked = Order(cluster,
-                            "PUT /config",
-                            ConfigJson("r2",
-                                       "r0",
-                                       ServiceJson("swap"),
-                                       RouteJson("r-swap", "/swap/", "unsafe", "swap", 2000)));
+    const int acked = Order(
+      cluster,
+      "PUT /config",
+      ConfigJson(
+        "r2", "r0", ServiceJson("swap"), RouteJson("r-swap", "/swap/", "unsafe", "swap", 2000)));
     std::vector<std::unique_ptr<Upstream>> upstreams;
     // As on the sheet: 12 upstreams with 3 slots each in three regions.
     for (int n = 0; n < 12; ++n) {
@@ -100,19 +102,22 @@
       std::string padded = cluster.Ip(230);
       if (trouble) {
         padded.insert(padded.rfind('.') + 1, "0"); // such as 127.0.0.0203
-        const std::string body =
-          "{\"Service\":\"swap\",\"Address\":\"" + padded +
-          ":8080\",\"Zone\":\"attiki-a\",\"Version\":\"v1\",\"MaxConcurrency\":3,\"State\":\"ready\","
-          "\"WarmupLeftMs\":0,\"Sequence\":1,\"born\":1700000000000}";
+        const std::string body = "{\"Service\":\"swap\",\"Address\":\"" + padded +
+                                 ":8080\",\"Zone\":\"attiki-a\",\"Version\":\"v1\","
+                                 "\"MaxConcurrency\":3,\"State\":\"ready\","
+                                 "\"WarmupLeftMs\":0,\"Sequence\":1,\"born\":1700000000000}";
         other = std::thread([&cluster, &padded, body] {
           // A heartbeat each HeartbeatMs, to the next control process if one does not answer.
           for (int beat = 0; beat < 5; ++beat) {
             for (int n = 0; n < cluster.Controls(); ++n) {
               Message answer;
               const Node& node = cluster.Control(n);
-              const int status = Call(node.mIp, Cluster::kAdmin, "PUT /instances/i-other", body, answer);
+              const int status =
+                Call(node.mIp, Cluster::kAdmin, "PUT /instances/i-other", body, answer);
               gRecord.Line("other writer: PUT /instances/i-other with Address %s:8080 to %s: %d",
-                           padded.c_str(), node.mName.c_str(), status);
+                           padded.c_str(),
+                           node.mName.c_str(),
+                           status);
               if (status >= 200 && status < 500 && status != 408 && status != 429) {
                 break;
               }
@@ -129,7 +134,9 @@
           if (node.mPid > 0 && waitpid(node.mPid, &status, WNOHANG) == node.mPid) {
             node.mPid = -1;
             ++ends;
-            gRecord.Line("platform: %s ended by itself, signal %d", node.mName.c_str(), WIFSIGNALED(status) ? WTERMSIG(status) : 0);
+            gRecord.Line("platform: %s ended by itself, signal %d",
+                         node.mName.c_str(),
+                         WIFSIGNALED(status) ? WTERMSIG(status) : 0);
             Sleep(300);
             cluster.Start(node, false);
           }
@@ -155,13 +162,19 @@
         answered += it.mStatus != 0 ? 1 : 0;
         if (it.mStatus == 0 && it.mKept && ran.count(it.mId) > 0) {
           ++lost;
-          gRecord.Line("LOST: %s, on a kept connection to %s, ran at an upstream; the connection ended without an answer",
-                       it.mId.c_str(), it.mEntry.c_str());
+          gRecord.Line("LOST: %s, on a kept connection to %s, ran at an upstream; the connection "
+                       "ended without an answer",
+                       it.mId.c_str(),
+                       it.mEntry.c_str());
         }
       }
-      gRecord.Line("%zu requests: %d answered, %d run from kept connections that ended without an answer (3 are allowed); "
+      gRecord.Line("%zu requests: %d answered, %d run from kept connections that ended without an "
+                   "answer (3 are allowed); "
                    "%d ends of entries by themselves",
-                   gSent.size(), answered, lost, ends);
+                   gSent.size(),
+                   answered,
+                   lost,
+                   ends);
       code = answered < 30 ? 2 : lost > 3 ? 1 : 0;
     } else {
       gRecord.Line("could not run: configuration %d", acked);
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review
-for source in review/[1-5]/*.cpp; do
+for source in review/[1-5]/*.cc; do
   [ -e "$source" ] || continue
-  g++ -std=c++20 -O1 -Wall -Wextra -o "target/review/$(basename "$source" .cpp)" "$source" -pthread
+  g++ -std=c++20 -O1 -Wall -Wextra -o "target/review/$(basename "$source" .cc)" "$source" -pthread
 done
--- a/review/common/standins.hpp
+++ b/review/common/standins.hh
@@ -196,10 +196,7 @@
     }
     return {};
   }
-  int Status() const
-  {
-    return mStart.size() > 12 ? std::atoi(mStart.c_str() + 9) : 0;
-  }
+  int Status() const { return mStart.size() > 12 ? std::atoi(mStart.c_str() + 9) : 0; }
   std::string Method() const { return mStart.substr(0, mStart.find(' ')); }
   std::string Target() const
   {
@@ -211,9 +208,9 @@
 enum class ReadResult
 {
   Whole,
-  End,   ///< the connection ended before the first byte of a message
-  Cut,   ///< the connection ended or broke within a message
-  Late,  ///< time over
+  End,  ///< the connection ended before the first byte of a message
+  Cut,  ///< the connection ended or broke within a message
+  Late, ///< time over
 };
 
 /// Reads one message with a Content-Length (all that the project's processes write have one).
@@ -338,8 +335,8 @@
               std::to_string((pid % 128) * 2 + 1) + ".";
     char folder[] = "/tmp/fighold-review-XXXXXX";
     mFolder = mkdtemp(folder);
-    static const char* const kZones[] = { "attiki-a",    "makedonia-a", "kriti-a",
-                                          "attiki-b",    "makedonia-b", "kriti-b" };
+    static const char* const kZones[] = { "attiki-a", "makedonia-a", "kriti-a",
+                                          "attiki-b", "makedonia-b", "kriti-b" };
     for (int n = 0; n < aControls; ++n) {
       mNodes.push_back({ "core-" + std::to_string(n + 1), "control", Ip(n + 1), kZones[n], -1 });
     }
@@ -420,12 +417,16 @@
       _exit(127);
     }
     aNode.mPid = pid;
-    gRecord.Line("platform: starts %s (%s) at %s", aNode.mName.c_str(), aNode.mRole.c_str(), aNode.mIp.c_str());
+    gRecord.Line("platform: starts %s (%s) at %s",
+                 aNode.mName.c_str(),
+                 aNode.mRole.c_str(),
+                 aNode.mIp.c_str());
   }
 
   static void Signal(const Node& aNode, int aSignal)
   {
-    gRecord.Line("platform: signal %d (%s) to %s", aSignal, strsignal(aSignal), aNode.mName.c_str());
+    gRecord.Line(
+      "platform: signal %d (%s) to %s", aSignal, strsignal(aSignal), aNode.mName.c_str());
     if (aNode.mPid > 0) {
       kill(aNode.mPid, aSignal);
     }
@@ -534,9 +535,8 @@
     , mIp(std::move(aIp))
     , mPort(aPort)
     , mWorkMs(aWorkMs)
-    , mBorn(std::chrono::duration_cast<Ms>(
-              std::chrono::system_clock::now().time_since_epoch())
-              .count())
+    , mBorn(
+        std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch()).count())
   {
     mListener = Listen(mIp, mPort);
     std::thread([this] { Accept(); }).detach();
@@ -568,8 +568,9 @@
       const bool draining = mDraining;
       const std::string body =
         "{\"Service\":\"" + mService + "\",\"Address\":\"" + mIp + ":" + std::to_string(mPort) +
-        "\",\"Zone\":\"" + mZone + "\",\"Version\":\"v1\",\"MaxConcurrency\":" +
-        std::to_string(mSlots) + ",\"State\":\"" + (draining ? "draining" : "ready") +
+        "\",\"Zone\":\"" + mZone +
+        "\",\"Version\":\"v1\",\"MaxConcurrency\":" + std::to_string(mSlots) + ",\"State\":\"" +
+        (draining ? "draining" : "ready") +
         "\",\"WarmupLeftMs\":0,\"Sequence\":" + std::to_string(++sequence) +
         ",\"born\":" + std::to_string(mBorn) + "}";
       bool acked = false;
@@ -579,7 +580,9 @@
         acked = Call(node.mIp, Cluster::kAdmin, "PUT /instances/" + mId, body, answer) == 200;
       }
       if (draining) {
-        gRecord.Line("upstream %s: heartbeat draining %s", mId.c_str(), acked ? "acknowledged" : "not acknowledged");
+        gRecord.Line("upstream %s: heartbeat draining %s",
+                     mId.c_str(),
+                     acked ? "acknowledged" : "not acknowledged");
         if (acked && mDrainAcked.load() == Time{}) {
           mDrainAcked = Now();
         }
@@ -617,7 +620,8 @@
 
   std::string Answer(const Message& aRequest)
   {
-    const std::string load = std::to_string(mRunning.load()) + ",0," + std::to_string(mSlots) + ",100";
+    const std::string load =
+      std::to_string(mRunning.load()) + ",0," + std::to_string(mSlots) + ",100";
     std::vector<std::pair<std::string, std::string>> headers{ { "X-Fighold-Server-Load", load } };
     if (mSaysLeaving) {
       headers.emplace_back("Server-Leaving", "1");
