Refuse text that no process can read back, and skip such records

What callers saw: after one heartbeat with an identifier that is no UTF-8, every control process aborted, again at each start and for good.

Cause: the identifier from the path was checked nowhere. EncodeChange() writes any bytes, while the decoder takes only UTF-8, so the leader appended a record that it could not read itself, and a committed record that does not decode ended the process. Identifiers and names from outside now have one check, IsIdentifier() and IsPrintable() in core, in every front codec and in the settings. A change that would not decode is refused before it is proposed. A committed record that no version can read is skipped and logged: every process skips the same ones, so the states stay equal. A record of an unknown kind, written by a later version, still ends the process, now with its index, since skipping it would make the states differ.

Related paths with the same cause: native heartbeats and departures at an entry, whose renewals the control processes then could not read; native changes (parameters change, name and base); names in the settings. Texts with a NUL byte were cut at it by the entry's codec. Messages that do not decode were dropped without a trace; they are counted now (messages_unreadable, unreadable_messages in the traffic record).

Ruled out: JSON bodies (the parser refuses what is not UTF-8; a heartbeat with such a service name is answered 400) and sheets (names are ASCII).

DecodeChange and IsUtf8 agree on all pairs of bytes and random text.

--- a/packages/control/include/fighold/control/daemon.hpp
+++ b/packages/control/include/fighold/control/daemon.hpp
@@ -34,7 +34,8 @@
   std::optional<wire::Keys> mKeys; ///< keys that authenticate messages between daemons
   std::string mToken;              ///< operators' token; empty: none is required
   std::function<void(const std::string&)>
-    mOnFatal; ///< called with the error if the storage fails; must end the process
+    mOnFatal; ///< called with the error if the storage fails or holds a record that cannot be used;
+              ///< must end the process
 };
 
 /// A running control process.
@@ -44,6 +45,7 @@
   /// Recovers the state from the data folder and starts all threads.
   /// @throws FindingsError for invalid charts
   /// @throws agreement::StorageError for corrupt files
+  /// @throws RecordError if the snapshot cannot be used
   /// @throws std::runtime_error if an address cannot be bound
   explicit Daemon(const DaemonOptions& aOptions);
   ~Daemon();
--- a/packages/control/include/fighold/control/decide.hpp
+++ b/packages/control/include/fighold/control/decide.hpp
@@ -2,16 +2,25 @@
 
 #include "fighold/control/state.hpp"
 
+#include <stdexcept>
 #include <vector>
 
 /// Decision logic of a control process, without I/O or clock.
 namespace fighold::control {
 
+/// A committed record or a snapshot that this version cannot use. The process must stop: without
+/// it, its state would differ from that of the rest of the group.
+class RecordError : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
 /// @param aNode Raft node, recovered from the storage
 /// @param aCodec encoding of changes and of the replicated state
 /// @param aCharts bound charts
 /// @return initial state
-/// @throws std::runtime_error if the snapshot cannot be decoded
+/// @throws RecordError if the snapshot cannot be decoded
 State
 MakeState(agreement::Node aNode, Codec aCodec, Charts aCharts);
 
@@ -20,6 +29,7 @@
 /// @param aEvent event
 /// @param aNow monotonic time
 /// @return effects, to be executed in this order
+/// @throws RecordError if a committed record or a snapshot cannot be used
 std::vector<Effect>
 Step(State& aState, Event aEvent, Instant aNow);
 
--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -162,6 +162,8 @@
   std::function<std::optional<membership::Change>(const std::string&)> mDecode;
   std::function<std::string(const membership::Configuration&)> mEncodeState;
   std::function<std::optional<membership::Configuration>(const std::string&)> mDecodeState;
+  /// Tells a change of a kind that only later versions know from bytes that no version can read.
+  std::function<bool(const std::string&)> mIsWellFormed;
 };
 
 /// State of a control process.
--- a/packages/control/src/calls.cpp
+++ b/packages/control/src/calls.cpp
@@ -123,8 +123,10 @@
     ApplyAnswer(aContext, call, answer);
     return;
   }
-  CallScope scope{ aContext, call };
-  ProposeCall(scope);
+  call.mNextProposal = aContext.mNow + kRetryInterval;
+  if (!Propose(aContext, aCall.mChange)) {
+    ApplyAnswer(aContext, call, UnreadableAnswer());
+  }
 }
 
 void
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -1,7 +1,7 @@
 #include "fighold/control/daemon.hpp"
 
 #include "fighold/control/decide.hpp"
-#include "fighold/wire/codec.hpp"
+#include "fighold/control/wire_codec.hpp"
 #include "threads.hpp"
 
 #include <thread>
@@ -95,15 +95,6 @@
   return ids;
 }
 
-Codec
-WireCodec()
-{
-  return { wire::EncodeChange,
-           [](const std::string& aBytes) { return wire::DecodeChange(aBytes); },
-           wire::EncodeConfiguration,
-           [](const std::string& aBytes) { return wire::DecodeConfiguration(aBytes); } };
-}
-
 } // namespace
 
 struct Daemon::State
@@ -139,8 +130,10 @@
       std::thread([this, storage = std::move(storage), onFatal = aOptions.mOnFatal]() mutable {
         StorageThread(mChannels, std::move(storage), onFatal);
       });
-    mDecideThread = std::thread(
-      [this, state = std::move(state)]() mutable { DecideThread(mChannels, std::move(state)); });
+    mDecideThread =
+      std::thread([this, state = std::move(state), onFatal = aOptions.mOnFatal]() mutable {
+        DecideThread(mChannels, std::move(state), onFatal);
+      });
     mFrontThread = std::thread([this] { mFront.Run(); });
   }
 
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -19,14 +19,14 @@
 constexpr Millis kPendingChangeTimeout{ 4000 };
 
 /// @return decoded state of a snapshot
-/// @throws std::runtime_error if it cannot be decoded
+/// @throws RecordError if it cannot be decoded
 SharedValue<membership::Configuration>
 RestoredConfiguration(const Codec& aCodec, const agreement::Snapshot& aSnapshot)
 {
   auto configuration = aCodec.mDecodeState(aSnapshot.mState);
   if (!configuration) {
-    throw std::runtime_error("snapshot " + std::to_string(aSnapshot.mIndex) +
-                             " cannot be decoded as a configuration");
+    throw RecordError("snapshot " + std::to_string(aSnapshot.mIndex) +
+                      " cannot be decoded as a configuration");
   }
   return SharedValue(std::move(*configuration));
 }
@@ -47,14 +47,48 @@
   UpdateLimits(aContext);
 }
 
+/// Answers everybody who waits for a change with this payload, and forgets it.
+void
+AnswerPendingChanges(Context& aContext,
+                     const std::string& aPayload,
+                     const membership::ChangeAnswer& aAnswer)
+{
+  State& state = aContext.mState;
+  state.mProposedUntil.erase(aPayload);
+  const auto [first, last] = state.mPendingChanges.equal_range(aPayload);
+  for (auto it = first; it != last; ++it) {
+    if (it->second.mCallId) {
+      AnswerServer(aContext, *it->second.mCallId, aAnswer);
+      continue;
+    }
+    aContext.mEffects.emplace_back(
+      SendEntry{ it->second.mFrom, membership::ChangeReply{ it->second.mRequestNumber, aAnswer } });
+  }
+  state.mPendingChanges.erase(first, last);
+}
+
+/// Handles a committed record that does not decode. Bytes that no version can read are skipped:
+/// every process skips them, so that all states stay equal.
+/// @throws RecordError for a change of a kind that this version does not know
+void
+SkipMalformed(Context& aContext, const agreement::LogEntry& aEntry)
+{
+  if (aContext.mState.mCodec.mIsWellFormed(aEntry.mPayload)) {
+    throw RecordError("record " + std::to_string(aEntry.mIndex) +
+                      " of the log is of an unknown kind, written by a later version");
+  }
+  aContext.mEffects.emplace_back(LogRecord{ DecisionRecord{
+    "log-record", std::to_string(aEntry.mIndex), "", "skipped", "malformed", {} } });
+}
+
 void
 ApplyCommitted(Context& aContext, const agreement::LogEntry& aEntry)
 {
   State& state = aContext.mState;
   const auto change = state.mCodec.mDecode(aEntry.mPayload);
   if (!change) {
-    throw std::runtime_error("log entry " + std::to_string(aEntry.mIndex) +
-                             " cannot be decoded as a change");
+    SkipMalformed(aContext, aEntry);
+    return;
   }
   const membership::ApplyResult applied =
     membership::Apply(*state.mConfiguration, *change, aEntry.mIndex);
@@ -62,35 +96,35 @@
     state.mShares.mFirstPlanTerm = aEntry.mTerm;
   }
   ApplyConfiguration(aContext, applied.mConfiguration);
-  state.mProposedUntil.erase(aEntry.mPayload);
-  const auto [first, last] = state.mPendingChanges.equal_range(aEntry.mPayload);
-  for (auto it = first; it != last; ++it) {
-    if (it->second.mCallId) {
-      AnswerServer(aContext, *it->second.mCallId, applied.mAnswer);
-      continue;
-    }
-    aContext.mEffects.emplace_back(SendEntry{
-      it->second.mFrom, membership::ChangeReply{ it->second.mRequestNumber, applied.mAnswer } });
-  }
-  state.mPendingChanges.erase(first, last);
+  AnswerPendingChanges(aContext, aEntry.mPayload, applied.mAnswer);
   if (!change->mId.mValue.empty()) {
     OnChangeApplied(aContext, *change, applied.mAnswer);
   }
 }
 
-void
+/// Proposes a change, unless no process could read it back from the log.
+/// @return false if the change is refused; everybody who waits for it as a pending change has the
+/// answer then
+bool
 ProposePayload(Context& aContext, const std::string& aPayload, const membership::Change& aChange)
 {
   State& state = aContext.mState;
+  if (!state.mCodec.mIsWellFormed(aPayload)) {
+    aContext.mEffects.emplace_back(
+      LogRecord{ DecisionRecord{ "change", aChange.mId.mValue, "", "refused", "unreadable", {} } });
+    AnswerPendingChanges(aContext, aPayload, UnreadableAnswer());
+    return false;
+  }
   if (agreement::IsLeader(state.mNode) && MayGrantSince(state, aContext.mNow)) {
     Instant& until = state.mProposedUntil[aPayload];
     if (aContext.mNow < until ||
         membership::AnswerIfUnchanged(*state.mConfiguration, aChange).has_value()) {
-      return;
+      return true;
     }
     until = aContext.mNow + kReproposeAfter;
   }
   StepAgreement(aContext, agreement::Propose{ aPayload });
+  return true;
 }
 
 void
@@ -266,10 +300,18 @@
   }
 }
 
-void
+bool
 Propose(Context& aContext, const membership::Change& aChange)
 {
-  ProposePayload(aContext, aContext.mState.mCodec.mEncode(aChange), aChange);
+  return ProposePayload(aContext, aContext.mState.mCodec.mEncode(aChange), aChange);
+}
+
+membership::ChangeAnswer
+UnreadableAnswer()
+{
+  membership::ChangeAnswer answer;
+  answer.mMessage = "the change holds text that is not UTF-8";
+  return answer;
 }
 
 State
--- a/packages/control/src/decide_test.cpp
+++ b/packages/control/src/decide_test.cpp
@@ -1,10 +1,12 @@
 #include "fighold/control/decide.hpp"
 
+#include "fighold/control/wire_codec.hpp"
 #include "fighold/plan/sheet.hpp"
 #include "fighold/wire/codec.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 
@@ -18,7 +20,8 @@
 
   agreement::RecoveredState mDisk;
   std::unique_ptr<State> mState;
-  std::vector<std::string> mRoles; ///< roles, as logged
+  std::vector<DecisionRecord> mRecords; ///< as logged
+  std::vector<AnswerCall> mAnswers;
   Instant mNow{ std::chrono::hours(1) };
 
   DecideFixture()
@@ -34,14 +37,8 @@
     options.mConfigured = { { "c1" } };
     options.mSnapshotInterval = kSnapshotInterval;
     options.mChart = agreement::LoadRoleChart(FIGHOLD_CHARTS_DIR);
-    const Codec codec{ wire::EncodeChange,
-                       [](const std::string& aBytes) { return wire::DecodeChange(aBytes); },
-                       wire::EncodeConfiguration,
-                       [](const std::string& aBytes) {
-                         return wire::DecodeConfiguration(aBytes);
-                       } };
     mState = std::make_unique<State>(
-      MakeState(agreement::MakeNode(options, mDisk), codec, LoadCharts(FIGHOLD_CHARTS_DIR)));
+      MakeState(agreement::MakeNode(options, mDisk), WireCodec(), LoadCharts(FIGHOLD_CHARTS_DIR)));
   }
 
   void HandleEvent(const Event& aEvent)
@@ -52,9 +49,9 @@
         Write(store->mWrite);
         stored = store->mWrite.mWrite;
       } else if (const auto* record = std::get_if<LogRecord>(&it)) {
-        if (record->mRecord.mKind == "role") {
-          mRoles.push_back(record->mRecord.mChoice);
-        }
+        mRecords.push_back(record->mRecord);
+      } else if (const auto* answer = std::get_if<AnswerCall>(&it)) {
+        mAnswers.push_back(*answer);
       }
     }
     if (stored != 0) {
@@ -80,6 +77,21 @@
     }
   }
 
+  /// Adds a record behind the last one, as a leader would that does not check what it appends.
+  void AppendToDisk(const std::string& aPayload)
+  {
+    const agreement::LogEntry& last = mDisk.mLog.back();
+    mDisk.mLog.push_back({ last.mIndex + 1, last.mTerm, aPayload });
+  }
+
+  /// @return change with an identifier that is no UTF-8
+  static membership::Change UnreadableChange()
+  {
+    membership::BackendServer server;
+    server.mIncarnation = 1;
+    return { {}, membership::AnnounceBackendServer{ { "i-\xFF\xFE" }, server, 0 } };
+  }
+
   void Drain(int aNumber)
   {
     const std::string id = "drain-" + std::to_string(aNumber);
@@ -118,7 +130,75 @@
 TEST_CASE_METHOD(DecideFixture, "Step, roles change, logs each of them", "[control]")
 {
   Run(40);
-  CHECK(mRoles == std::vector<std::string>{ "follower", "pre_candidate", "candidate", "leader" });
+  std::vector<std::string> roles;
+  for (const DecisionRecord& it : mRecords) {
+    if (it.mKind == "role") {
+      roles.push_back(it.mChoice);
+    }
+  }
+  CHECK(roles == std::vector<std::string>{ "follower", "pre_candidate", "candidate", "leader" });
+}
+
+// Guards against a group that cannot start any more because of one committed record that nobody can
+// read: it must go on with all other records, old and new.
+TEST_CASE_METHOD(DecideFixture,
+                 "Step, malformed record in the log, skips it and applies the others",
+                 "[control]")
+{
+  Run(40);
+  Drain(1);
+  AppendToDisk(wire::EncodeChange(UnreadableChange()));
+  Start();
+  Run(40);
+  REQUIRE(agreement::IsLeader(mState->mNode));
+  Drain(2);
+  CHECK(mState->mConfiguration->mDrains.mEntries ==
+        std::set<EntryId>{ { "drain-1" }, { "drain-2" } });
+  CHECK(mState->mConfiguration->mBackendServers.empty());
+  const auto skipped = std::count_if(mRecords.begin(), mRecords.end(), [](const auto& aRecord) {
+    return aRecord.mKind == "log-record" && aRecord.mChoice == "skipped";
+  });
+  CHECK(skipped == 1);
+}
+
+// Guards against a process that goes on with a state other than that of the rest of the group: it
+// must stop at a record of a kind that only later versions know.
+TEST_CASE_METHOD(DecideFixture,
+                 "Step, record of an unknown kind in the log, stops with its index",
+                 "[control]")
+{
+  Run(40);
+  Drain(1);
+  AppendToDisk("\xA2\x06\x01x"); // field 100
+  Start();
+  CHECK_THROWS_AS(Run(40), RecordError);
+}
+
+// Guards against a leader that commits a record which no process can read back, and against a
+// caller who waits for the decision in vain.
+TEST_CASE_METHOD(DecideFixture,
+                 "Step, change that cannot be read back, is refused at once and not appended",
+                 "[control]")
+{
+  Run(40);
+  const std::size_t size = mDisk.mLog.size();
+  ServerHeartbeat heartbeat;
+  heartbeat.mId = 7;
+  heartbeat.mServerId = std::get<membership::AnnounceBackendServer>(UnreadableChange().mBody).mId;
+  heartbeat.mServer.mIncarnation = 1;
+  heartbeat.mServer.mService = { "offers" };
+  HandleEvent(heartbeat);
+  ChangeCall call{ 8, UnreadableChange() };
+  call.mChange.mId = { "c" };
+  HandleEvent(call);
+  REQUIRE(mAnswers.size() == 2);
+  const auto server = std::get<ServerAnswer>(mAnswers[0].mAnswer);
+  CHECK((server.mDecided && !server.mAccepted));
+  const auto change = std::get<ChangeCallAnswer>(mAnswers[1].mAnswer);
+  CHECK((change.mDecided && change.mAnswer.mVerdict == membership::Verdict::Refused));
+  Run(10);
+  CHECK(mDisk.mLog.size() == size);
+  CHECK(mAnswers.size() == 2);
 }
 
 } // namespace
--- a/packages/control/src/decide_thread.cpp
+++ b/packages/control/src/decide_thread.cpp
@@ -79,10 +79,10 @@
   }
 }
 
-} // namespace
-
+/// Handles events until the inbox is closed and empty.
+/// @throws RecordError if a committed record or a snapshot cannot be used
 void
-DecideThread(Channels& aChannels, State aState)
+HandleEvents(Channels& aChannels, State& aState)
 {
   EffectExecutor executor{ aChannels, aState };
   Instant lastTick = std::chrono::steady_clock::now();
@@ -103,4 +103,18 @@
   }
 }
 
+} // namespace
+
+void
+DecideThread(Channels& aChannels,
+             State aState,
+             const std::function<void(const std::string&)>& aOnFatal)
+{
+  try {
+    HandleEvents(aChannels, aState);
+  } catch (const RecordError& error) {
+    aOnFatal(error.what());
+  }
+}
+
 } // namespace fighold::control
--- a/packages/control/src/front_codec.cpp
+++ b/packages/control/src/front_codec.cpp
@@ -1,6 +1,7 @@
 #include "fighold/control/front_codec.hpp"
 
 #include "fighold/control/route_json.hpp"
+#include "fighold/core/text.hpp"
 #include "fighold/plan/sheet.hpp"
 
 #include <boost/json/parse.hpp>
@@ -66,8 +67,9 @@
 std::optional<std::string>
 CheckChangeId(const std::string& aId)
 {
-  if (aId.empty() || aId.size() > kMaxChangeIdLength) {
-    return "the parameter change must be 1 to 128 characters; a resend carries the same one";
+  if (aId.empty() || aId.size() > kMaxChangeIdLength || !IsPrintable(aId)) {
+    return "the parameter change must be 1 to 128 printable characters; a resend carries the same "
+           "one";
   }
   return std::nullopt;
 }
@@ -79,6 +81,10 @@
   if (const auto error = CheckChangeId(change)) {
     return ErrorResponse(400, *error);
   }
+  const std::string base = ParameterOr(aUrl, "base", "");
+  if (!IsPrintable(base)) {
+    return ErrorResponse(400, "the parameter base must be the digest of a plan");
+  }
   auto checked = plan::ParseSheet(aRequest.mBody, "sheet");
   if (!checked.mValue) {
     return FindingsResponse(checked.mFindings);
@@ -86,8 +92,7 @@
   ChangeCall call;
   call.mId = aId;
   call.mChange = { { change },
-                   membership::SubmitPlan{ ParameterOr(aUrl, "base", ""),
-                                           SharedValue(std::move(*checked.mValue)) } };
+                   membership::SubmitPlan{ base, SharedValue(std::move(*checked.mValue)) } };
   return call;
 }
 
@@ -137,8 +142,9 @@
   if (const auto error = CheckChangeId(change)) {
     return ErrorResponse(400, *error);
   }
-  if (!kind || name.empty() || (state != "on" && state != "off")) {
-    return ErrorResponse(400, "expected kind=backend-server|entry|region, name=..., state=on|off");
+  if (!kind || !IsIdentifier(name) || (state != "on" && state != "off")) {
+    return ErrorResponse(
+      400, "expected kind=backend-server|entry|region|data-centre, name=..., state=on|off");
   }
   ChangeCall call;
   call.mId = aId;
--- a/packages/control/src/front_codec_test.cpp
+++ b/packages/control/src/front_codec_test.cpp
@@ -92,7 +92,8 @@
                  "[control]")
 {
   const std::string longId(129, 'x');
-  for (const std::string& id : { std::string(), longId }) {
+  for (const std::string& id :
+       { std::string(), longId, std::string("%FF%FE"), std::string("a%0Ab") }) {
     const net::HttpRequest submit{ "POST", "/v1/plan?change=" + id, {}, mSheet, {} };
     const net::HttpRequest drain{
       "POST", "/v1/drains?kind=region&name=kriti&change=" + id, {}, "", {}
@@ -102,5 +103,20 @@
   }
 }
 
+// Guards against a change that the group commits and no process can read.
+TEST_CASE_METHOD(ControlFrontCodecFixture,
+                 "ParseRequest, change with a parameter that is not printable, is rejected",
+                 "[control]")
+{
+  const std::string bad = "%FF%FE";
+  const std::string drain = "/v1/drains?change=c2&kind=backend-server&name=";
+  CHECK(StatusOf(ParseRequest(1, { "POST", drain + bad, {}, "", {} }, "")) == 400);
+  CHECK(StatusOf(ParseRequest(
+          1, { "POST", "/v1/plan?change=c1&base=" + bad, {}, mSheet, {} }, "")) == 400);
+  std::string sheet = mSheet;
+  sheet.insert(sheet.find("vardia") + 1, "\xFF\xFE");
+  CHECK(StatusOf(ParseRequest(1, { "POST", "/v1/plan?change=c1", {}, sheet, {} }, "")) == 422);
+}
+
 } // namespace
 } // namespace fighold::control
--- a/packages/control/src/server_calls_test.cpp
+++ b/packages/control/src/server_calls_test.cpp
@@ -1,6 +1,6 @@
 #include "fighold/control/decide.hpp"
 
-#include "fighold/wire/codec.hpp"
+#include "fighold/control/wire_codec.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -23,13 +23,8 @@
     options.mSelf = { "10.0.0.1:7100" };
     options.mConfigured = { options.mSelf };
     options.mChart = agreement::LoadRoleChart(FIGHOLD_CHARTS_DIR);
-    const Codec codec{ wire::EncodeChange,
-                       [](const std::string& aBytes) { return wire::DecodeChange(aBytes); },
-                       wire::EncodeConfiguration,
-                       [](const std::string& aBytes) {
-                         return wire::DecodeConfiguration(aBytes);
-                       } };
-    mState = MakeState(agreement::MakeNode(options, disk), codec, LoadCharts(FIGHOLD_CHARTS_DIR));
+    mState =
+      MakeState(agreement::MakeNode(options, disk), WireCodec(), LoadCharts(FIGHOLD_CHARTS_DIR));
     Run(40);
     REQUIRE(agreement::IsLeader(mState.mNode));
   }
--- a/packages/control/src/shifts_test.cpp
+++ b/packages/control/src/shifts_test.cpp
@@ -1,7 +1,7 @@
 #include "shifts.hpp"
 
 #include "fighold/control/decide.hpp"
-#include "fighold/wire/codec.hpp"
+#include "fighold/control/wire_codec.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -48,11 +48,8 @@
     options.mSelf = { "c1" };
     options.mConfigured = { { "c1" } };
     options.mChart = agreement::LoadRoleChart(FIGHOLD_CHARTS_DIR);
-    Codec codec;
-    codec.mEncode = wire::EncodeChange;
-    codec.mDecode = [](const std::string& aBytes) { return wire::DecodeChange(aBytes); };
-    mState = MakeState(
-      agreement::MakeNode(options, mDisk), std::move(codec), LoadCharts(FIGHOLD_CHARTS_DIR));
+    mState =
+      MakeState(agreement::MakeNode(options, mDisk), WireCodec(), LoadCharts(FIGHOLD_CHARTS_DIR));
     mState.mShifts.mChart = LoadShiftChart(FIGHOLD_CHARTS_DIR);
     for (int n = 0; n < 200 && !agreement::IsLeader(mState.mNode); ++n) {
       Tick();
--- a/packages/control/src/threads.hpp
+++ b/packages/control/src/threads.hpp
@@ -71,7 +71,11 @@
               const std::function<void(const std::string&)>& aOnFatal);
 
 /// Function of the decide thread: handles events until the inbox is closed and empty.
+/// @param aOnFatal called with the error if a committed record or a snapshot cannot be used; the
+/// thread then returns
 void
-DecideThread(Channels& aChannels, State aState);
+DecideThread(Channels& aChannels,
+             State aState,
+             const std::function<void(const std::string&)>& aOnFatal);
 
 } // namespace fighold::control
--- a/packages/entry/src/front_codec.cpp
+++ b/packages/entry/src/front_codec.cpp
@@ -1,5 +1,7 @@
 #include "fighold/entry/front_codec.hpp"
 
+#include "fighold/core/text.hpp"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -67,11 +69,15 @@
   std::string Text(std::string_view aName)
   {
     const auto* value = mObject.if_contains(aName);
-    if (value == nullptr || !value->is_string() || value->as_string().empty()) {
-      AddFinding(aName, "expected a text");
+    std::string text;
+    if (value != nullptr && value->is_string()) {
+      text.assign(value->as_string().data(), value->as_string().size());
+    }
+    if (text.empty() || text.size() > kMaxIdentifierBytes || !IsPrintable(text)) {
+      AddFinding(aName, "expected a printable text");
       return {};
     }
-    return std::string(value->as_string().c_str());
+    return text;
   }
 
   std::uint64_t Number(std::string_view aName, std::uint64_t aMin, std::uint64_t aMax)
@@ -188,8 +194,11 @@
                  const urls::url_view& aUrl,
                  const std::string& aServer)
 {
-  if (aServer.empty() || aServer.size() > 64 || aServer.find('/') != std::string::npos) {
-    return ErrorResponse(400, "a backend server name is 1 to 64 characters");
+  constexpr std::size_t kMaxServerName = 64;
+  if (!IsIdentifier(aServer) || aServer.size() > kMaxServerName ||
+      aServer.find('/') != std::string::npos) {
+    return ErrorResponse(400,
+                         "a backend server name is 1 to 64 printable characters without spaces");
   }
   if (aRequest.mMethod == "PUT") {
     return ParseRenewal(aId, aServer, aRequest.mBody);
--- a/packages/entry/src/front_codec_test.cpp
+++ b/packages/entry/src/front_codec_test.cpp
@@ -106,6 +106,25 @@
   }
 }
 
+// Guards against an entry whose messages to the control processes cannot be read any more because
+// they hold an identifier or a name that is no text.
+TEST_CASE_METHOD(EntryFrontCodecFixture,
+                 "ParseRequest, renewal or departure with text that is not printable, returns 400",
+                 "[entry]")
+{
+  for (const std::string id : { "s%FF%FE", "s%0D%0AX:y", "s%00", "s%201" }) {
+    INFO(id);
+    const std::string target = "/v1/backend-servers/" + id;
+    CHECK(StatusOf(ParseRequest(1, { "PUT", target, {}, mRenewal, {} })) == 400);
+    CHECK(StatusOf(ParseRequest(1, { "DELETE", target + "?incarnation=5", {}, "", {} })) == 400);
+  }
+  for (const std::string name : { "vardia", "attiki", "attiki-a" }) {
+    std::string body = mRenewal;
+    body.replace(body.find('"' + name + '"'), name.size() + 2, R"("\u0000x")");
+    CHECK(StatusOf(ParseRequest(1, { "PUT", "/v1/backend-servers/s1", {}, body, {} })) == 400);
+  }
+}
+
 // Guards against a body that exhausts the stack.
 TEST_CASE_METHOD(EntryFrontCodecFixture, "ParseRequest, deeply nested body, returns 400", "[entry]")
 {
--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -166,9 +166,9 @@
   }
   auto& control = std::get<fighold::control::DaemonOptions>(aOptions);
   control.mOnFatal = [](const std::string& aMessage) {
-    // Nothing may be assumed about the file after a failed write or sync, so the process ends at
-    // once.
-    std::cerr << "figholdd: storage failed, stopping: " << aMessage << std::endl;
+    // Nothing may be assumed about the file after a failed write or sync, or about the state after
+    // a record that was not applied, so the process ends at once.
+    std::cerr << "figholdd: data folder cannot be used, stopping: " << aMessage << std::endl;
     std::_Exit(kExitFailed);
   };
   RunUntilStopped<fighold::control::Daemon>(std::move(control), aSignals);
--- a/packages/figholdd/src/settings.cpp
+++ b/packages/figholdd/src/settings.cpp
@@ -1,5 +1,6 @@
 #include "fighold/figholdd/settings.hpp"
 
+#include "fighold/core/text.hpp"
 #include "fighold/platform/dialect.hpp"
 
 #include <fstream>
@@ -33,6 +34,15 @@
     }
   }
 
+  /// Names of this process and of places are part of its messages.
+  void Name(const std::string& aFlag, const std::string& aValue)
+  {
+    Present(aFlag, aValue);
+    if (!aValue.empty() && !IsIdentifier(aValue)) {
+      Fail(aFlag, "must be printable text without spaces, at most 256 bytes");
+    }
+  }
+
   void Range(const std::string& aFlag, std::int64_t aValue, std::int64_t aMin, std::int64_t aMax)
   {
     if (aValue < aMin || aValue > aMax) {
@@ -60,7 +70,7 @@
     for (std::string part; std::getline(in, part, ',');) {
       const auto n = part.find('=');
       const std::string id = part.substr(0, n);
-      if (n == std::string::npos || id.empty()) {
+      if (n == std::string::npos || !IsIdentifier(id)) {
         Fail("controls", "expected id=address:port, found \"" + part + "\"");
         continue;
       }
@@ -102,7 +112,8 @@
     std::istringstream in(aValue);
     for (std::string part; std::getline(in, part, ',');) {
       const auto n = part.find('=');
-      if (n == std::string::npos || n == 0 || n + 1 == part.size()) {
+      if (n == std::string::npos || !IsIdentifier(part.substr(0, n)) ||
+          !IsIdentifier(part.substr(n + 1))) {
         Fail("data_centres", "expected data-centre=region, found \"" + part + "\"");
         continue;
       }
@@ -243,8 +254,8 @@
   // A heartbeat reaches an entry with the next grant, and one grant may be late.
   options.mDecide.mCold.mMaxHeartbeatAge =
     Millis(aSettings.mHeartbeatMs) + 2 * membership::kRenewInterval;
-  aChecker.Present("region", aSettings.mRegion);
-  aChecker.Present("data_centre", aSettings.mDataCentre);
+  aChecker.Name("region", aSettings.mRegion);
+  aChecker.Name("data_centre", aSettings.mDataCentre);
   aChecker.Range("lookup_ttl_ms", aSettings.mLookupTimeToLiveMs, 1, kMaxTimeToLiveMs);
   options.mDecide.mId = { aSettings.mId };
   options.mDecide.mLookupTimeToLive = Millis(aSettings.mLookupTimeToLiveMs);
@@ -301,7 +312,7 @@
 CheckSettings(const Settings& aSettings, Incarnation aIncarnation)
 {
   Checker checker;
-  checker.Present("id", aSettings.mId);
+  checker.Name("id", aSettings.mId);
   checker.Present("charts", aSettings.mCharts);
   std::optional<Checked> options;
   if (aSettings.mRole == "entry") {
--- a/packages/figholdd/src/settings_test.cpp
+++ b/packages/figholdd/src/settings_test.cpp
@@ -54,6 +54,20 @@
   CHECK(text.find("--cold_burst_slack: must be from 0") != std::string::npos);
 }
 
+// Guards against a process whose messages no other process can read.
+TEST_CASE_METHOD(SettingsFixture,
+                 "CheckSettings, names that are not printable, are refused",
+                 "[figholdd]")
+{
+  mSettings.mId = "e\xFF";
+  mSettings.mRegion = "att iki";
+  mSettings.mDataCentre = "attiki\n";
+  const std::string text = Text();
+  for (const std::string it : { "--id", "--region", "--data_centre" }) {
+    CHECK(text.find(it + ": must be printable text") != std::string::npos);
+  }
+}
+
 TEST_CASE_METHOD(SettingsFixture,
                  "CheckSettings, control that its own list does not name, is refused",
                  "[figholdd]")
--- a/packages/wire/include/fighold/wire/codec.hpp
+++ b/packages/wire/include/fighold/wire/codec.hpp
@@ -25,6 +25,11 @@
 std::optional<membership::Change>
 DecodeChange(std::string_view aBytes);
 
+/// @return true if the bytes are a record of this format, possibly of a kind that this version does
+/// not know; false for bytes that no version can read
+bool
+IsWellFormedChange(std::string_view aBytes);
+
 /// Encodes a configuration for a snapshot, with the answers kept for resends.
 std::string
 EncodeConfiguration(const membership::Configuration& aConfiguration);
--- a/packages/wire/include/fighold/wire/traffic.hpp
+++ b/packages/wire/include/fighold/wire/traffic.hpp
@@ -55,6 +55,7 @@
 {
   std::array<TrafficCount, kMessageKinds> mSent{};
   std::array<TrafficCount, kMessageKinds> mReceived{};
+  std::uint64_t mUnreadable = 0; ///< messages that arrived and could not be decoded
 
   friend auto operator<=>(const Traffic&, const Traffic&) = default;
 };
@@ -65,6 +66,7 @@
 public:
   void CountSent(MessageKind aKind, std::size_t aBytes);
   void CountReceived(MessageKind aKind, std::size_t aBytes);
+  void CountUnreadable();
   Traffic Read() const;
 
 private:
@@ -75,6 +77,7 @@
   };
   std::array<Count, kMessageKinds> mSent{};
   std::array<Count, kMessageKinds> mReceived{};
+  std::atomic<std::uint64_t> mUnreadable{ 0 };
 };
 
 /// Interval between two log records about the traffic.
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -396,6 +396,13 @@
   return Parse(message, aBytes) ? detail::FromPb(message) : std::nullopt;
 }
 
+bool
+IsWellFormedChange(std::string_view aBytes)
+{
+  pb::Change message;
+  return Parse(message, aBytes);
+}
+
 std::string
 EncodeConfiguration(const Configuration& aConfiguration)
 {
--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "fighold/wire/codec.hpp"
 
+#include "fighold/core/text.hpp"
 #include "fighold/plan/sheet.hpp"
 
 #include <catch2/catch.hpp>
@@ -255,5 +256,36 @@
   }
 }
 
+// Guards against text that a front codec takes and the decoders of the other processes refuse.
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeChange, identifier of any bytes, is readable exactly if it is UTF-8",
+                 "[wire]")
+{
+  const auto agree = [](const std::string& aId) {
+    const std::string bytes = EncodeChange({ {}, DepartBackendServer{ { aId }, 1 } });
+    const bool readable = IsUtf8(aId);
+    return DecodeChange(bytes).has_value() == readable && IsWellFormedChange(bytes) == readable;
+  };
+  constexpr int kBytes = 256;
+  for (int lead = 0; lead < kBytes; ++lead) {
+    for (int second = 0; second < kBytes; ++second) {
+      const std::string two{ static_cast<char>(lead), static_cast<char>(second) };
+      for (const std::string tail : { "", "\x80", "\x80\x80", "\xBF\xBF", "\x7F\x80" }) {
+        REQUIRE(agree(two + tail));
+      }
+    }
+  }
+  rc::prop("any bytes", [&agree](const std::string& aId) { RC_ASSERT(agree(aId)); });
+}
+
+// Guards against a record of a later version that passes for damaged bytes and is skipped.
+TEST_CASE_METHOD(CodecFixture, "IsWellFormedChange, record of an unknown kind, is true", "[wire]")
+{
+  const std::string unknown = "\xA2\x06\x01x"; // field 100
+  CHECK_FALSE(DecodeChange(unknown));
+  CHECK(IsWellFormedChange(unknown));
+  CHECK_FALSE(IsWellFormedChange(unknown.substr(0, 3)));
+}
+
 } // namespace
 } // namespace fighold::wire
--- a/packages/wire/src/message_thread.cpp
+++ b/packages/wire/src/message_thread.cpp
@@ -225,6 +225,9 @@
   {
     const std::size_t size = aPart.size();
     auto envelope = DecodeEnvelope(aPart.to_string_view());
+    if (!envelope && mOptions.mTraffic != nullptr) {
+      mOptions.mTraffic->CountUnreadable();
+    }
     while (aPart.more() && aSocket.recv(aPart, zmq::recv_flags::dontwait)) {
       envelope.reset();
     }
--- a/packages/wire/src/traffic.cpp
+++ b/packages/wire/src/traffic.cpp
@@ -79,10 +79,17 @@
   count.mBytes += aBytes;
 }
 
+void
+TrafficCounter::CountUnreadable()
+{
+  mUnreadable += 1;
+}
+
 Traffic
 TrafficCounter::Read() const
 {
   Traffic traffic;
+  traffic.mUnreadable = mUnreadable;
   for (std::size_t n = 0; n < kMessageKinds; ++n) {
     traffic.mSent.at(n) = { mSent.at(n).mMessages, mSent.at(n).mBytes };
     traffic.mReceived.at(n) = { mReceived.at(n).mMessages, mReceived.at(n).mBytes };
@@ -106,6 +113,10 @@
   };
   add("sent_", aBefore.mSent, aNow.mSent);
   add("received_", aBefore.mReceived, aNow.mReceived);
+  if (aNow.mUnreadable > aBefore.mUnreadable) {
+    record.mFields.push_back(
+      { "unreadable_messages", std::to_string(aNow.mUnreadable - aBefore.mUnreadable) });
+  }
   return record;
 }
 
@@ -124,6 +135,7 @@
   };
   add("sent", aTraffic.mSent);
   add("received", aTraffic.mReceived);
+  gauges.push_back({ "messages_unreadable", {}, static_cast<double>(aTraffic.mUnreadable) });
   return gauges;
 }
 
--- a/tests/model/world.cpp
+++ b/tests/model/world.cpp
@@ -29,6 +29,7 @@
   codec.mDecode = [store](const std::string& aBytes) {
     return std::optional<membership::Change>(store->at(std::stoul(aBytes)));
   };
+  codec.mIsWellFormed = [](const std::string& /*aBytes*/) { return true; };
   const auto states = std::make_shared<std::vector<membership::Configuration>>();
   codec.mEncodeState = [states](const membership::Configuration& aState) {
     states->push_back(aState);
