Connect to addresses with the reader that checked them

Cause: two readers of one value. ParseIpv4() took octets with leading zeros and ParseEndpoint() kept the text as it came, while the client read the text again with a stricter reader that throws; nothing catches that in a fiber. ParseIpv4() now refuses leading zeros, which some readers take as octal, and sockets are opened with what ParseIpv4() returns.

Related paths with the same cause: the listener threw the same error without the address; the message thread connected to an endpoint with port 0, which throws. Heartbeats with an address of no single host (0.0.0.0, multicast, broadcast) or port 0 were taken as well, and are refused in both dialects; an entry that connects to 0.0.0.0 reaches itself.

Ruled out: other throwing readers of values from outside in packages/ and platform/ (searched for stoi, make_address, to_number without an error code, and throw).

--- a/packages/core/include/fighold/core/endpoint.hpp
+++ b/packages/core/include/fighold/core/endpoint.hpp
@@ -23,11 +23,18 @@
 std::optional<Endpoint>
 ParseEndpoint(std::string_view aText);
 
+/// Reads four decimal octets without leading zeros. Some readers take an octet with a leading zero
+/// as octal and others refuse it, so it names no address.
 /// @param aText "127.0.0.1"
 /// @return IPv4 address in host order, or nothing
 std::optional<std::uint32_t>
 ParseIpv4(std::string_view aText);
 
+/// @return true if a connection can be made to the endpoint: the host is a unicast address and the
+/// port is not 0
+bool
+IsUnicast(const Endpoint& aEndpoint);
+
 /// @return "127.0.0.1:8080"
 std::string
 ToText(const Endpoint& aEndpoint);
--- a/packages/core/src/endpoint.cpp
+++ b/packages/core/src/endpoint.cpp
@@ -29,8 +29,10 @@
     if ((dot == std::string_view::npos) != last) {
       return std::nullopt;
     }
-    const auto octet = ParseDigits(aText.substr(0, dot), 255);
-    if (!octet) {
+    const std::string_view digits = aText.substr(0, dot);
+    const auto octet = ParseDigits(digits, 255);
+    const bool padded = digits.size() > 1 && digits.front() == '0';
+    if (!octet || padded) {
       return std::nullopt;
     }
     address = (address << 8U) | *octet;
@@ -53,6 +55,15 @@
   return Endpoint{ std::string(aText.substr(0, colon)), static_cast<std::uint16_t>(*port) };
 }
 
+bool
+IsUnicast(const Endpoint& aEndpoint)
+{
+  constexpr std::uint32_t kFirstUnicast = 1U << 24U;     // 1.0.0.0
+  constexpr std::uint32_t kFirstMulticast = 224U << 24U; // 224.0.0.0; reserved addresses follow
+  const auto address = ParseIpv4(aEndpoint.mHost);
+  return address && *address >= kFirstUnicast && *address < kFirstMulticast && aEndpoint.mPort != 0;
+}
+
 std::string
 ToText(const Endpoint& aEndpoint)
 {
--- a/packages/entry/src/front_codec.cpp
+++ b/packages/entry/src/front_codec.cpp
@@ -126,7 +126,7 @@
     static_cast<std::uint32_t>(reader.Number("connections", 1, kMaxConnections));
   renewal.mInFlight = static_cast<std::uint32_t>(reader.Number("in_flight", 0, kMaxInFlight));
   const auto address = ParseEndpoint(reader.Text("address"));
-  if (address) {
+  if (address && IsUnicast(*address)) {
     renewal.mServer.mAddress = *address;
   } else {
     reader.AddFinding("address", "expected an IPv4 address and port such as 10.0.0.1:8080");
--- a/packages/entry/src/front_codec_test.cpp
+++ b/packages/entry/src/front_codec_test.cpp
@@ -97,6 +97,9 @@
     { "\"connections\":330", "\"connections\":\"330\"" },
     { "\"in_flight\":2", "\"in_flight\":4294967296" },
     { "10.0.0.1:8080", "10.0.0.1" },
+    { "10.0.0.1:8080", "10.0.0.01:8080" },
+    { "10.0.0.1:8080", "10.0.0.1:0" },
+    { "10.0.0.1:8080", "0.0.0.0:8080" },
     { "\"vardia\"", "[]" },
   };
   for (const auto& [from, to] : replacements) {
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "fighold/net/http_client.hpp"
 
+#include "asio_endpoint.hpp"
 #include "await.hpp"
 #include "beast_convert.hpp"
 
@@ -174,11 +175,13 @@
   if (state.mConnected) {
     return {};
   }
+  const auto endpoint = detail::ToAsio(state.mEndpoint);
+  if (!endpoint) {
+    return "connect: \"" + state.mEndpoint.mHost + "\" is no IPv4 address";
+  }
   state.mStream.expires_at(aUntil);
-  const Tcp::endpoint endpoint(asio::ip::make_address_v4(state.mEndpoint.mHost),
-                               state.mEndpoint.mPort);
   const auto connected =
-    Await([&](auto aHandler) { state.mStream.async_connect(endpoint, std::move(aHandler)); });
+    Await([&](auto aHandler) { state.mStream.async_connect(*endpoint, std::move(aHandler)); });
   if (connected.mError) {
     Close();
     return "connect: " + connected.mError.message();
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "fighold/net/http_server.hpp"
 
+#include "asio_endpoint.hpp"
 #include "await.hpp"
 #include "beast_convert.hpp"
 
@@ -81,12 +82,6 @@
   return { aEndpoint.address().to_string(), aEndpoint.port() };
 }
 
-Tcp::endpoint
-FromEndpoint(const Endpoint& aEndpoint)
-{
-  return { asio::ip::make_address_v4(aEndpoint.mHost), aEndpoint.mPort };
-}
-
 } // namespace
 
 struct HttpServer::State
@@ -418,11 +413,15 @@
 HttpServer::HttpServer(FiberLoop& aLoop, ServerOptions aOptions, WatchedHandler aHandler)
   : mState(std::make_shared<State>(aLoop, std::move(aOptions), std::move(aHandler)))
 {
-  const Tcp::endpoint bind = FromEndpoint(mState->mOptions.mBind);
+  const auto bind = detail::ToAsio(mState->mOptions.mBind);
+  if (!bind) {
+    throw std::runtime_error("cannot listen on " + ToText(mState->mOptions.mBind) +
+                             ": no IPv4 address");
+  }
   beast::error_code ec;
-  mState->mAcceptor.open(bind.protocol(), ec);
+  mState->mAcceptor.open(bind->protocol(), ec);
   mState->mAcceptor.set_option(asio::socket_base::reuse_address(true), ec);
-  mState->mAcceptor.bind(bind, ec);
+  mState->mAcceptor.bind(*bind, ec);
   if (!ec) {
     mState->mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
   }
--- a/packages/net/src/http_test.cpp
+++ b/packages/net/src/http_test.cpp
@@ -116,6 +116,37 @@
   CHECK(result.mStage == ExchangeStage::NotSent);
 }
 
+// Guards against a process that ends when it connects to an address that cannot be read, such as
+// one that an earlier version has registered.
+TEST_CASE_METHOD(HttpFixture,
+                 "HttpConnection, host that is no address, reports that nothing was sent",
+                 "[net]")
+{
+  std::vector<ExchangeResult> results;
+  Run([](const HttpRequest&) { return HttpResponse{}; },
+      [&](HttpServer& aServer) {
+        for (const char* it : { "127.0.0.01", "somewhere", "127.0.0.1.1", "" }) {
+          HttpConnection connection(mLoop, { it, aServer.Address().mPort });
+          results.push_back(connection.Exchange({}, In(Millis(5000))));
+        }
+        HttpConnection connection(mLoop, aServer.Address());
+        results.push_back(connection.Exchange({}, In(Millis(5000))));
+      });
+  REQUIRE(results.size() == 5);
+  for (std::size_t n = 0; n < 4; ++n) {
+    CHECK(results[n].mStage == ExchangeStage::NotSent);
+    CHECK(results[n].mError.find("is no IPv4 address") != std::string::npos);
+  }
+  CHECK(results[4].mStage == ExchangeStage::Answered);
+}
+
+// Guards against a daemon that ends with an error which does not name the address at fault.
+TEST_CASE_METHOD(HttpFixture, "HttpServer, host that is no address, names it", "[net]")
+{
+  CHECK_THROWS_WITH(HttpServer(mLoop, { { "127.0.0.01", 0 } }, Handler()),
+                    "cannot listen on 127.0.0.01:0: no IPv4 address");
+}
+
 TEST_CASE_METHOD(HttpFixture, "HttpServer, body over the limit, refuses with 413", "[net]")
 {
   mOptions.mMaxBodyBytes = 10;
--- a/packages/wire/src/message_thread.cpp
+++ b/packages/wire/src/message_thread.cpp
@@ -140,7 +140,8 @@
     }
     auto dealer = mDealers.find(aOutbound.mTo);
     if (dealer == mDealers.end() && !mOptions.mKeys && aOutbound.mTo != mOptions.mSelf) {
-      if (const auto endpoint = ParseEndpoint(aOutbound.mTo)) {
+      const auto endpoint = ParseEndpoint(aOutbound.mTo);
+      if (endpoint && IsUnicast(*endpoint)) {
         OpenDealer(aOutbound.mTo, *endpoint);
         dealer = mDealers.find(aOutbound.mTo);
       }
