Refuse TRACE requests with a body

Cause: the front took the request, and the library refuses to write it with an exception that nothing catches in the fiber. By RFC 9110 TRACE has no body; the server now answers 400, and the client reports that nothing was sent.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -191,6 +191,9 @@
   if (!error.empty()) {
     return { ExchangeStage::NotSent, {}, error };
   }
+  if (aRequest.mMethod == "TRACE" && aRequest.mBody.Size() > 0) {
+    return { ExchangeStage::NotSent, {}, "TRACE with a body" };
+  }
   const bool reused = state.mUsed;
   state.mUsed = true;
   const auto lost = [&](const std::string& aError, bool aSilent) {
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -179,6 +179,10 @@
     return 400;
   }
   auto& message = parser.get();
+  // By RFC 9110 TRACE has no body, and it could not be passed on with one.
+  if (message.method() == http::verb::trace && !message.body().empty()) {
+    return 400;
+  }
   aExchange.mKeepAlive = message.keep_alive();
   HttpRequest& request = aExchange.mRequest;
   request.mMethod = detail::ToString(message.method_string());
--- a/packages/net/src/http_server_test.cpp
+++ b/packages/net/src/http_server_test.cpp
@@ -231,6 +231,17 @@
   CHECK(ReadAll(socket).find("HTTP/1.1 200") == 0);
 }
 
+// Guards against a process that ends because a caller's request cannot be passed on: TRACE has no
+// body by RFC 9110.
+TEST_CASE_METHOD(ServerFixture, "HttpServer, TRACE with a body, is refused", "[net]")
+{
+  Tcp::socket socket = Connect(Start());
+  const std::string request = "TRACE / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  CHECK(ReadAll(socket).find("HTTP/1.1 400") == 0);
+  CHECK(mCalls == 0);
+}
+
 // Guards against a short request that waits behind a long one of the same client, and against
 // answers out of order.
 TEST_CASE_METHOD(ServerFixture,
--- a/packages/net/src/http_test.cpp
+++ b/packages/net/src/http_test.cpp
@@ -140,6 +140,21 @@
   CHECK(results[4].mStage == ExchangeStage::Answered);
 }
 
+// Guards against a process that ends because a request cannot be written.
+TEST_CASE_METHOD(HttpFixture,
+                 "HttpConnection, TRACE with a body, reports that nothing was sent",
+                 "[net]")
+{
+  ExchangeResult result;
+  Run([](const HttpRequest&) { return HttpResponse{}; },
+      [&](HttpServer& aServer) {
+        HttpConnection connection(mLoop, aServer.Address());
+        result = connection.Exchange({ "TRACE", "/", {}, "body", {} }, In(Millis(5000)));
+      });
+  CHECK(result.mStage == ExchangeStage::NotSent);
+  CHECK(result.mError == "TRACE with a body");
+}
+
 // Guards against a daemon that ends with an error which does not name the address at fault.
 TEST_CASE_METHOD(HttpFixture, "HttpServer, host that is no address, names it", "[net]")
 {
