--- a/packages/figholdd/src/settings.cpp
+++ b/packages/figholdd/src/settings.cpp
@@ -26,9 +26,9 @@
 /// takes up to twice its size for a moment, and the process needs memory of its own.
 constexpr std::size_t kMessageMemoryDivisor = 4;
 
-/// Part of a VM's memory that one call with a route set may take: parsed, it takes up to twelve
-/// times its size.
-constexpr std::size_t kRouteSetDivisor = 32;
+/// Part of a VM's memory that one call with a route set may take: parsed, a list of numbers takes
+/// 25 times its size.
+constexpr std::size_t kRouteSetDivisor = 128;
 
 constexpr std::size_t kMaxRouteSetBytes = 32U << 20U;
 
