Replace a voter that is gone for good within the time to catch up

What callers and operators saw: after a control VM was gone for good and an empty one had taken its place, two more disks lost together with the power of all VMs ended the group for good: no configuration could be read, and nothing changed. A deployment counts the replacement as whole CatchUpS, 4 s, after its start, and bears the loss of two disks from then on.

Cause: the leader replaced a voter 6 s after its last message. Up to then the group had five voters of which one was gone; two more left two, and a majority of five is three.

Conclusion: the bound follows from the deployments' time to catch up. A voter that is suspended for longer than 2 s while a spare process is ready becomes the spare; without one nothing changes.

--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -40,8 +40,9 @@
 constexpr std::size_t kMaxVoters = 5;
 
 /// Time without a message after which a voter counts as lost if another process is ready to replace
-/// it. A voter that is restarted or suspended for a few seconds returns sooner.
-constexpr Millis kReplaceVoterAfter{ 6000 };
+/// it. Deployments count a replacement as whole 4 s after its start, and may lose two more disks
+/// from then on; after the loss of a leader, the next leader counts from its election.
+constexpr Millis kReplaceVoterAfter{ 2000 };
 
 /// Time without a message after which the leader stops replicating to a process that is neither a
 /// voter nor configured.
--- a/packages/agreement/src/join_test.cpp
+++ b/packages/agreement/src/join_test.cpp
@@ -97,6 +97,166 @@
   }
 }
 
+/// Time in which a process with an empty disk must count again; the deployments' bound.
+constexpr Millis kCatchUpTime{ 4000 };
+
+/// Time in which a deployment recovers after all VMs have lost power; the deployments' bound.
+constexpr Millis kRecoveryTime{ 15'000 };
+
+constexpr std::uint64_t kPowerSeeds = 50;
+
+/// Five voters. At the end two disks are lost right after a change was committed, and all other VMs
+/// lose power with them.
+struct PowerFixture
+{
+  std::uint64_t mSeed = 1;
+  Cluster mCluster{ kSize, mSeed, kConfiguredCount };
+
+  explicit PowerFixture(std::uint64_t aSeed)
+    : mSeed(aSeed)
+  {
+    // Snapshots of the size and at the distance of a deployment.
+    mCluster.mOptions.mSnapshotInterval = 200;
+    mCluster.mOptions.mSnapshotChunkSize = Options{}.mSnapshotChunkSize;
+    for (const ControlId& it : mCluster.mIds) {
+      mCluster.Crash(it);
+      mCluster.Start(it);
+    }
+    for (int n = 0; n < 60 && !mCluster.Converged(); ++n) {
+      mCluster.Run(std::chrono::seconds(1));
+    }
+    REQUIRE(mCluster.Converged());
+  }
+
+  bool IsCommitted(const std::string& aPayload) const
+  {
+    return std::any_of(mCluster.mCommittedChanges.begin(),
+                       mCluster.mCommittedChanges.end(),
+                       [&](const auto& it) { return it.second == aPayload; });
+  }
+
+  /// @return payload of a change that has just been committed
+  std::string CommitChange()
+  {
+    std::string payload;
+    for (int n = 0; n < 200 && !IsCommitted(payload); ++n) {
+      if (n % 40 == 0 && mCluster.Leader() != nullptr) {
+        payload = mCluster.Propose(mCluster.Leader()->mOptions.mSelf);
+      }
+      mCluster.Run(Millis(25));
+    }
+    REQUIRE(IsCommitted(payload));
+    return payload;
+  }
+
+  /// Runs while the leader gets a change every 25 ms.
+  void RunWithChanges(Millis aTime)
+  {
+    for (Millis time{ 0 }; time < aTime; time += Millis(25)) {
+      if (const Node* leader = mCluster.Leader()) {
+        mCluster.Propose(leader->mOptions.mSelf);
+      }
+      mCluster.Run(Millis(25));
+    }
+  }
+
+  /// Two disks are lost at random, and all processes are without power for some seconds.
+  void LosePowerAndTwoDisks()
+  {
+    const std::vector<ControlId> ids = mCluster.mIds;
+    const std::size_t first = mCluster.RandomBelow(kSize);
+    const std::size_t second = (first + 1 + mCluster.RandomBelow(kSize - 1)) % kSize;
+    for (std::size_t n = 0; n < kSize; ++n) {
+      if (n == first || n == second) {
+        mCluster.LoseDisk(ids[n]);
+      } else {
+        mCluster.Crash(ids[n]);
+      }
+    }
+    mCluster.Run(std::chrono::seconds(3));
+    for (const ControlId& it : ids) {
+      mCluster.Start(it);
+    }
+  }
+
+  bool Recovers()
+  {
+    for (Millis time{ 0 }; time < kRecoveryTime && !mCluster.Converged(); time += Millis(500)) {
+      mCluster.Run(Millis(500));
+    }
+    return mCluster.Converged();
+  }
+};
+
+// Guards against a group that waits for its lost voter longer than a deployment waits for the
+// replacement: with two more disks lost, it then never has a majority again.
+TEST_CASE("Group, two disks and all power lost after a voter was replaced, keeps every change",
+          "[agreement]")
+{
+  for (std::uint64_t seed = 1; seed <= kPowerSeeds; ++seed) {
+    INFO("seed " << seed);
+    PowerFixture fixture(seed);
+    Cluster& cluster = fixture.mCluster;
+    const ControlId lost = cluster.mIds[cluster.RandomBelow(kSize)];
+    cluster.Crash(lost);
+    cluster.Run(std::chrono::seconds(1));
+    cluster.Replace(lost);
+    cluster.Run(kCatchUpTime);
+    const std::string payload = fixture.CommitChange();
+    fixture.LosePowerAndTwoDisks();
+    REQUIRE(fixture.Recovers());
+    CHECK(fixture.IsCommitted(payload));
+  }
+}
+
+// Guards against a replacement that never counts as caught up because the log grows all the time.
+TEST_CASE(
+  "Group, voter replaced while changes go on, keeps every change when disks and power are lost",
+  "[agreement]")
+{
+  for (std::uint64_t seed = 1; seed <= kPowerSeeds; ++seed) {
+    INFO("seed " << seed);
+    PowerFixture fixture(seed);
+    Cluster& cluster = fixture.mCluster;
+    const ControlId lost = cluster.mIds[cluster.RandomBelow(kSize)];
+    cluster.Crash(lost);
+    fixture.RunWithChanges(std::chrono::seconds(1));
+    cluster.Replace(lost);
+    fixture.RunWithChanges(kCatchUpTime);
+    const std::string payload = fixture.CommitChange();
+    fixture.LosePowerAndTwoDisks();
+    REQUIRE(fixture.Recovers());
+    CHECK(fixture.IsCommitted(payload));
+  }
+}
+
+// Guards against two voters that come back with empty disks and do not count again in time.
+TEST_CASE("Group, two disks lost and two more after the time to catch up, keeps every change",
+          "[agreement]")
+{
+  for (std::uint64_t seed = 1; seed <= kPowerSeeds; ++seed) {
+    INFO("seed " << seed);
+    PowerFixture fixture(seed);
+    Cluster& cluster = fixture.mCluster;
+    for (int n = 0; n < 3; ++n) {
+      const std::string payload = fixture.CommitChange();
+      const std::size_t first = cluster.RandomBelow(kSize);
+      const std::size_t second = (first + 1 + cluster.RandomBelow(kSize - 1)) % kSize;
+      cluster.LoseDisk(cluster.mIds[first]);
+      cluster.LoseDisk(cluster.mIds[second]);
+      fixture.RunWithChanges(std::chrono::seconds(3));
+      cluster.Start(cluster.mIds[first]);
+      cluster.Start(cluster.mIds[second]);
+      fixture.RunWithChanges(kCatchUpTime);
+      CHECK(fixture.IsCommitted(payload));
+    }
+    const std::string payload = fixture.CommitChange();
+    fixture.LosePowerAndTwoDisks();
+    REQUIRE(fixture.Recovers());
+    CHECK(fixture.IsCommitted(payload));
+  }
+}
+
 // Guards against lost or duplicated changes, and a group that does not recover, when processes
 // restart, lose disks and are replaced in any order. The cluster checks its invariants after each
 // step.
