Say what ended a process, and count skipped and refused records

In the users' record, "terminate called after throwing an instance of 'std::runtime_error'" is all that tells what ended the processes; the message follows on a line of its own and was cut off.

figholdd now prints event=fatal with the message of the exception on one line before it aborts. A control process counts the committed records that it skips and the changes that it refuses because their records could not be read back, as fighold_log_records_skipped and fighold_changes_unreadable. No decision changes.

--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -210,6 +210,8 @@
   std::uint64_t mTimestamp = 0;      ///< last one received from the leader
   ControlId mTimestampFrom;
   Instant mTimestampReceivedAt{};
+  std::uint64_t mSkippedRecords = 0;    ///< committed records that no version can read
+  std::uint64_t mUnreadableChanges = 0; ///< changes refused because they could not be read back
 };
 
 /// Loads the charts of a control process, except charts/shift.scxml.
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -77,6 +77,7 @@
     throw RecordError("record " + std::to_string(aEntry.mIndex) +
                       " of the log is of an unknown kind, written by a later version");
   }
+  ++aContext.mState.mSkippedRecords;
   aContext.mEffects.emplace_back(LogRecord{ DecisionRecord{
     "log-record", std::to_string(aEntry.mIndex), "", "skipped", "malformed", {} } });
 }
@@ -110,6 +111,7 @@
 {
   State& state = aContext.mState;
   if (!state.mCodec.mIsWellFormed(aPayload)) {
+    ++state.mUnreadableChanges;
     aContext.mEffects.emplace_back(
       LogRecord{ DecisionRecord{ "change", aChange.mId.mValue, "", "refused", "unreadable", {} } });
     AnswerPendingChanges(aContext, aPayload, UnreadableAnswer());
--- a/packages/control/src/decide_test.cpp
+++ b/packages/control/src/decide_test.cpp
@@ -159,6 +159,7 @@
     return aRecord.mKind == "log-record" && aRecord.mChoice == "skipped";
   });
   CHECK(skipped == 1);
+  CHECK(mState->mSkippedRecords == 1);
 }
 
 // Guards against a process that goes on with a state other than that of the rest of the group: it
@@ -199,6 +200,7 @@
   Run(10);
   CHECK(mDisk.mLog.size() == size);
   CHECK(mAnswers.size() == 2);
+  CHECK(mState->mUnreadableChanges == 2);
 }
 
 } // namespace
--- a/packages/control/src/decide_thread.cpp
+++ b/packages/control/src/decide_thread.cpp
@@ -79,6 +79,13 @@
   }
 }
 
+void
+ReportRecords(Channels& aChannels, const State& aState)
+{
+  aChannels.mMetrics.Set("log_records_skipped", static_cast<double>(aState.mSkippedRecords));
+  aChannels.mMetrics.Set("changes_unreadable", static_cast<double>(aState.mUnreadableChanges));
+}
+
 /// Handles events until the inbox is closed and empty.
 /// @throws RecordError if a committed record or a snapshot cannot be used
 void
@@ -99,6 +106,7 @@
       executor.ExecuteAll(Step(aState, Tick{}, now));
       lastTick = now;
       ReportTraffic(aChannels, aState.mNode.mOptions.mSelf.mValue, traffic, now);
+      ReportRecords(aChannels, aState);
     }
   }
 }
--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -1,3 +1,4 @@
+#include "fatal.hpp"
 #include "fighold/figholdd/settings.hpp"
 
 #include <gflags/gflags.h>
@@ -184,6 +185,7 @@
 int
 main(int aArgc, char** aArgv)
 {
+  std::set_terminate(fighold::figholdd::PrintExceptionAndAbort);
   gflags::SetVersionString(FIGHOLD_VERSION);
   gflags::SetUsageMessage(
     "runs an entry or a control process of fighold\n\n"
