Propose a change only if its record gives a change

What could be seen: a change whose record is well-formed but gives no change, such as a plan whose sheet cannot be parsed back, would be committed and end every control process when it is applied, at each start.

Cause: the check before a proposal asked whether the record is well-formed, the processes that apply it ask for more.

No such value is known from outside; plan_test compares random plans with their sheets. The new test puts a decoder in place that gives no change: before, the change was appended and the test ended with RecordError; now it is refused at once and the log stays as it is. The check now uses the function that reads the record from the log.

--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -110,7 +110,7 @@
 ProposePayload(Context& aContext, const std::string& aPayload, const membership::Change& aChange)
 {
   State& state = aContext.mState;
-  if (!state.mCodec.mIsWellFormed(aPayload)) {
+  if (!state.mCodec.mDecode(aPayload)) {
     ++state.mUnreadableChanges;
     aContext.mEffects.emplace_back(
       LogRecord{ DecisionRecord{ "change", aChange.mId.mValue, "", "refused", "unreadable", {} } });
@@ -312,7 +312,7 @@
 UnreadableAnswer()
 {
   membership::ChangeAnswer answer;
-  answer.mMessage = "the change holds text that is not UTF-8";
+  answer.mMessage = "the change cannot be recorded, because its record could not be read back";
   return answer;
 }
 
--- a/packages/control/src/decide_test.cpp
+++ b/packages/control/src/decide_test.cpp
@@ -203,5 +203,22 @@
   CHECK(mState->mUnreadableChanges == 2);
 }
 
+// Guards against a plan that is committed although its sheet cannot be parsed back: its record is
+// well-formed but ends every process, at each start.
+TEST_CASE_METHOD(DecideFixture,
+                 "Step, change whose record is well-formed but gives no change, is refused at once",
+                 "[control]")
+{
+  Run(40);
+  const std::size_t size = mDisk.mLog.size();
+  mState->mCodec.mDecode = [](const std::string&) { return std::nullopt; };
+  Drain(1);
+  REQUIRE(mAnswers.size() == 1);
+  const auto change = std::get<ChangeCallAnswer>(mAnswers[0].mAnswer);
+  CHECK((change.mDecided && change.mAnswer.mVerdict == membership::Verdict::Refused));
+  Run(10);
+  CHECK(mDisk.mLog.size() == size);
+}
+
 } // namespace
 } // namespace fighold::control
