Read texts of messages and records without the library's check

Whether a committed change is skipped is decided by HoldsOnlyUtf8(), in this repository, with the rule of the earlier versions: a change with any text that is not UTF-8 is skipped. Maps cannot have keys of type bytes; repeated Keyed messages have the same format on the wire.

Weighed: keep the strings, since every build has the same library today.

--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -4,6 +4,7 @@
 #include "claim_codec.hpp"
 #include "convert.hpp"
 #include "share_codec.hpp"
+#include "text_check.hpp"
 
 namespace fighold::wire {
 namespace {
@@ -221,11 +222,12 @@
   out->set_held(aRenew.mHeld);
   Put(aRenew.mTimestamp, *out->mutable_stamp());
   for (const auto& [id, status] : aRenew.mEntries) {
-    auto& it = (*out->mutable_entries())[id.mValue];
-    it.set_incarnation(status.mIncarnation);
-    it.set_held(status.mHeld);
-    it.set_age_ms(ToMillis(status.mAge));
-    it.set_in_flight(status.mInFlight);
+    auto* keyed = out->add_entries();
+    keyed->set_key(id.mValue);
+    keyed->mutable_value()->set_incarnation(status.mIncarnation);
+    keyed->mutable_value()->set_held(status.mHeld);
+    keyed->mutable_value()->set_age_ms(ToMillis(status.mAge));
+    keyed->mutable_value()->set_in_flight(status.mInFlight);
   }
   for (const auto& it : aRenew.mReports) {
     Put(it, *out->add_reports());
@@ -239,10 +241,11 @@
   renew.mRequestNumber = aRenew.ask();
   renew.mHeld = aRenew.held();
   renew.mTimestamp = Get(aRenew.stamp());
-  for (const auto& [id, status] : aRenew.entries()) {
-    renew.mEntries[{ id }] = {
-      status.incarnation(), status.held(), Millis(status.age_ms()), status.in_flight()
-    };
+  for (const auto& it : aRenew.entries()) {
+    renew.mEntries[{ it.key() }] = { it.value().incarnation(),
+                                     it.value().held(),
+                                     Millis(it.value().age_ms()),
+                                     it.value().in_flight() };
   }
   for (const auto& it : aRenew.reports()) {
     renew.mReports.push_back(Get(it));
@@ -357,6 +360,13 @@
   return aMessage.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
 }
 
+/// Parses a change all of whose texts are UTF-8.
+bool
+ParseChange(pb::Change& aChange, std::string_view aBytes)
+{
+  return Parse(aChange, aBytes) && detail::HoldsOnlyUtf8(aChange);
+}
+
 } // namespace
 
 std::string
@@ -393,14 +403,14 @@
 DecodeChange(std::string_view aBytes)
 {
   pb::Change message;
-  return Parse(message, aBytes) ? detail::FromPb(message) : std::nullopt;
+  return ParseChange(message, aBytes) ? detail::FromPb(message) : std::nullopt;
 }
 
 bool
 IsWellFormedChange(std::string_view aBytes)
 {
   pb::Change message;
-  return Parse(message, aBytes);
+  return ParseChange(message, aBytes);
 }
 
 std::string
--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -2,12 +2,17 @@
 
 #include "fighold/core/text.hpp"
 #include "fighold/plan/sheet.hpp"
+#include "messages.pb.h"
+#include "text_check.hpp"
 
 #include <catch2/catch.hpp>
+#include <google/protobuf/wrappers.pb.h>
 #include <rapidcheck/catch.h>
 
 #include <fstream>
+#include <functional>
 #include <iterator>
+#include <set>
 
 namespace fighold::wire {
 namespace {
@@ -62,6 +67,62 @@
   return patch;
 }
 
+using google::protobuf::Descriptor;
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+
+/// Fields from the outermost message to a text in it.
+using TextPath = std::vector<const FieldDescriptor*>;
+
+/// Calls a function for each text of a message and of the messages in it.
+void
+VisitTexts(const Descriptor* aMessage,
+           const TextPath& aPrefix,
+           const std::function<void(const TextPath&)>& aFunction)
+{
+  for (int n = 0; n < aMessage->field_count(); ++n) {
+    TextPath path = aPrefix;
+    path.push_back(aMessage->field(n));
+    if (path.back()->cpp_type() == FieldDescriptor::CPPTYPE_STRING) {
+      aFunction(path);
+    } else if (path.back()->cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+      VisitTexts(path.back()->message_type(), path, aFunction);
+    }
+  }
+}
+
+/// Replaces everything in a message by one text.
+void
+SetText(Message& aMessage, const TextPath& aPath, const std::string& aText)
+{
+  aMessage.Clear();
+  Message* message = &aMessage;
+  for (const FieldDescriptor* it : aPath) {
+    const auto* reflection = message->GetReflection();
+    const bool isText = it->cpp_type() == FieldDescriptor::CPPTYPE_STRING;
+    if (isText && it->is_repeated()) {
+      reflection->AddString(message, it, aText);
+    } else if (isText) {
+      reflection->SetString(message, it, aText);
+    } else {
+      message = it->is_repeated() ? reflection->AddMessage(message, it)
+                                  : reflection->MutableMessage(message, it);
+    }
+  }
+}
+
+void
+CheckNoStrings(const Descriptor& aMessage)
+{
+  for (int n = 0; n < aMessage.field_count(); ++n) {
+    INFO(aMessage.field(n)->full_name());
+    CHECK(aMessage.field(n)->type() != FieldDescriptor::TYPE_STRING);
+  }
+  for (int n = 0; n < aMessage.nested_type_count(); ++n) {
+    CheckNoStrings(*aMessage.nested_type(n));
+  }
+}
+
 struct CodecFixture
 {
   Configuration mConfiguration;
@@ -278,6 +339,92 @@
   rc::prop("any bytes", [&agree](const std::string& aId) { RC_ASSERT(agree(aId)); });
 }
 
+// Guards against records that this version skips and earlier versions apply, or the other way
+// round: they left the check to the library, which makes it for fields of type string.
+TEST_CASE_METHOD(
+  CodecFixture,
+  "DecodeChange, identifier of any bytes, is readable exactly if earlier versions read it",
+  "[wire]")
+{
+  const auto agree = [](const std::string& aId) {
+    google::protobuf::StringValue value;
+    value.set_value(aId);
+    const bool readable =
+      google::protobuf::StringValue().ParseFromString(value.SerializeAsString());
+    return DecodeChange(EncodeChange({ {}, DepartBackendServer{ { aId }, 1 } })).has_value() ==
+           readable;
+  };
+  constexpr int kBytes = 256;
+  for (int lead = 0; lead < kBytes; ++lead) {
+    for (int second = 0; second < kBytes; ++second) {
+      const std::string two{ static_cast<char>(lead), static_cast<char>(second) };
+      for (const std::string tail : { "", "\x80", "\x80\x80", "\xBF\xBF", "\x7F\x80" }) {
+        REQUIRE(agree(two + tail));
+      }
+    }
+  }
+  rc::prop("any bytes", [&agree](const std::string& aId) { RC_ASSERT(agree(aId)); });
+}
+
+// Guards against a text of a record that is not checked, so that processes of different versions
+// disagree on the record.
+TEST_CASE_METHOD(CodecFixture,
+                 "HoldsOnlyUtf8, one malformed text anywhere in a change, is false",
+                 "[wire]")
+{
+  std::set<std::string> checked;
+  VisitTexts(pb::Change::descriptor(), {}, [&checked](const TextPath& aPath) {
+    pb::Change change;
+    SetText(change, aPath, "text");
+    CHECK(detail::HoldsOnlyUtf8(change));
+    SetText(change, aPath, "\xFF");
+    CHECK_FALSE(detail::HoldsOnlyUtf8(change));
+    checked.insert(aPath.back()->full_name());
+  });
+  CHECK(checked.count("fighold.wire.pb.Change.AnnounceBackendServer.id") == 1);
+  CHECK(checked.count("fighold.wire.pb.Route.Part.service") == 1);
+  CHECK(checked.count("fighold.wire.pb.Route.allowed_regions") == 1);
+}
+
+// Guards against a message or a snapshot that the library refuses because of one text in it.
+TEST_CASE_METHOD(CodecFixture,
+                 "Messages, all fields, leave no text to the library's check",
+                 "[wire]")
+{
+  const auto* file = pb::Change::descriptor()->file();
+  for (int n = 0; n < file->message_type_count(); ++n) {
+    CheckNoStrings(*file->message_type(n));
+  }
+}
+
+// Guards against a process that cannot start from its snapshot, or an entry without any
+// configuration, because of one text.
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeConfiguration, text that is not UTF-8, gives the encoded value",
+                 "[wire]")
+{
+  mConfiguration.mEntries[{ "e\xFF" }] = mConfiguration.mEntries.at({ "e1" });
+  mConfiguration.mBackendServers[{ "s\xFE" }] = mConfiguration.mBackendServers.at({ "s1" });
+  CHECK(DecodeConfiguration(EncodeConfiguration(mConfiguration)) == mConfiguration);
+}
+
+// Guards against members of a configuration that are lost between this version and earlier ones,
+// whose messages have maps.
+TEST_CASE_METHOD(CodecFixture,
+                 "DecodeConfiguration, entries as maps of earlier versions, gives them",
+                 "[wire]")
+{
+  using namespace std::string_literals;
+  const std::string map = "\x08\x05\x1A\x08\x0A\x02"
+                          "e1\x12\x02\x08\x03"s;
+  const auto decoded = DecodeConfiguration(map);
+  REQUIRE(decoded);
+  Configuration expected;
+  expected.mVersion = 5;
+  expected.mEntries[{ "e1" }].mIncarnation = 3;
+  CHECK(*decoded == expected);
+}
+
 // Guards against a record of a later version that passes for damaged bytes and is skipped.
 TEST_CASE_METHOD(CodecFixture, "IsWellFormedChange, record of an unknown kind, is true", "[wire]")
 {
--- a/packages/wire/src/convert.cpp
+++ b/packages/wire/src/convert.cpp
@@ -287,13 +287,19 @@
     out.set_sheet(plan::FormatSheet(*aConfiguration.mPlan));
   }
   for (const auto& [id, entry] : aConfiguration.mEntries) {
-    (*out.mutable_entries())[id.mValue] = ToPb(entry);
+    auto* keyed = out.add_entries();
+    keyed->set_key(id.mValue);
+    *keyed->mutable_value() = ToPb(entry);
   }
   for (const auto& [id, server] : aConfiguration.mBackendServers) {
-    (*out.mutable_backend_servers())[id.mValue] = ServerToPb(server);
+    auto* keyed = out.add_backend_servers();
+    keyed->set_key(id.mValue);
+    *keyed->mutable_value() = ServerToPb(server);
   }
   for (const auto& [id, shift] : aConfiguration.mShifts) {
-    (*out.mutable_shifts())[id.mValue] = ShiftToPb(shift);
+    auto* keyed = out.add_shifts();
+    keyed->set_key(id.mValue);
+    *keyed->mutable_value() = ShiftToPb(shift);
   }
   for (const auto& it : aConfiguration.mDrains.mBackendServers) {
     out.add_drained_backend_servers(it.mValue);
@@ -317,7 +323,9 @@
   }
   if (aAnswers == Answers::Include) {
     for (const auto& [id, answer] : aConfiguration.mAnswers) {
-      (*out.mutable_answers())[id.mValue] = ToPb(answer);
+      auto* keyed = out.add_answers();
+      keyed->set_key(id.mValue);
+      *keyed->mutable_value() = ToPb(answer);
     }
     for (const auto& it : aConfiguration.mHistory) {
       auto* record = out.add_history();
@@ -343,14 +351,14 @@
     out.mPlan = *plan;
     out.mPlanDigest = plan::Digest(**plan);
   }
-  for (const auto& [id, entry] : aConfiguration.entries()) {
-    out.mEntries[{ id }] = FromPb(entry);
+  for (const auto& it : aConfiguration.entries()) {
+    out.mEntries[{ it.key() }] = FromPb(it.value());
   }
-  for (const auto& [id, server] : aConfiguration.backend_servers()) {
-    out.mBackendServers[{ id }] = ServerFromPb(server);
+  for (const auto& it : aConfiguration.backend_servers()) {
+    out.mBackendServers[{ it.key() }] = ServerFromPb(it.value());
   }
-  for (const auto& [id, shift] : aConfiguration.shifts()) {
-    out.mShifts[{ id }] = ShiftFromPb(shift);
+  for (const auto& it : aConfiguration.shifts()) {
+    out.mShifts[{ it.key() }] = ShiftFromPb(it.value());
   }
   for (const auto& it : aConfiguration.drained_backend_servers()) {
     out.mDrains.mBackendServers.insert({ it });
@@ -367,12 +375,12 @@
   if (aConfiguration.has_routes()) {
     out.mRoutes = RoutesFromPb(aConfiguration.routes());
   }
-  for (const auto& [id, answer] : aConfiguration.answers()) {
-    const auto value = FromPb(answer);
+  for (const auto& it : aConfiguration.answers()) {
+    const auto value = FromPb(it.value());
     if (!value) {
       return std::nullopt;
     }
-    out.mAnswers[{ id }] = *value;
+    out.mAnswers[{ it.key() }] = *value;
   }
   for (const auto& it : aConfiguration.departed()) {
     out.mDeparted[{ it.id() }].insert(it.incarnation());
