Refuse route sets with values that cannot be read back as sent

What an operator saw: a configuration with a value that cannot be read in full was confirmed and came into force with another value, such as the default for null, or 2 for a time of 1.5 ms. A health path with a line break was sent to backend servers.

Cause: the reader took null for an absent member, rounded or cut numbers, and checked no text. Limits of a patch that are not an object were left out silently.

--- a/packages/control/src/route_json.cpp
+++ b/packages/control/src/route_json.cpp
@@ -1,9 +1,11 @@
 #include "fighold/control/route_json.hpp"
 
+#include "fighold/core/text.hpp"
+
 #include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -17,6 +19,22 @@
 /// Maximum time in ms; a day.
 constexpr double kMaxMs = 86'400'000;
 
+/// Smallest limit on the size of a header; a smaller one refuses ordinary requests.
+constexpr std::uint64_t kMinHeaderBytes = 256;
+
+/// Longest path in bytes.
+constexpr std::size_t kMaxPathBytes = 1024;
+
+/// @return true if a text can be part of the path of a request as it stands
+bool
+IsPath(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= kMaxPathBytes && aText.front() == '/' &&
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return aChar > ' ' && aChar <= '~' && aChar != '#';
+         });
+}
+
 /// Reads JSON members and collects findings.
 struct Reader
 {
@@ -30,8 +48,7 @@
 
   const json::value* Find(const json::object& aObject, const std::string& aName) const
   {
-    const auto* it = aObject.if_contains(aName);
-    return it == nullptr || it->is_null() ? nullptr : it;
+    return aObject.if_contains(aName);
   }
 
   std::string Text(const json::object& aObject,
@@ -50,6 +67,32 @@
     return std::string(it->as_string().data(), it->as_string().size());
   }
 
+  /// @return identifier; with a finding if it is missing or no identifier
+  std::string Identifier(const json::object& aObject,
+                         const std::string& aPath,
+                         const std::string& aName)
+  {
+    std::string text = Text(aObject, aPath, aName, "");
+    if (!IsIdentifier(text)) {
+      AddFinding(aPath + "." + aName,
+                 "must be printable text without spaces, of 1 to " +
+                   std::to_string(kMaxIdentifierBytes) + " bytes");
+    }
+    return text;
+  }
+
+  std::string Path(const json::object& aObject,
+                   const std::string& aPath,
+                   const std::string& aName,
+                   const std::string& aDefault)
+  {
+    std::string text = Text(aObject, aPath, aName, aDefault);
+    if (!IsPath(text)) {
+      AddFinding(aPath + "." + aName, "must be a path that begins with a slash");
+    }
+    return text;
+  }
+
   bool Flag(const json::object& aObject,
             const std::string& aPath,
             const std::string& aName,
@@ -80,14 +123,28 @@
     return value;
   }
 
+  /// @return whole number; a fraction would be read back as another number than was sent
+  std::uint64_t Whole(const json::object& aObject,
+                      const std::string& aPath,
+                      const std::string& aName,
+                      std::uint64_t aDefault,
+                      double aLargest)
+  {
+    const double value = Number(aObject, aPath, aName, static_cast<double>(aDefault), aLargest);
+    if (value != std::floor(value)) {
+      AddFinding(aPath + "." + aName, "must be a whole number");
+    }
+    return static_cast<std::uint64_t>(value);
+  }
+
   Millis Time(const json::object& aObject,
               const std::string& aPath,
               const std::string& aName,
               Millis aDefault)
   {
-    const double value =
-      Number(aObject, aPath, aName, static_cast<double>(aDefault.count()), kMaxMs);
-    return Millis(static_cast<std::int64_t>(std::llround(value)));
+    const auto number =
+      Whole(aObject, aPath, aName, static_cast<std::uint64_t>(aDefault.count()), kMaxMs);
+    return Millis(static_cast<std::int64_t>(number));
   }
 
   /// @return number of a route set, written as 12 or with the dialect's prefix, such as "r12"
@@ -173,10 +230,10 @@
   routes::ServiceSettings Service(const json::object& aObject, const std::string& aPath)
   {
     routes::ServiceSettings out;
-    out.mHealthPath = Text(aObject, aPath, mNames.mHealthPath, out.mHealthPath);
+    out.mHealthPath = Path(aObject, aPath, mNames.mHealthPath, out.mHealthPath);
     constexpr double kLargestCount = 1e9;
     out.mMaxConnections =
-      static_cast<std::uint32_t>(Number(aObject, aPath, mNames.mMaxConnections, 0, kLargestCount));
+      static_cast<std::uint32_t>(Whole(aObject, aPath, mNames.mMaxConnections, 0, kLargestCount));
     out.mProtocol = Text(aObject, aPath, mNames.mProtocol, out.mProtocol);
     out.mTls = Flag(aObject, aPath, mNames.mTls, false);
     const double warmUp =
@@ -207,9 +264,12 @@
                           const std::string& aHost)
   {
     routes::Route out;
-    out.mName = Text(aObject, aPath, mNames.mName, "");
+    out.mName = Identifier(aObject, aPath, mNames.mName);
     out.mHost = aHost;
-    out.mPathPrefix = Text(aObject, aPath, mNames.mPathPrefix, "");
+    out.mPathPrefix = Path(aObject, aPath, mNames.mPathPrefix, "");
+    if (out.mPathPrefix.find('?') != std::string::npos) {
+      AddFinding(aPath + "." + mNames.mPathPrefix, "must not contain a query");
+    }
     const std::string kind = Text(aObject, aPath, mNames.mKind, "");
     out.mRepeatable = kind == mNames.mRepeatable;
     if (!out.mRepeatable && kind != mNames.mOnce) {
@@ -219,10 +279,10 @@
     out.mTargetLatency = Time(aObject, aPath, mNames.mTargetLatencyMs, out.mTargetLatency);
     constexpr double kLargestRank = 1e6;
     out.mPriority =
-      static_cast<std::uint32_t>(Number(aObject, aPath, mNames.mPriority, 0, kLargestRank));
+      static_cast<std::uint32_t>(Whole(aObject, aPath, mNames.mPriority, 0, kLargestRank));
     ReadServices(out, aObject, aPath);
     out.mAttempts =
-      static_cast<std::uint32_t>(Number(aObject, aPath, mNames.mAttempts, 1, kLargestRank));
+      static_cast<std::uint32_t>(Whole(aObject, aPath, mNames.mAttempts, 1, kLargestRank));
     out.mAffinity = Flag(aObject, aPath, mNames.mAffinity, false);
     EachText(aObject, aPath, mNames.mAllowedRegions, [&](const std::string& aRegion) {
       out.mAllowedRegions.insert({ aRegion });
@@ -235,13 +295,19 @@
     routes::CallerLimits out;
     constexpr double kLargestBytes = 1e12;
     const auto bytes = [&](const std::string& aName, std::uint64_t aDefault) {
-      return static_cast<std::uint64_t>(
-        Number(aObject, aPath, aName, static_cast<double>(aDefault), kLargestBytes));
+      return Whole(aObject, aPath, aName, aDefault, kLargestBytes);
     };
     out.mMaxHeaderBytes = bytes(mNames.mMaxHeaderBytes, out.mMaxHeaderBytes);
     out.mMaxBodyBytes = bytes(mNames.mMaxBodyBytes, out.mMaxBodyBytes);
     out.mHeaderTimeout = Time(aObject, aPath, mNames.mHeaderTimeoutMs, out.mHeaderTimeout);
     out.mIdleTimeout = Time(aObject, aPath, mNames.mIdleTimeoutMs, out.mIdleTimeout);
+    if (out.mMaxHeaderBytes < kMinHeaderBytes) {
+      AddFinding(aPath + "." + mNames.mMaxHeaderBytes,
+                 "must be at least " + std::to_string(kMinHeaderBytes));
+    }
+    if (out.mHeaderTimeout == Millis(0) || out.mIdleTimeout == Millis(0)) {
+      AddFinding(aPath, "a time limit must be above 0");
+    }
     return out;
   }
 
@@ -253,17 +319,14 @@
                aPath,
                mNames.mServices,
                [&](const json::object& aItem, const std::string& aItemPath) {
-                 const ServiceId id{ Text(aItem, aItemPath, mNames.mName, "") };
+                 const ServiceId id{ Identifier(aItem, aItemPath, mNames.mName) };
                  if (!aOut.mServices.emplace(id, Service(aItem, aItemPath)).second) {
                    AddFinding(aItemPath, "\"" + id.mValue + "\" stands twice");
                  }
                });
     EachObject(
       aObject, aPath, mNames.mHosts, [&](const json::object& aItem, const std::string& aItemPath) {
-        const std::string host = Text(aItem, aItemPath, mNames.mHost, "");
-        if (host.empty()) {
-          AddFinding(aItemPath + "." + mNames.mHost, "must not be empty");
-        }
+        const std::string host = Identifier(aItem, aItemPath, mNames.mHost);
         aOut.mHosts.insert(host);
         EachObject(aItem,
                    aItemPath,
@@ -292,64 +355,6 @@
   return std::move(value.as_object());
 }
 
-json::value
-SetNumberOf(const routes::RouteSet& aSet, const RouteNames& aNames)
-{
-  if (aNames.mNumberPrefix.empty()) {
-    return aSet.mNumber;
-  }
-  return json::value(aNames.mNumberPrefix + std::to_string(aSet.mNumber));
-}
-
-json::object
-ServiceObject(const ServiceId& aId,
-              const routes::ServiceSettings& aService,
-              const RouteNames& aNames)
-{
-  return { { aNames.mName, aId.mValue },
-           { aNames.mHealthPath, aService.mHealthPath },
-           { aNames.mMaxConnections, aService.mMaxConnections },
-           { aNames.mProtocol, aService.mProtocol },
-           { aNames.mTls, aService.mTls },
-           { aNames.mWarmUpSeconds,
-             static_cast<double>(aService.mWarmUp.count()) / kMillisPerSecond },
-           { aNames.mWarmUpPerSecond, aService.mWarmUpPerSecond } };
-}
-
-json::object
-RouteObject(const routes::Route& aRoute, const RouteNames& aNames)
-{
-  json::object out{ { aNames.mName, aRoute.mName },
-                    { aNames.mPathPrefix, aRoute.mPathPrefix },
-                    { aNames.mKind, aRoute.mRepeatable ? aNames.mRepeatable : aNames.mOnce },
-                    { aNames.mTimeoutMs, aRoute.mTimeout.count() },
-                    { aNames.mTargetLatencyMs, aRoute.mTargetLatency.count() },
-                    { aNames.mPriority, aRoute.mPriority } };
-  if (aRoute.mWeighted) {
-    json::array parts;
-    for (const auto& it : aRoute.mServices) {
-      const bool whole = it.mWeight == std::floor(it.mWeight);
-      json::value weight = it.mWeight;
-      if (whole) {
-        weight = static_cast<std::int64_t>(it.mWeight);
-      }
-      parts.push_back(
-        json::object{ { aNames.mService, it.mService.mValue }, { aNames.mWeight, weight } });
-    }
-    out[aNames.mParts] = std::move(parts);
-  } else {
-    out[aNames.mService] = aRoute.mServices.empty() ? "" : aRoute.mServices.front().mService.mValue;
-  }
-  out[aNames.mAttempts] = aRoute.mAttempts;
-  out[aNames.mAffinity] = aRoute.mAffinity;
-  json::array regions;
-  for (const RegionId& it : aRoute.mAllowedRegions) {
-    regions.emplace_back(it.mValue);
-  }
-  out[aNames.mAllowedRegions] = std::move(regions);
-  return out;
-}
-
 } // namespace
 
 Checked<membership::SubmitRoutes>
@@ -397,6 +402,8 @@
       const auto* limits = reader.Find(upsert->as_object(), aNames.mLimits);
       if (limits != nullptr && limits->is_object()) {
         patch.mLimits.push_back(reader.Limits(limits->as_object(), aNames.mLimits));
+      } else if (limits != nullptr) {
+        reader.AddFinding(aNames.mUpsert + "." + aNames.mLimits, "must be an object");
       }
     }
     const auto* remove = reader.Find(*root, aNames.mRemove);
@@ -417,34 +424,4 @@
   return { membership::PatchRoutes{ base, SharedValue(std::move(patch)) }, {} };
 }
 
-std::string
-WriteRouteSet(const routes::RouteSet& aSet, const RouteNames& aNames)
-{
-  json::array services;
-  for (const auto& [id, service] : aSet.mServices) {
-    services.push_back(ServiceObject(id, service, aNames));
-  }
-  std::map<std::string, json::array> byHost;
-  for (const std::string& it : aSet.mHosts) {
-    byHost[it];
-  }
-  for (const auto& [name, route] : aSet.mRoutes) {
-    byHost[route.mHost].push_back(RouteObject(route, aNames));
-  }
-  json::array hosts;
-  for (auto& [host, routes] : byHost) {
-    hosts.push_back(json::object{ { aNames.mHost, host }, { aNames.mRoutes, std::move(routes) } });
-  }
-  const json::object out{ { aNames.mNumber, SetNumberOf(aSet, aNames) },
-                          { aNames.mServices, std::move(services) },
-                          { aNames.mLimits,
-                            json::object{
-                              { aNames.mMaxHeaderBytes, aSet.mLimits.mMaxHeaderBytes },
-                              { aNames.mMaxBodyBytes, aSet.mLimits.mMaxBodyBytes },
-                              { aNames.mHeaderTimeoutMs, aSet.mLimits.mHeaderTimeout.count() },
-                              { aNames.mIdleTimeoutMs, aSet.mLimits.mIdleTimeout.count() } } },
-                          { aNames.mHosts, std::move(hosts) } };
-  return json::serialize(out);
-}
-
 } // namespace fighold::control
