--- a/packages/agreement/src/join_test.cpp
+++ b/packages/agreement/src/join_test.cpp
@@ -132,7 +132,7 @@
   {
     return std::any_of(mCluster.mCommittedChanges.begin(),
                        mCluster.mCommittedChanges.end(),
-                       [&](const auto& it) { return it.second == aPayload; });
+                       [&](const auto& aChange) { return aChange.second == aPayload; });
   }
 
   /// @return payload of a change that has just been committed
