Let a voter that was replaced while it was away return

What an operator would see: a control VM that was frozen or cut off for some seconds, with a spare process ready, stays outside the group for good if the leader changed meanwhile or 30 s passed; restarting it does not help.

Cause: only a learner asks to join. A process whose own log still names it a voter asks for votes, which nobody gives, and a leader that does not know it sends it nothing.

A pre-candidate now asks to join as well; the leader then sends it the log, from which it learns that it is no voter. For a process that is a voter the request changes nothing.

--- a/packages/agreement/src/join_test.cpp
+++ b/packages/agreement/src/join_test.cpp
@@ -257,6 +257,44 @@
   }
 }
 
+// Guards against a voter that was replaced while it was suspended, and then waits for votes that
+// nobody gives: it would stay outside the group for good.
+TEST_CASE("Group, voter replaced while suspended and its leader changed, returns as a learner",
+          "[agreement]")
+{
+  for (std::uint64_t seed = 1; seed <= kPowerSeeds; ++seed) {
+    INFO("seed " << seed);
+    Cluster cluster(kSize + 1, seed, kConfiguredCount);
+    cluster.Run(std::chrono::seconds(15));
+    REQUIRE(cluster.Leader() != nullptr);
+    REQUIRE(cluster.Leader()->mMembership.mVoters.size() == kSize);
+    ControlId away;
+    for (const ControlId& it : cluster.mIds) {
+      const bool isVoter = cluster.Leader()->mMembership.mVoters.count(it) > 0;
+      away = isVoter && it != cluster.Leader()->mOptions.mSelf ? it : away;
+    }
+    cluster.mProcesses.at(away).mSuspended = true;
+    cluster.Run(std::chrono::seconds(3));
+    REQUIRE(cluster.Leader() != nullptr);
+    REQUIRE(cluster.Leader()->mMembership.mVoters.count(away) == 0);
+    for (const ControlId& it : cluster.mIds) {
+      cluster.Crash(it);
+    }
+    // What waited for the suspended process is lost with it.
+    cluster.mProcesses.at(away).mSuspended = false;
+    cluster.Run(std::chrono::seconds(1));
+    cluster.Heal();
+    for (int n = 0; n < 20; ++n) {
+      if (cluster.Leader() != nullptr) {
+        cluster.Propose(cluster.Leader()->mOptions.mSelf);
+      }
+      cluster.Run(std::chrono::seconds(1));
+    }
+    REQUIRE(cluster.Leader() != nullptr);
+    CHECK(cluster.mProcesses.at(away).mNode->mMembership == cluster.Leader()->mMembership);
+  }
+}
+
 // Guards against lost or duplicated changes, and a group that does not recover, when processes
 // restart, lose disks and are replaced in any order. The cluster checks its invariants after each
 // step.
--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -18,6 +18,11 @@
     case Role::Leader:
       TickLeader(aContext);
       break;
+    case Role::PreCandidate:
+      // A voter that was replaced while it was away does not know it, and nobody grants it votes.
+      SendJoinRequests(aContext);
+      TickElection(aContext);
+      break;
     default:
       TickElection(aContext);
       break;
