Refuse forwarded records that no encoder writes

Earlier versions judge each occurrence of a text in a record, this one the last occurrence. No encoder writes such a record, but a leader appended the bytes that another control process forwarded as they were. It now appends them only if they are what it would write itself.

--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -132,8 +132,11 @@
 void
 HandleForwardedProposal(Context& aContext, const agreement::ForwardedProposal& aProposal)
 {
-  const auto change = aContext.mState.mCodec.mDecode(aProposal.mPayload);
-  if (change && agreement::IsLeader(aContext.mState.mNode)) {
+  const Codec& codec = aContext.mState.mCodec;
+  const auto change = codec.mDecode(aProposal.mPayload);
+  // Versions may read bytes that no encoder writes in different ways, such as a member twice.
+  if (change && agreement::IsLeader(aContext.mState.mNode) &&
+      codec.mEncode(*change) == aProposal.mPayload) {
     ProposePayload(aContext, aProposal.mPayload, *change);
   }
 }
--- a/packages/control/src/decide_test.cpp
+++ b/packages/control/src/decide_test.cpp
@@ -220,5 +220,26 @@
   CHECK(mDisk.mLog.size() == size);
 }
 
+// Guards against a record that versions read in different ways: earlier ones check both occurrences
+// of a text, this one only the last.
+TEST_CASE_METHOD(DecideFixture,
+                 "Step, forwarded record with a member twice, is not appended",
+                 "[control]")
+{
+  Run(40);
+  const auto forward = [this](const std::string& aPayload) {
+    const std::size_t size = mDisk.mLog.size();
+    HandleEvent(ControlMessage{ { "c2" },
+                                agreement::Message{ 9,
+                                                    mState->mNode.mMembership.mGroup,
+                                                    agreement::ForwardedProposal{ aPayload } } });
+    return mDisk.mLog.size() - size;
+  };
+  const std::string record = wire::EncodeChange(
+    { { "d" }, membership::SetDrain{ membership::DrainKind::Entry, "e1", true } });
+  CHECK(forward("\x0A\x01\xFF" + record) == 0);
+  CHECK(forward(record) == 1);
+}
+
 } // namespace
 } // namespace fighold::control
