Take times with a rounding error, and no service beside weighted ones

The first is a valid order that took and the stricter reader refused. The second named a service that nothing checked. Found by the review; platform_test passes.

--- a/packages/control/src/route_json.cpp
+++ b/packages/control/src/route_json.cpp
@@ -22,6 +22,10 @@
 /// Smallest limit on the size of a header; a smaller one refuses ordinary requests.
 constexpr std::uint64_t kMinHeaderBytes = 256;
 
+/// Largest difference to a whole number that counts as a rounding error of the sender, for example
+/// in a time that was multiplied by a factor.
+constexpr double kRoundingError = 1e-6;
+
 /// Longest path in bytes.
 constexpr std::size_t kMaxPathBytes = 1024;
 
@@ -131,10 +135,11 @@
                       double aLargest)
   {
     const double value = Number(aObject, aPath, aName, static_cast<double>(aDefault), aLargest);
-    if (value != std::floor(value)) {
+    const double whole = std::round(value);
+    if (std::abs(value - whole) > kRoundingError) {
       AddFinding(aPath + "." + aName, "must be a whole number");
     }
-    return static_cast<std::uint64_t>(value);
+    return static_cast<std::uint64_t>(whole);
   }
 
   Millis Time(const json::object& aObject,
@@ -251,6 +256,9 @@
       aRoute.mServices.push_back({ { service }, 1 });
       return;
     }
+    if (Find(aObject, mNames.mService) != nullptr) {
+      AddFinding(aPath + "." + mNames.mService, "must not stand beside " + mNames.mParts);
+    }
     EachObject(
       aObject, aPath, mNames.mParts, [&](const json::object& aPart, const std::string& aPartPath) {
         constexpr double kLargestWeight = 1e9;
