Bound the writes of any kind that wait for the storage

What callers would see: a control process ends with "the write ring is full" while its disk is slow, and again after a restart if the messages go on. Met while reading; no run of processes showed it.

Cause: only writes of entries were bounded (512 of 1,024 places).

From 768 writes on that are not stored, messages are dropped as if they were lost, which the protocol tolerates, and no election starts.

--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -52,6 +52,11 @@
 /// follower drops entries, which the leader resends.
 constexpr std::size_t kMaxPendingWrites = 512;
 
+/// Maximum number of writes of any kind that are not stored. Beyond it, messages are dropped as if
+/// they were lost, and no election is started. One step adds at most three writes, so that a ring
+/// of 1,024 places never fills.
+constexpr std::uint64_t kMaxUnstoredWrites = 768;
+
 /// States of charts/control_role.scxml, in the order of its registry.
 enum class Role : std::uint8_t
 {
--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -7,6 +7,13 @@
 namespace fighold::agreement {
 namespace {
 
+/// Every term, vote, entry and snapshot is a write, and their number is up to the senders.
+bool
+IsStorageFarBehind(const Node& aNode)
+{
+  return aNode.mNextWrite - 1 - aNode.mStoredWrite >= kMaxUnstoredWrites;
+}
+
 void
 HandleEvent(const Tick& /*aTick*/, Context& aContext)
 {
@@ -19,7 +26,9 @@
       TickLeader(aContext);
       break;
     default:
-      TickElection(aContext);
+      if (!IsStorageFarBehind(aContext.mNode)) {
+        TickElection(aContext);
+      }
       break;
   }
 }
@@ -136,6 +145,9 @@
 void
 HandleEvent(const Received& aReceived, Context& aContext)
 {
+  if (IsStorageFarBehind(aContext.mNode)) {
+    return;
+  }
   const Message& message = aReceived.mMessage;
   const Incarnation group = aContext.mNode.mMembership.mGroup;
   if (group != 0 && message.mGroup != 0 && message.mGroup != group) {
--- a/packages/agreement/src/node_test.cpp
+++ b/packages/agreement/src/node_test.cpp
@@ -232,6 +232,36 @@
   CHECK(mNode.mPendingWrites.size() == kMaxPendingWrites);
 }
 
+// Guards against overflowing the bounded ring to the storage with terms of a faulty or foreign
+// sender.
+TEST_CASE_METHOD(NodeFixture,
+                 "Step, storage far behind and terms rise, queues a bounded number of writes",
+                 "[agreement]")
+{
+  const std::uint64_t first = mNode.mNextWrite;
+  for (Term term = 3; term < 3 + 2 * kMaxUnstoredWrites; ++term) {
+    Receive({ kSecond, 2 }, VoteReply{ term, false, false });
+  }
+  CHECK(mNode.mNextWrite - first == kMaxUnstoredWrites);
+  Sync();
+  Receive({ kSecond, 2 }, VoteReply{ 5000, false, false });
+  CHECK(mNode.mTermVote.mTerm == 5000);
+}
+
+// Guards against overflowing the bounded ring to the storage with snapshots.
+TEST_CASE_METHOD(NodeFixture,
+                 "Step, storage far behind and snapshots arrive, queues a bounded number of writes",
+                 "[agreement]")
+{
+  const std::string membership =
+    EncodeMembership({ 1, { { kSelf, 1 }, { kSecond, 2 }, { kThird, 3 } } });
+  const std::uint64_t first = mNode.mNextWrite;
+  for (Index n = 10; n < 10 + 2 * kMaxUnstoredWrites; ++n) {
+    Receive({ kSecond, 2 }, SnapshotChunk{ 2, 1, n, 2, membership, 0, 1, "s" });
+  }
+  CHECK(mNode.mNextWrite - first == kMaxUnstoredWrites);
+}
+
 // Guards against acknowledging entries that a crash would lose.
 TEST_CASE_METHOD(NodeFixture, "Step, entries received, acknowledges after the sync", "[agreement]")
 {
