Bound the connections that a process opens to addresses on demand

What callers would see: without keys, a control process ends when messages under more than about a thousand addresses as names reach its internal port, and again after a restart if they go on; each process whose port is reached ends so. Met while reading; shown by a test on the sockets, not by a run of processes.

Cause: an answer to a name that is an address opens a connection, which was never closed. Once the library has no more sockets, opening one is an exception, which nothing catches in the message thread.

At most 128 such connections are kept; the one unused for longest is closed. The control processes of a group are sent to all the time, so theirs stay.

--- a/packages/wire/src/message_thread.cpp
+++ b/packages/wire/src/message_thread.cpp
@@ -5,7 +5,9 @@
 
 #include <zmq.hpp>
 
+#include <algorithm>
 #include <array>
+#include <list>
 #include <stdexcept>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -23,6 +25,10 @@
 /// Time after which a connection attempt, or bytes that nobody acknowledges, show that the path is
 /// cut; several round trips between regions fit in.
 constexpr int kCutMs = 1500;
+
+/// Maximum number of connections opened to addresses when first used; several times the control
+/// processes of the largest deployment (36).
+constexpr std::size_t kMaxOnDemandDealers = 128;
 constexpr std::int64_t kMaxMessageBytes = 256LL << 20U;
 
 /// File descriptor that wakes zmq_poll when the ring turns from empty to not empty.
@@ -95,6 +101,8 @@
   std::optional<zmq::socket_t> mAuthenticator;
   std::optional<zmq::socket_t> mRouter;
   std::map<std::string, zmq::socket_t> mDealers;
+  std::list<std::string> mOnDemand; ///< dealers opened when first used, latest use first
+  std::size_t mOpened = 0;          ///< dealers opened so far
   WakeupDescriptor mWakeup;
 
   void OpenRouter()
@@ -129,6 +137,17 @@
     }
     dealer.connect("tcp://" + ToText(aEndpoint));
     mDealers.emplace(aId, std::move(dealer));
+    ++mOpened;
+  }
+
+  /// Makes room for another dealer. Any sender may name an address that is answered, while the
+  /// library ends an opening with an exception once all its sockets are in use.
+  void CloseUnusedDealer()
+  {
+    if (mOnDemand.size() >= kMaxOnDemandDealers) {
+      mDealers.erase(mOnDemand.back());
+      mOnDemand.pop_back();
+    }
   }
 
   void SendOne(const Outbound& aOutbound)
@@ -142,9 +161,14 @@
     if (dealer == mDealers.end() && !mOptions.mKeys && aOutbound.mTo != mOptions.mSelf) {
       const auto endpoint = ParseEndpoint(aOutbound.mTo);
       if (endpoint && IsUnicast(*endpoint)) {
+        CloseUnusedDealer();
         OpenDealer(aOutbound.mTo, *endpoint);
+        mOnDemand.push_front(aOutbound.mTo);
         dealer = mDealers.find(aOutbound.mTo);
       }
+    } else if (const auto it = std::find(mOnDemand.begin(), mOnDemand.end(), aOutbound.mTo);
+               it != mOnDemand.end()) {
+      mOnDemand.splice(mOnDemand.begin(), mOnDemand, it);
     }
     if (dealer != mDealers.end()) {
       dealer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
@@ -265,12 +289,12 @@
 MessageSockets::Run(const std::function<void(Envelope)>& aDeliver)
 {
   std::vector<zmq::pollitem_t> items;
-  std::size_t dealers = 0;
+  std::size_t opened = 0;
   mState->SendAll();
   while (!mState->mOut.Finished()) {
-    if (items.empty() || dealers != mState->mDealers.size()) {
+    if (items.empty() || opened != mState->mOpened) {
       items = mState->PollItems();
-      dealers = mState->mDealers.size();
+      opened = mState->mOpened;
     }
     zmq::poll(items.data(), items.size(), std::chrono::milliseconds(-1));
     mState->mWakeup.Clear();
--- a/packages/wire/src/message_thread_test.cpp
+++ b/packages/wire/src/message_thread_test.cpp
@@ -150,5 +150,28 @@
                     "there is no public key of \"c1\"");
 }
 
+// Guards against a process that ends when senders name more addresses than sockets can be opened.
+TEST_CASE("MessageSockets, more addresses than sockets, goes on and reaches a known process",
+          "[wire]")
+{
+  constexpr int kAddresses = 1200;
+  Process server({ "c1", 1, Endpoint{ "127.0.0.1", 0 }, {}, std::nullopt });
+  Process client({ "e1", 1, std::nullopt, { { "c1", server.mSockets.Address() } }, std::nullopt });
+  for (int n = 1; n <= kAddresses; ++n) {
+    const Endpoint address{ "127.77." + std::to_string(n / 250) + "." + std::to_string(n % 250 + 1),
+                            9 };
+    while (!client.mOut.TryPush({ ToText(address), membership::ChangeReply{ 1, {} } })) {
+      std::this_thread::sleep_for(Millis(1));
+    }
+  }
+  const Instant until = std::chrono::steady_clock::now() + kArrival;
+  std::optional<std::string> from;
+  while (!from && std::chrono::steady_clock::now() < until) {
+    client.Send("c1");
+    from = server.mArrived.PopUntil(std::chrono::steady_clock::now() + Millis(50));
+  }
+  CHECK(from == "e1");
+}
+
 } // namespace
 } // namespace fighold::wire
