Let the result of a dispatch wait for room in the inbox

What callers saw: nothing is reported. An entry aborts at a planned stop while a health request is still running, since its result finds the inbox closed, and under load when more dispatches end than the inbox keeps places for (2,048): two listeners of 1,800 connections may each have a dispatch in progress, and health requests come on top. Met while reading; shown by tests of the backend thread, not by a run of processes.

Cause: the backend thread took a refused push for a fault of the program. The number of dispatches in progress is not bounded by the places kept.

The fiber of the dispatch now sleeps 5 ms and offers the result again; a closed inbox has no reader, so the result is dropped. entry_test "Backend, inbox full when a dispatch ends, ..." and "Backend, inbox closed when a dispatch ends, ..." aborted before (one run each) and pass in 3 of 3 runs.

--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -5,10 +5,10 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
 
 #include <algorithm>
 #include <map>
-#include <stdexcept>
 
 namespace fighold::entry {
 namespace {
@@ -16,6 +16,9 @@
 /// Time between two checks of the idle connections.
 constexpr Millis kIdleCheckInterval{ 1000 };
 
+/// Time until a result that found the inbox full is offered again.
+constexpr Millis kInboxPause{ 5 };
+
 /// A dispatch in progress.
 struct RunningDispatch
 {
@@ -48,6 +51,7 @@
   boost::fibers::condition_variable mChanged;
 
   net::ExchangeResult Exchange(const Dispatch& aDispatch);
+  void Report(DispatchDone aDone);
   void RunDispatch(const Dispatch& aDispatch);
   void Start(Dispatch aDispatch);
   void Cancel(const CancelDispatch& aCancel);
@@ -100,6 +104,18 @@
   return result;
 }
 
+/// Passes a result on. While the inbox is full the fiber sleeps; a closed inbox takes no result,
+/// since the decide thread has ended.
+void
+Backend::State::Report(DispatchDone aDone)
+{
+  Event event = std::move(aDone);
+  while (!mChannels.mInbox.TryPush(std::move(event)) && !mChannels.mInbox.Closed()) {
+    mChannels.mMetrics.Count("results_delayed_total");
+    boost::this_fiber::sleep_for(kInboxPause);
+  }
+}
+
 void
 Backend::State::RunDispatch(const Dispatch& aDispatch)
 {
@@ -113,8 +129,8 @@
   }
   const bool cancelled = mRunning.at(aDispatch.mDispatchId).mCancelled;
   mRunning.erase(aDispatch.mDispatchId);
-  if (!cancelled && !mChannels.mInbox.TryPush(std::move(done))) {
-    throw std::logic_error("the inbox has no room for the result of a dispatch");
+  if (!cancelled) {
+    Report(std::move(done));
   }
   mChanged.notify_all();
 }
--- a/packages/entry/src/backend_thread_test.cpp
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -442,5 +442,36 @@
   CHECK(idle == std::vector<std::size_t>{ 1, 1, 0 });
 }
 
+// Guards against a process that ends because the decide thread is behind when a dispatch ends.
+TEST_CASE_METHOD(BackendFixture,
+                 "Backend, inbox full when a dispatch ends, delivers the result later",
+                 "[entry]")
+{
+  while (mChannels.mInbox.TryPush(Tick{})) {
+  }
+  Push(MakeDispatch(Endpoint{ "127.0.0.1", 1 }, Millis(5000), Millis(5000)));
+  Sleep(200);
+  const Instant until = In(kTimeout);
+  bool delivered = false;
+  while (!delivered && std::chrono::steady_clock::now() < until) {
+    const auto event = mChannels.mInbox.PopUntil(In(Millis(100)));
+    delivered = event && std::holds_alternative<DispatchDone>(*event);
+  }
+  CHECK(delivered);
+}
+
+// Guards against a planned stop that ends in an abort because a health request is still running.
+TEST_CASE_METHOD(BackendFixture,
+                 "Backend, inbox closed when a dispatch ends, drops the result and ends",
+                 "[entry]")
+{
+  Push(MakeDispatch(Endpoint{ "127.0.0.1", 1 }, Millis(5000), Millis(5000)));
+  mChannels.mInbox.Close();
+  mChannels.mDispatches.Close();
+  mThread.join();
+  mThread = std::thread([] {});
+  CHECK(mChannels.mInbox.Size() <= 1);
+}
+
 } // namespace
 } // namespace fighold::entry
--- a/packages/ring/include/fighold/ring/bounded_ring.hpp
+++ b/packages/ring/include/fighold/ring/bounded_ring.hpp
@@ -93,6 +93,13 @@
     }
   }
 
+  /// @return true when closed; values may be left
+  bool Closed() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mClosed;
+  }
+
   /// @return true when closed and empty
   bool Finished() const
   {
