Test a change that three disks hold, two of which are lost with all power

The earlier tests of disks and power lost together draw the two disks by lot. The new one cuts two voters off first, so that exactly three disks hold the change, and takes two of these three; the last disk must win the election against the two that missed the change.

--- a/packages/agreement/src/join_test.cpp
+++ b/packages/agreement/src/join_test.cpp
@@ -163,18 +163,64 @@
   /// Two disks are lost at random, and all processes are without power for some seconds.
   void LosePowerAndTwoDisks()
   {
-    const std::vector<ControlId> ids = mCluster.mIds;
+    const std::vector<ControlId>& ids = mCluster.mIds;
     const std::size_t first = mCluster.RandomBelow(kSize);
     const std::size_t second = (first + 1 + mCluster.RandomBelow(kSize - 1)) % kSize;
-    for (std::size_t n = 0; n < kSize; ++n) {
-      if (n == first || n == second) {
-        mCluster.LoseDisk(ids[n]);
+    LosePowerAndDisks({ ids[first], ids[second] });
+  }
+
+  /// Cuts two voters other than the leader off from all others, in both directions.
+  void CutOffTwo()
+  {
+    std::vector<ControlId> away;
+    for (const ControlId& it : mCluster.mIds) {
+      if (it != mCluster.Leader()->mOptions.mSelf && away.size() < 2) {
+        away.push_back(it);
+      }
+    }
+    for (const ControlId& it : away) {
+      for (const ControlId& other : mCluster.mIds) {
+        mCluster.mCutLinks[{ it, other }] = mCluster.mCutLinks[{ other, it }] = true;
+      }
+    }
+  }
+
+  /// @return processes whose disks hold a change that no snapshot covers
+  std::vector<ControlId> Holders(const std::string& aPayload) const
+  {
+    std::vector<ControlId> holders;
+    for (const ControlId& id : mCluster.mIds) {
+      const std::vector<LogEntry>& log = mCluster.mProcesses.at(id).mDisk.mDurable.mLog;
+      if (std::any_of(
+            log.begin(), log.end(), [&](const LogEntry& it) { return it.mPayload == aPayload; })) {
+        holders.push_back(id);
+      }
+    }
+    return holders;
+  }
+
+  /// @return true if all processes have applied a change
+  bool IsAppliedEverywhere(const std::string& aPayload) const
+  {
+    return std::all_of(mCluster.mIds.begin(), mCluster.mIds.end(), [&](const ControlId& id) {
+      const auto& applied = mCluster.mProcesses.at(id).mApplied;
+      return std::any_of(
+        applied.begin(), applied.end(), [&](const auto& it) { return it.second == aPayload; });
+    });
+  }
+
+  /// Two disks are lost, and all processes are without power for some seconds.
+  void LosePowerAndDisks(const std::vector<ControlId>& aLost)
+  {
+    for (const ControlId& it : mCluster.mIds) {
+      if (std::find(aLost.begin(), aLost.end(), it) != aLost.end()) {
+        mCluster.LoseDisk(it);
       } else {
-        mCluster.Crash(ids[n]);
+        mCluster.Crash(it);
       }
     }
     mCluster.Run(std::chrono::seconds(3));
-    for (const ControlId& it : ids) {
+    for (const ControlId& it : mCluster.mIds) {
       mCluster.Start(it);
     }
   }
@@ -257,6 +303,28 @@
   }
 }
 
+// Guards against a change that is lost with two of the only three disks that hold it, because the
+// two voters that missed it elect a leader without the third disk.
+TEST_CASE("Group, two of the three disks that hold a change and all power lost, keeps the change",
+          "[agreement]")
+{
+  for (std::uint64_t seed = 1; seed <= kPowerSeeds; ++seed) {
+    INFO("seed " << seed);
+    PowerFixture fixture(seed);
+    Cluster& cluster = fixture.mCluster;
+    fixture.CutOffTwo();
+    fixture.RunWithChanges(Millis(cluster.RandomBelow(2000)));
+    const std::string payload = fixture.CommitChange();
+    std::vector<ControlId> lost = fixture.Holders(payload);
+    REQUIRE(lost.size() == 3);
+    lost.erase(lost.begin() + cluster.RandomBelow(3));
+    cluster.mCutLinks.clear();
+    fixture.LosePowerAndDisks(lost);
+    REQUIRE(fixture.Recovers());
+    CHECK(fixture.IsAppliedEverywhere(payload));
+  }
+}
+
 // Guards against lost or duplicated changes, and a group that does not recover, when processes
 // restart, lose disks and are replaced in any order. The cluster checks its invariants after each
 // step.
