--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -28,8 +28,7 @@
     case Role::PreCandidate:
       // A voter that was replaced while it was away does not know it, and nobody grants it votes.
       SendJoinRequests(aContext);
-      TickElection(aContext);
-      break;
+      [[fallthrough]];
     default:
       if (!IsStorageFarBehind(aContext.mNode)) {
         TickElection(aContext);
