Test that a full disk of one control process stops no other

A limit on file sizes makes every write of one running process fail. A draft that also looked for the error text failed, since the limit holds for the file of the output too; the exit code says the same. A full file system was not run.

--- a/tests/processes/control_test.cpp
+++ b/tests/processes/control_test.cpp
@@ -3,12 +3,23 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 
 namespace fighold::testing {
 namespace {
 
+/// Processes started while it exists see a write beyond the limit on file sizes fail, as on a full
+/// disk, and get no signal.
+struct IgnoredFileSizeSignal
+{
+  IgnoredFileSizeSignal() { std::signal(SIGXFSZ, SIG_IGN); }
+  ~IgnoredFileSizeSignal() { std::signal(SIGXFSZ, SIG_DFL); }
+  IgnoredFileSizeSignal(const IgnoredFileSizeSignal&) = delete;
+  IgnoredFileSizeSignal& operator=(const IgnoredFileSizeSignal&) = delete;
+};
+
 /// Three control processes and an entry.
 struct ControlFixture
 {
@@ -146,5 +157,27 @@
   CHECK(Submit(2, { 1, 2 }));
 }
 
+/// The group of ControlFixture, whose disks can be made full.
+struct FullDiskFixture
+  : IgnoredFileSizeSignal
+  , ControlFixture
+{};
+
+// Guards against a full disk of one process that stops the others, or that the process goes on
+// with.
+TEST_CASE_METHOD(FullDiskFixture,
+                 "Control, disk of one process full, ends that process and the others go on",
+                 "[processes]")
+{
+  mCluster.LimitFileSize("c3", 1);
+  CHECK(Submit(2, { 1, 2 }));
+  // The limit holds for the process's output too, so only its exit code says why it ended: 1 is an
+  // error of the storage, an exception that nothing catches would give 134.
+  CHECK(mCluster.WaitForExit("c3") == 1);
+  CHECK(Submit(3, { 1, 2 }));
+  mCluster.StartControl(3);
+  CHECK(Cluster::Eventually([this] { return HasPlan(3, 3); }));
+}
+
 } // namespace
 } // namespace fighold::testing
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -12,6 +12,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -252,6 +253,15 @@
   }
 }
 
+void
+Cluster::LimitFileSize(const std::string& aName, std::uint64_t aBytes) const
+{
+  const rlimit limit{ aBytes, RLIM_INFINITY };
+  if (prlimit(mProcesses.at(aName), RLIMIT_FSIZE, &limit, nullptr) != 0) {
+    throw std::runtime_error("cannot limit the file size of " + aName);
+  }
+}
+
 int
 Cluster::WaitForExit(const std::string& aName, Duration aLimit)
 {
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -52,6 +52,10 @@
   /// when the call returns.
   void Signal(const std::string& aName, int aSignal);
 
+  /// Lets a running process write no file beyond a size, in bytes, as on a full disk. The process
+  /// must have been started while SIGXFSZ is ignored.
+  void LimitFileSize(const std::string& aName, std::uint64_t aBytes) const;
+
   /// Waits until a process has ended.
   /// @return its exit code, 128 + signal when a signal ended it, -1 when it did not end in time
   int WaitForExit(const std::string& aName, Duration aLimit = kPatience);
