--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -44,9 +44,9 @@
 /// disks from then on.
 constexpr Millis kReplaceVoterAfter{ 2000 };
 
-/// Same, for a voter of which a new leader has not heard yet. It may have been silent already before
-/// the election, as a lost leader was; with kReplaceVoterAfter, two elections in a row would take
-/// all of the time.
+/// Same, for a voter of which a new leader has not heard yet. It may have been silent already
+/// before the election, as a lost leader was; with kReplaceVoterAfter, two elections in a row would
+/// take all of the time.
 constexpr Millis kReplaceSilentVoterAfter{ 500 };
 
 /// Time without a message after which the leader stops replicating to a process that is neither a
