--- a/packages/agreement/src/join_test.cpp
+++ b/packages/agreement/src/join_test.cpp
@@ -132,7 +132,7 @@
   {
     return std::any_of(mCluster.mCommittedChanges.begin(),
                        mCluster.mCommittedChanges.end(),
-                       [&](const auto& it) { return it.second == aPayload; });
+                       [&](const auto& aChange) { return aChange.second == aPayload; });
   }
 
   /// @return payload of a change that has just been committed
@@ -191,8 +191,9 @@
     std::vector<ControlId> holders;
     for (const ControlId& id : mCluster.mIds) {
       const std::vector<LogEntry>& log = mCluster.mProcesses.at(id).mDisk.mDurable.mLog;
-      if (std::any_of(
-            log.begin(), log.end(), [&](const LogEntry& it) { return it.mPayload == aPayload; })) {
+      if (std::any_of(log.begin(), log.end(), [&](const LogEntry& aEntry) {
+            return aEntry.mPayload == aPayload;
+          })) {
         holders.push_back(id);
       }
     }
@@ -202,10 +203,11 @@
   /// @return true if all processes have applied a change
   bool IsAppliedEverywhere(const std::string& aPayload) const
   {
-    return std::all_of(mCluster.mIds.begin(), mCluster.mIds.end(), [&](const ControlId& id) {
-      const auto& applied = mCluster.mProcesses.at(id).mApplied;
-      return std::any_of(
-        applied.begin(), applied.end(), [&](const auto& it) { return it.second == aPayload; });
+    return std::all_of(mCluster.mIds.begin(), mCluster.mIds.end(), [&](const ControlId& aId) {
+      const auto& applied = mCluster.mProcesses.at(aId).mApplied;
+      return std::any_of(applied.begin(), applied.end(), [&](const auto& aChange) {
+        return aChange.second == aPayload;
+      });
     });
   }
 
