Drop a message that finds no socket instead of ending the process

Cause: closed sockets are freed by a thread of the message library. While the machine is busy it falls behind, so that all sockets are in use although only 128 connections are open, and opening one more is an exception that nothing catches.

A message that finds no socket is dropped, as if it were lost on its way, and counted as fighold_messages_unsent.

--- a/packages/wire/include/fighold/wire/traffic.hpp
+++ b/packages/wire/include/fighold/wire/traffic.hpp
@@ -56,6 +56,7 @@
   std::array<TrafficCount, kMessageKinds> mSent{};
   std::array<TrafficCount, kMessageKinds> mReceived{};
   std::uint64_t mUnreadable = 0; ///< messages that arrived and could not be decoded
+  std::uint64_t mUnsent = 0;     ///< messages dropped because no connection could be opened
 
   friend auto operator<=>(const Traffic&, const Traffic&) = default;
 };
@@ -67,6 +68,7 @@
   void CountSent(MessageKind aKind, std::size_t aBytes);
   void CountReceived(MessageKind aKind, std::size_t aBytes);
   void CountUnreadable();
+  void CountUnsent();
   Traffic Read() const;
 
 private:
@@ -78,6 +80,7 @@
   std::array<Count, kMessageKinds> mSent{};
   std::array<Count, kMessageKinds> mReceived{};
   std::atomic<std::uint64_t> mUnreadable{ 0 };
+  std::atomic<std::uint64_t> mUnsent{ 0 };
 };
 
 /// Interval between two log records about the traffic.
--- a/packages/wire/src/grant_size_test.cpp
+++ b/packages/wire/src/grant_size_test.cpp
@@ -168,18 +168,21 @@
   counter.CountReceived(KindOf(MakeGrant()), 100);
   counter.CountSent(KindOf(LeaseRenewal{}), 50);
   counter.CountUnreadable();
+  counter.CountUnsent();
   const auto record = DescribeTraffic("e1", before, counter.Read(), std::chrono::seconds(5));
-  const std::vector<Field> expected{ { "sent_renewal", "10" },
-                                     { "received_grant", "20" },
-                                     { "received_grant_delta", "100" },
-                                     { "received_grant_whole", "400" },
-                                     { "unreadable_messages", "1" } };
+  const std::vector<Field> expected{
+    { "sent_renewal", "10" },          { "received_grant", "20" },
+    { "received_grant_delta", "100" }, { "received_grant_whole", "400" },
+    { "unsent_messages", "1" },        { "unreadable_messages", "1" }
+  };
   CHECK(record.mFields == expected);
   const auto gauges = GaugesOf(counter.Read());
   const TrafficGauge wholeBytes{ "message_bytes",
                                  { { "kind", "grant_whole" }, { "direction", "received" } },
                                  3000 };
-  CHECK(gauges.size() == 4 * kMessageKinds + 1);
+  const TrafficGauge unsent{ "messages_unsent", {}, 1 };
+  CHECK(gauges.size() == 4 * kMessageKinds + 2);
+  CHECK(std::find(gauges.begin(), gauges.end(), unsent) != gauges.end());
   CHECK(gauges.back() == TrafficGauge{ "messages_unreadable", {}, 1 });
   CHECK(std::find(gauges.begin(), gauges.end(), wholeBytes) != gauges.end());
 }
--- a/packages/wire/src/message_thread.cpp
+++ b/packages/wire/src/message_thread.cpp
@@ -150,6 +150,25 @@
     }
   }
 
+  /// Opens a dealer to a sender's address. Closed sockets are freed by a thread of the library, so
+  /// that all may be in use when many are opened in a row; the message is dropped then.
+  /// @return the dealer, or the end
+  std::map<std::string, zmq::socket_t>::iterator OpenDealerOnDemand(const std::string& aId,
+                                                                    const Endpoint& aEndpoint)
+  {
+    CloseUnusedDealer();
+    try {
+      OpenDealer(aId, aEndpoint);
+    } catch (const zmq::error_t&) {
+      if (mOptions.mTraffic != nullptr) {
+        mOptions.mTraffic->CountUnsent();
+      }
+      return mDealers.end();
+    }
+    mOnDemand.push_front(aId);
+    return mDealers.find(aId);
+  }
+
   void SendOne(const Outbound& aOutbound)
   {
     const std::string bytes =
@@ -161,10 +180,7 @@
     if (dealer == mDealers.end() && !mOptions.mKeys && aOutbound.mTo != mOptions.mSelf) {
       const auto endpoint = ParseEndpoint(aOutbound.mTo);
       if (endpoint && IsUnicast(*endpoint)) {
-        CloseUnusedDealer();
-        OpenDealer(aOutbound.mTo, *endpoint);
-        mOnDemand.push_front(aOutbound.mTo);
-        dealer = mDealers.find(aOutbound.mTo);
+        dealer = OpenDealerOnDemand(aOutbound.mTo, *endpoint);
       }
     } else if (const auto it = std::find(mOnDemand.begin(), mOnDemand.end(), aOutbound.mTo);
                it != mOnDemand.end()) {
--- a/packages/wire/src/traffic.cpp
+++ b/packages/wire/src/traffic.cpp
@@ -85,11 +85,18 @@
   mUnreadable += 1;
 }
 
+void
+TrafficCounter::CountUnsent()
+{
+  mUnsent += 1;
+}
+
 Traffic
 TrafficCounter::Read() const
 {
   Traffic traffic;
   traffic.mUnreadable = mUnreadable;
+  traffic.mUnsent = mUnsent;
   for (std::size_t n = 0; n < kMessageKinds; ++n) {
     traffic.mSent.at(n) = { mSent.at(n).mMessages, mSent.at(n).mBytes };
     traffic.mReceived.at(n) = { mReceived.at(n).mMessages, mReceived.at(n).mBytes };
@@ -113,6 +120,9 @@
   };
   add("sent_", aBefore.mSent, aNow.mSent);
   add("received_", aBefore.mReceived, aNow.mReceived);
+  if (aNow.mUnsent > aBefore.mUnsent) {
+    record.mFields.push_back({ "unsent_messages", std::to_string(aNow.mUnsent - aBefore.mUnsent) });
+  }
   if (aNow.mUnreadable > aBefore.mUnreadable) {
     record.mFields.push_back(
       { "unreadable_messages", std::to_string(aNow.mUnreadable - aBefore.mUnreadable) });
@@ -135,6 +145,7 @@
   };
   add("sent", aTraffic.mSent);
   add("received", aTraffic.mReceived);
+  gauges.push_back({ "messages_unsent", {}, static_cast<double>(aTraffic.mUnsent) });
   gauges.push_back({ "messages_unreadable", {}, static_cast<double>(aTraffic.mUnreadable) });
   return gauges;
 }
