Give faults that end at once a deadline that a busy machine keeps

Cause: the first dispatch had 400 ms, and 300 ms without a byte, in every row. A stand-in that is not scheduled for 300 ms looks silent, and the second dispatch gets its fault.

Only the three rows whose fault outlasts the deadline keep it.

--- a/packages/entry/src/backend_thread_test.cpp
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -83,6 +83,9 @@
   }
 };
 
+/// Deadline of a dispatch whose fault outlasts it.
+constexpr Millis kShortDeadline{ 400 };
+
 /// A fault of the first exchange. The second exchange gets a complete answer.
 struct FaultRow
 {
@@ -90,7 +93,8 @@
   std::function<bool(FaultyConnection&)> mFault; ///< returns false to close the connection
   ExchangeStage mStage;                          ///< reported for the first dispatch
   bool mSilent;
-  int mConnections; ///< opened at the server by the end of the second exchange
+  int mConnections;            ///< opened at the server by the end of the second exchange
+  Millis mDeadline = kTimeout; ///< of the first dispatch; short where the fault is to outlast it
 };
 
 const std::vector<FaultRow>&
@@ -118,7 +122,8 @@
       },
       ExchangeStage::NoAnswer,
       true,
-      2 },
+      2,
+      kShortDeadline },
     { "rest of the answer after the deadline",
       [start](FaultyConnection& aConnection) {
         aConnection.Write(start + "Content-Length: 5\r\n\r\nfi");
@@ -128,7 +133,8 @@
       },
       ExchangeStage::NoAnswer,
       false,
-      2 },
+      2,
+      kShortDeadline },
     { "answer shorter than its length",
       write(start + "Content-Length: 100\r\n\r\nfirst", false),
       ExchangeStage::NoAnswer,
@@ -213,7 +219,12 @@
       false,
       2 },
     { "no HTTP", write("what?\r\n\r\n", true), ExchangeStage::NoAnswer, false, 2 },
-    { "silent", [](FaultyConnection&) { return true; }, ExchangeStage::NoAnswer, true, 2 },
+    { "silent",
+      [](FaultyConnection&) { return true; },
+      ExchangeStage::NoAnswer,
+      true,
+      2,
+      kShortDeadline },
     { "reset after the request",
       [](FaultyConnection& aConnection) {
         aConnection.Reset();
@@ -247,7 +258,7 @@
       aConnection.Answer("second");
       return true;
     });
-    const auto first = Run(MakeDispatch(server.Address(), Millis(400), Millis(300)));
+    const auto first = Run(MakeDispatch(server.Address(), row.mDeadline, row.mDeadline * 3 / 4));
     CHECK(first.mStage == row.mStage);
     CHECK(first.mSilent == row.mSilent);
     if (row.mStage == ExchangeStage::Answered && first.mResponse.mStatus == 200) {
