--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -110,6 +110,8 @@
 Backend::State::Report(DispatchDone aDone)
 {
   Event event = std::move(aDone);
+  // TryPush() moves the event only on success.
+  // NOLINTNEXTLINE(bugprone-use-after-move)
   while (!mChannels.mInbox.TryPush(std::move(event)) && !mChannels.mInbox.Closed()) {
     mChannels.mMetrics.Count("results_delayed_total");
     boost::this_fiber::sleep_for(kInboxPause);
