Poll no connection that was closed when the next one found no socket

What would be seen: a process without keys ends with zmq::error_t when a connection is closed to make room for a new address and the new one finds no socket, because the closed one is not freed yet.

Cause: the list of polled sockets was renewed only when a connection had been opened, so that it kept the closed one.

--- a/packages/wire/include/fighold/wire/message_thread.hpp
+++ b/packages/wire/include/fighold/wire/message_thread.hpp
@@ -34,6 +34,7 @@
   std::map<std::string, Endpoint> mPeers; ///< processes to connect to
   std::optional<Keys> mKeys;              ///< nothing: messages are neither encrypted nor checked
   TrafficCounter* mTraffic = nullptr;     ///< counts the messages, if set; outlives the sockets
+  int mMaxSockets = 1023;                 ///< sockets open at a time
 };
 
 /// Sockets of a process. Opened before the thread starts, so that errors are seen at start.
--- a/packages/wire/src/message_thread.cpp
+++ b/packages/wire/src/message_thread.cpp
@@ -92,17 +92,18 @@
   State(MessageOptions aOptions, OutboundRing& aOut)
     : mOptions(std::move(aOptions))
     , mOut(aOut)
+    , mContext(1, mOptions.mMaxSockets)
   {
   }
 
   MessageOptions mOptions;
   OutboundRing& mOut;
-  zmq::context_t mContext{ 1 };
+  zmq::context_t mContext;
   std::optional<zmq::socket_t> mAuthenticator;
   std::optional<zmq::socket_t> mRouter;
   std::map<std::string, zmq::socket_t> mDealers;
   std::list<std::string> mOnDemand; ///< dealers opened when first used, latest use first
-  std::size_t mOpened = 0;          ///< dealers opened so far
+  std::size_t mDealerChanges = 0;   ///< dealers opened or closed so far
   WakeupDescriptor mWakeup;
 
   void OpenRouter()
@@ -137,7 +138,7 @@
     }
     dealer.connect("tcp://" + ToText(aEndpoint));
     mDealers.emplace(aId, std::move(dealer));
-    ++mOpened;
+    ++mDealerChanges;
   }
 
   /// Makes room for another dealer. Any sender may name an address that is answered, while the
@@ -147,6 +148,7 @@
     if (mOnDemand.size() >= kMaxOnDemandDealers) {
       mDealers.erase(mOnDemand.back());
       mOnDemand.pop_back();
+      ++mDealerChanges;
     }
   }
 
@@ -305,12 +307,12 @@
 MessageSockets::Run(const std::function<void(Envelope)>& aDeliver)
 {
   std::vector<zmq::pollitem_t> items;
-  std::size_t opened = 0;
+  std::size_t changes = 0;
   mState->SendAll();
   while (!mState->mOut.Finished()) {
-    if (items.empty() || opened != mState->mOpened) {
+    if (items.empty() || changes != mState->mDealerChanges) {
       items = mState->PollItems();
-      opened = mState->mOpened;
+      changes = mState->mDealerChanges;
     }
     zmq::poll(items.data(), items.size(), std::chrono::milliseconds(-1));
     mState->mWakeup.Clear();
--- a/packages/wire/src/message_thread_test.cpp
+++ b/packages/wire/src/message_thread_test.cpp
@@ -173,5 +173,34 @@
   CHECK(from == "e1");
 }
 
+// Guards against a poll of a connection that was closed to make room for one that then found no
+// socket.
+TEST_CASE("MessageSockets, connection closed and no socket for the next, goes on", "[wire]")
+{
+  constexpr int kOnDemand = 128;
+  constexpr int kFurther = 50;
+  TrafficCounter traffic;
+  Process server({ "c1", 1, Endpoint{ "127.0.0.1", 0 }, {}, std::nullopt });
+  Process client({ "e1",
+                   1,
+                   std::nullopt,
+                   { { "c1", server.mSockets.Address() } },
+                   std::nullopt,
+                   &traffic,
+                   kOnDemand + 1 });
+  for (int n = 1; n <= kOnDemand + kFurther; ++n) {
+    client.Send("127.77.0." + std::to_string(n) + ":9");
+    std::this_thread::sleep_for(Millis(2));
+  }
+  const Instant until = std::chrono::steady_clock::now() + kArrival;
+  std::optional<std::string> from;
+  while (!from && std::chrono::steady_clock::now() < until) {
+    client.Send("c1");
+    from = server.mArrived.PopUntil(std::chrono::steady_clock::now() + Millis(50));
+  }
+  CHECK(from == "e1");
+  CHECK(traffic.Read().mUnsent > 0);
+}
+
 } // namespace
 } // namespace fighold::wire
