--- a/packages/wire/src/codec_test.cpp
+++ b/packages/wire/src/codec_test.cpp
@@ -6,6 +6,7 @@
 #include "text_check.hpp"
 
 #include <catch2/catch.hpp>
+#include <google/protobuf/stubs/logging.h>
 #include <google/protobuf/wrappers.pb.h>
 #include <rapidcheck/catch.h>
 
@@ -123,6 +124,22 @@
   }
 }
 
+/// Checks a condition for identifiers of any two bytes with different ends, and for random ones.
+void
+CheckIdentifiers(const std::function<bool(const std::string&)>& aAgree)
+{
+  constexpr int kBytes = 256;
+  for (int lead = 0; lead < kBytes; ++lead) {
+    for (int second = 0; second < kBytes; ++second) {
+      const std::string two{ static_cast<char>(lead), static_cast<char>(second) };
+      for (const std::string tail : { "", "\x80", "\x80\x80", "\xBF\xBF", "\x7F\x80" }) {
+        REQUIRE(aAgree(two + tail));
+      }
+    }
+  }
+  rc::prop("any bytes", [&aAgree](const std::string& aId) { RC_ASSERT(aAgree(aId)); });
+}
+
 struct CodecFixture
 {
   Configuration mConfiguration;
@@ -327,16 +344,7 @@
     const bool readable = IsUtf8(aId);
     return DecodeChange(bytes).has_value() == readable && IsWellFormedChange(bytes) == readable;
   };
-  constexpr int kBytes = 256;
-  for (int lead = 0; lead < kBytes; ++lead) {
-    for (int second = 0; second < kBytes; ++second) {
-      const std::string two{ static_cast<char>(lead), static_cast<char>(second) };
-      for (const std::string tail : { "", "\x80", "\x80\x80", "\xBF\xBF", "\x7F\x80" }) {
-        REQUIRE(agree(two + tail));
-      }
-    }
-  }
-  rc::prop("any bytes", [&agree](const std::string& aId) { RC_ASSERT(agree(aId)); });
+  CheckIdentifiers(agree);
 }
 
 // Guards against records that this version skips and earlier versions apply, or the other way
@@ -346,6 +354,7 @@
   "DecodeChange, identifier of any bytes, is readable exactly if earlier versions read it",
   "[wire]")
 {
+  const google::protobuf::LogSilencer silencer; // a line for each identifier that it refuses
   const auto agree = [](const std::string& aId) {
     google::protobuf::StringValue value;
     value.set_value(aId);
@@ -354,16 +363,7 @@
     return DecodeChange(EncodeChange({ {}, DepartBackendServer{ { aId }, 1 } })).has_value() ==
            readable;
   };
-  constexpr int kBytes = 256;
-  for (int lead = 0; lead < kBytes; ++lead) {
-    for (int second = 0; second < kBytes; ++second) {
-      const std::string two{ static_cast<char>(lead), static_cast<char>(second) };
-      for (const std::string tail : { "", "\x80", "\x80\x80", "\xBF\xBF", "\x7F\x80" }) {
-        REQUIRE(agree(two + tail));
-      }
-    }
-  }
-  rc::prop("any bytes", [&agree](const std::string& aId) { RC_ASSERT(agree(aId)); });
+  CheckIdentifiers(agree);
 }
 
 // Guards against a text of a record that is not checked, so that processes of different versions
