--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -9,7 +9,7 @@
 const Zone kFirst{ "attiki-a", "attiki" };
 const Zone kSecond{ "makedonia-a", "makedonia" };
 
-constexpr int kClients = 6;                       // kept connections to each entry
+constexpr int kClients = 16;                      // kept connections to each entry
 constexpr Ms kWork{ 1500 };
 constexpr Ms kDeadline{ 6000 };
 constexpr Ms kPause{ 100 };   // between the parts of the broken answer
@@ -22,6 +22,7 @@
   std::string mId;
   int mStatus = 0;
   bool mEnded = false; ///< the connection ended without an answer
+  int mEntry = 0;      ///< entry that was asked
 };
 
 std::string
@@ -37,7 +38,8 @@
 Outcome
 Ask(Record& aRecord, Connection& aConnection, const std::string& aId, const std::string& aPath)
 {
-  Outcome outcome{ aId };
+  Outcome outcome;
+  outcome.mId = aId;
   const Time until = Clock::now() + kDeadline + Ms(500);
   aRecord.Line("request %s sent", aId.c_str());
   if (aConnection.Send(Request(aId, aPath), until)) {
@@ -119,7 +121,8 @@
       while (ready < 2 * kClients) {
         std::this_thread::sleep_for(Ms(1));
       }
-      const Outcome outcome = Ask(aRecord, connection, name + "long", n % 4 < 2 ? "/look/x" : "/book/x");
+      Outcome outcome = Ask(aRecord, connection, name + "long", n % 4 < 2 ? "/look/x" : "/book/x");
+      outcome.mEntry = 1 + n % 2;
       const std::lock_guard lock(mutex);
       outcomes.push_back(outcome);
     });
@@ -147,16 +150,20 @@
   for (auto& it : clients) {
     it.join();
   }
+  // The rule counts for each machine, and requests at sound upstreams only.
   std::set<std::string> run;
   for (const auto& upstream : upstreams) {
     for (const auto& it : upstream->Runs()) {
-      run.insert(it.mId);
+      if (it.mUpstream != "i-1" && it.mUpstream != "i-3") {
+        run.insert(it.mId);
+      }
     }
   }
-  int cut = 0;
+  std::map<int, int> cuts{ { 1, 0 }, { 2, 0 } };
   for (const Outcome& it : outcomes) {
-    cut += it.mEnded && run.count(it.mId) > 0 ? 1 : 0;
+    cuts[it.mEntry] += it.mEnded && run.count(it.mId) > 0 ? 1 : 0;
   }
+  const int cut = std::max(cuts[1], cuts[2]);
   int ended = 0;
   for (int n = 1; n <= 2; ++n) {
     const std::string name = "entry-" + std::to_string(n);
@@ -165,11 +172,12 @@
       aRecord.Line("%s ended by itself: %s; %s", name.c_str(), how->c_str(), deployment.Tail(name, "Assertion").c_str());
     }
   }
-  aRecord.Line("LOST: %d of %zu requests on kept connections ran and were cut; %d entries ended by themselves",
-               cut,
+  aRecord.Line("LOST: %d and %d of %zu requests on kept connections ran and were cut at the entries; %d of these ended",
+               cuts[1],
+               cuts[2],
                outcomes.size(),
                ended);
-  std::printf("LOST: %d requests ran and were cut; %d entries ended by themselves\n", cut, ended);
+  std::printf("LOST: %d and %d requests ran and were cut at the entries; %d of these ended\n", cuts[1], cuts[2], ended);
   if (outcomes.size() != 2 * kClients) {
     throw CannotRun{ "not all clients could ask" };
   }
