Keep back the last bytes of a chunked message until its end is there

What callers saw: an entry or a control process ended (signal 6) when a message with a chunked body without bytes came with "0 CR LF" in one segment and one further byte in the next. A faulty backend server can send this, and so can a client.

Cause: when the parser of Beast has seen the size line of the last chunk but not the empty line after it, it asserts on its next call that at least 5 bytes are there (basic_parser.ipp:702). "0 CR LF" and one byte are 4. The build of the deploy file keeps assertions. Later chunks begin with the CR LF of the chunk before them, so that only a first chunk that is also the last is short enough.

Ruled out: a read behind the bytes that have arrived.

Change: ParseBytes() passes nothing on while fewer than 5 bytes of a chunked body are there. A message that is not whole yet has at least 5 more bytes to come, so that no message waits for bytes it does not have.

--- a/packages/net/src/read_message.hpp
+++ b/packages/net/src/read_message.hpp
@@ -2,6 +2,7 @@
 
 #include "await.hpp"
 #include "fighold/net/memory_budget.hpp"
+#include "parse_bytes.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
@@ -86,7 +87,7 @@
       }
       aBuffer.commit(read.mSize);
     }
-    const std::size_t used = aParser.put(aBuffer.data(), ec);
+    const std::size_t used = ParseBytes(aParser, aBuffer.data(), ec);
     aBuffer.consume(used);
     parsed += used;
     if (ec && ec != http::error::need_more) {
