End a request or a connection by an exception, not the process

An exception that left the fiber of a connection, of a request or of a dispatch ended the process with all requests in flight.

Cause: only the top of each thread handles exceptions, by naming them and aborting.

Change: HttpServer answers 500 with the outcome "unknown" when a handler throws, closes a connection whose reading or writing throws after answering what was read before, and reports it (mOnFault). HttpConnection ends the exchange as NoAnswer, since bytes may have left, and the backend thread does the same for its codec. Each fault is logged (decision=connection) and counted (fighold_connection_faults_total). Exceptions elsewhere, such as in the decide thread, still end the process, since its state is not known to be whole.

The test support LoopServer replaces the thread of an earlier fixture.

--- a/packages/control/src/front.cpp
+++ b/packages/control/src/front.cpp
@@ -1,5 +1,6 @@
 #include "fighold/control/front_codec.hpp"
 #include "fighold/net/process_pages.hpp"
+#include "fighold/telemetry/faults.hpp"
 #include "threads.hpp"
 
 #include <boost/fiber/fiber.hpp>
@@ -26,9 +27,12 @@
     , mToken(aOptions.mToken)
     , mCodec(aOptions.mCodec)
   {
-    for (const net::ServerOptions& it : aOptions.mListeners) {
-      mServers.push_back(
-        std::make_unique<net::HttpServer>(mLoop, it, [this](const net::HttpRequest& aRequest) {
+    for (net::ServerOptions it : aOptions.mListeners) {
+      it.mOnFault = [this](const std::string& aReason) {
+        telemetry::ReportConnectionFault(mChannels.mLog, mChannels.mMetrics, "client", aReason);
+      };
+      mServers.push_back(std::make_unique<net::HttpServer>(
+        mLoop, std::move(it), [this](const net::HttpRequest& aRequest) {
           return net::HoldOrRefuse(mBudget, Handle(aRequest));
         }));
     }
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -1,6 +1,7 @@
 #include "threads.hpp"
 
 #include "fighold/net/http_client.hpp"
+#include "fighold/telemetry/faults.hpp"
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/fiber.hpp>
@@ -8,6 +9,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <map>
 
 namespace fighold::entry {
@@ -51,6 +53,7 @@
   boost::fibers::condition_variable mChanged;
 
   net::ExchangeResult Exchange(const Dispatch& aDispatch);
+  void Perform(const Dispatch& aDispatch, DispatchDone& aDone);
   void Report(DispatchDone aDone);
   void RunDispatch(const Dispatch& aDispatch);
   void Start(Dispatch aDispatch);
@@ -118,13 +121,33 @@
   }
 }
 
+void
+Backend::State::Perform(const Dispatch& aDispatch, DispatchDone& aDone)
+{
+  aDone.mResult = Exchange(aDispatch);
+  if (aDone.mResult.mStage == net::ExchangeStage::Answered) {
+    aDone.mMeaning = mCodec.mMeaning(aDispatch, aDone.mResult.mResponse);
+    aDone.mReport = mCodec.mReport(aDispatch, aDone.mResult.mResponse);
+  }
+}
+
 void
 Backend::State::RunDispatch(const Dispatch& aDispatch)
 {
-  DispatchDone done{ aDispatch.mId, aDispatch.mDispatchId, Exchange(aDispatch) };
-  if (done.mResult.mStage == net::ExchangeStage::Answered) {
-    done.mMeaning = mCodec.mMeaning(aDispatch, done.mResult.mResponse);
-    done.mReport = mCodec.mReport(aDispatch, done.mResult.mResponse);
+  DispatchDone done{ aDispatch.mId, aDispatch.mDispatchId, {} };
+  try {
+    Perform(aDispatch, done);
+  } catch (const std::exception& error) {
+    // The request may have been sent.
+    done = { aDispatch.mId, aDispatch.mDispatchId, {} };
+    done.mResult = { net::ExchangeStage::NoAnswer, {}, std::string("exception: ") + error.what() };
+    const auto connection = mRunning.at(aDispatch.mDispatchId).mConnection;
+    if (connection && connection->mState != ConnectionState::Idle) {
+      FireConnection(
+        mPool, connection, ConnectionEvent::Cancelled, std::chrono::steady_clock::now());
+    }
+    telemetry::ReportConnectionFault(
+      mChannels.mLog, mChannels.mMetrics, ToText(aDispatch.mServer.mAddress), error.what());
   }
   if (done.mResult.mSilent) {
     mChannels.mMetrics.Count("connections_silent_total");
--- a/packages/entry/src/backend_thread_test.cpp
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 namespace fighold::entry {
 namespace {
 
@@ -28,10 +30,9 @@
   std::thread mThread{ [this] { mBackend.Run(); } };
   std::uint64_t mNext = 1;
 
-  explicit BackendFixture(const net::ClientOptions& aClient = {})
-    : mBackend(mChannels,
-               LoadConnectionChart(FIGHOLD_CHARTS_DIR),
-               { NativeBackendCodec(), aClient })
+  explicit BackendFixture(const net::ClientOptions& aClient = {},
+                          BackendCodec aCodec = NativeBackendCodec())
+    : mBackend(mChannels, LoadConnectionChart(FIGHOLD_CHARTS_DIR), { std::move(aCodec), aClient })
   {
   }
 
@@ -484,5 +485,44 @@
   CHECK(mChannels.mInbox.Size() <= 1);
 }
 
+/// A backend thread whose codec throws on the first answer.
+struct ThrowingCodecFixture : BackendFixture
+{
+  ThrowingCodecFixture()
+    : BackendFixture({}, Codec())
+  {
+  }
+
+  static BackendCodec Codec()
+  {
+    BackendCodec codec = NativeBackendCodec();
+    codec.mMeaning = [meaning = codec.mMeaning, calls = 0](
+                       const Dispatch& aDispatch, const net::HttpResponse& aAnswer) mutable {
+      if (++calls == 1) {
+        throw std::length_error("too long");
+      }
+      return meaning(aDispatch, aAnswer);
+    };
+    return codec;
+  }
+};
+
+// Guards against an answer that ends the process, or whose request waits until its deadline,
+// because it cannot be read by the codec.
+TEST_CASE_METHOD(ThrowingCodecFixture,
+                 "Backend, codec throws on an answer, ends that dispatch alone",
+                 "[entry]")
+{
+  FaultyServer server([](FaultyConnection& aConnection, int) {
+    aConnection.Answer("body");
+    return true;
+  });
+  const auto failed = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
+  CHECK(failed.mStage == ExchangeStage::NoAnswer);
+  CHECK(failed.mError == "exception: too long");
+  CHECK(Run(MakeDispatch(server.Address(), kTimeout, kTimeout)).mStage == ExchangeStage::Answered);
+  CHECK(mChannels.mMetrics.Text().find("fighold_connection_faults_total 1") != std::string::npos);
+}
+
 } // namespace
 } // namespace fighold::entry
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -1,5 +1,6 @@
 #include "fighold/entry/front_codec.hpp"
 #include "fighold/net/process_pages.hpp"
+#include "fighold/telemetry/faults.hpp"
 #include "threads.hpp"
 
 #include <boost/fiber/fiber.hpp>
@@ -22,10 +23,13 @@
     , mBudget(aListeners.front().mBudget)
     , mCodec(std::move(aCodec))
   {
-    for (const net::ServerOptions& it : aListeners) {
+    for (net::ServerOptions it : aListeners) {
+      it.mOnFault = [this](const std::string& aReason) {
+        telemetry::ReportConnectionFault(mChannels.mLog, mChannels.mMetrics, "caller", aReason);
+      };
       mServers.push_back(std::make_unique<net::HttpServer>(
         mLoop,
-        it,
+        std::move(it),
         net::WatchedHandler([this](const net::HttpRequest& aRequest, net::CallerWatch& aWatch) {
           return HandleHttpRequest(aRequest, aWatch);
         })));
--- a/packages/net/include/fighold/net/http_client.hpp
+++ b/packages/net/include/fighold/net/http_client.hpp
@@ -70,7 +70,8 @@
   /// @return empty, or the error
   std::string Connect(Instant aUntil);
 
-  /// Sends a request and reads its answer, connecting first when needed.
+  /// Sends a request and reads its answer, connecting first when needed. A std::exception on the
+  /// way ends the exchange as NoAnswer, since bytes may have left.
   /// @param aRequest request
   /// @param aLimits time limits
   /// @return result; the connection is closed unless a whole answer arrived and both sides keep it
@@ -93,6 +94,8 @@
   void Close();
 
 private:
+  ExchangeResult TryExchange(const HttpRequest& aRequest, const ExchangeLimits& aLimits);
+
   struct State;
   std::unique_ptr<State> mState;
 };
--- a/packages/net/include/fighold/net/http_server.hpp
+++ b/packages/net/include/fighold/net/http_server.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 /// HTTP/1.1 server with a fiber for each connection and one for each request. Pipelined requests
 /// are handled at once and answered in their order.
@@ -24,9 +25,13 @@
   std::size_t mMaxPipelined = 16; ///< requests of one connection that are handled at once
   std::uint16_t mListener = 0;    ///< passed on in the requests
   std::shared_ptr<MemoryBudget> mBudget{}; ///< shared by the messages of a process; may be null
+  /// Told of an exception that ended a request or a connection. Runs on the loop's thread, must not
+  /// throw; may be empty.
+  std::function<void(const std::string&)> mOnFault{};
 };
 
-/// Handles a request; runs in the connection's fiber and may suspend it.
+/// Handles a request; runs in a fiber of its own and may suspend it. If it throws a std::exception,
+/// the request is answered 500 with the outcome "unknown" and its connection is closed.
 using Handler = std::function<HttpResponse(const HttpRequest&)>;
 
 /// Tells a handler that its caller has gone away. Used on the loop's thread only.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <exception>
 
 namespace fighold::net {
 namespace {
@@ -185,6 +186,20 @@
 
 ExchangeResult
 HttpConnection::Exchange(const HttpRequest& aRequest, const ExchangeLimits& aLimits)
+{
+  const bool reused = mState->mUsed;
+  try {
+    return TryExchange(aRequest, aLimits);
+  } catch (const std::exception& error) {
+    Close();
+    return {
+      ExchangeStage::NoAnswer, {}, std::string("exception: ") + error.what(), false, reused
+    };
+  }
+}
+
+ExchangeResult
+HttpConnection::TryExchange(const HttpRequest& aRequest, const ExchangeLimits& aLimits)
 {
   State& state = *mState;
   const std::string error = Connect(aLimits.mUntil);
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <exception>
 #include <set>
 #include <stdexcept>
 
@@ -76,6 +77,14 @@
   bool IsIdle() const { return !mReading && mExchanges.empty(); }
 };
 
+void
+ReportFault(const ServerOptions& aOptions, const std::exception& aError)
+{
+  if (aOptions.mOnFault) {
+    aOptions.mOnFault(aError.what());
+  }
+}
+
 Endpoint
 ToEndpoint(const Tcp::endpoint& aEndpoint)
 {
@@ -222,6 +231,24 @@
   return !written.mError;
 }
 
+/// As WriteResponse().
+/// @return false also if the response cannot be written because of an exception
+bool
+TryWriteResponse(Connection& aConnection,
+                 const ServerOptions& aOptions,
+                 HttpResponse aResponse,
+                 bool aKeepAlive,
+                 bool aHead)
+{
+  try {
+    return WriteResponse(
+      aConnection, std::move(aResponse), aKeepAlive, aHead, aOptions.mWriteTimeout);
+  } catch (const std::exception& error) {
+    ReportFault(aOptions, error);
+    return false;
+  }
+}
+
 /// Writes the answers that are ready, in the order of the requests. Only one fiber writes at a
 /// time.
 template<typename State>
@@ -247,8 +274,7 @@
     const bool head = exchange.mRequest.mMethod == "HEAD";
     aConnection.mBroken =
       aConnection.mBroken ||
-      !WriteResponse(
-        aConnection, std::move(exchange.mResponse), !last, head, aState->mOptions.mWriteTimeout);
+      !TryWriteResponse(aConnection, aState->mOptions, std::move(exchange.mResponse), !last, head);
     aConnection.mExchanges.pop_front();
   }
   aConnection.mWriting = false;
@@ -283,7 +309,15 @@
                const std::shared_ptr<Connection>& aConnection,
                const std::shared_ptr<Exchange>& aExchange)
 {
-  aExchange->mResponse = aState->mHandler(aExchange->mRequest, aExchange->mWatch);
+  try {
+    aExchange->mResponse = aState->mHandler(aExchange->mRequest, aExchange->mWatch);
+  } catch (const std::exception& error) {
+    ReportFault(aState->mOptions, error);
+    // What the handler began may go on, so that the answer must not say "not-run".
+    aExchange->mResponse = { 500,
+                             { { "Fighold-Outcome", "unknown" }, { "Connection", "close" } },
+                             "" };
+  }
   aExchange->mDone = true;
   WriteReady(aState, *aConnection);
 }
@@ -363,7 +397,14 @@
 ServeConnection(const std::shared_ptr<State>& aState,
                 const std::shared_ptr<Connection>& aConnection)
 {
-  ReadRequests(aState, aConnection);
+  try {
+    ReadRequests(aState, aConnection);
+  } catch (const std::exception& error) {
+    // Nothing more can be read. Requests that were read before are still answered.
+    ReportFault(aState->mOptions, error);
+    aConnection->mReading = false;
+    aConnection->mClosing = true;
+  }
   std::unique_lock lock(aConnection->mMutex);
   aConnection->mChanged.wait(
     lock, [&] { return aConnection->mExchanges.empty() && !aConnection->mWriting; });
--- a/packages/net/src/message_pieces_test.cpp
+++ b/packages/net/src/message_pieces_test.cpp
@@ -1,25 +1,19 @@
 #include "message_pieces.hpp"
 
 #include "faulty_server.hpp"
-#include "fighold/net/http_client.hpp"
-#include "fighold/net/http_server.hpp"
+#include "loop_server.hpp"
 
-#include <boost/asio/read.hpp>
-#include <boost/fiber/fiber.hpp>
-#include <boost/fiber/future.hpp>
 #include <catch2/catch.hpp>
 
 #include <cstdlib>
-#include <future>
-#include <thread>
 
 namespace fighold::net {
 namespace {
 
 using testing::FaultyConnection;
 using testing::FaultyServer;
+using testing::LoopServer;
 using testing::MessagePieces;
-using Tcp = boost::asio::ip::tcp;
 
 /// Time between two pieces, so that the other side reads them one by one.
 constexpr std::chrono::milliseconds kPause{ 2 };
@@ -34,8 +28,7 @@
   return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
 }
 
-/// A server and a client of this package in a thread; the test is the other side of both and sends
-/// raw bytes.
+/// The test is the other side of a server and of a client, and sends raw bytes.
 struct PiecesFixture
 {
   std::vector<std::string> mAnswer; ///< pieces that the faulty server sends
@@ -48,67 +41,21 @@
     }
     return false;
   } };
-  FiberLoop mLoop;
-  std::promise<Endpoint> mStarted;
-  boost::fibers::promise<void> mStop;
-  std::thread mThread;
-  Endpoint mAddress;
-  boost::asio::io_context mContext;
+  LoopServer mServer{ { { "127.0.0.1", 0 } }, [](const HttpRequest& aRequest) {
+                       return HttpResponse{ 200, {}, aRequest.mBody.Text() };
+                     } };
 
-  PiecesFixture()
-  {
-    mThread = std::thread([this] {
-      mLoop.Run([this] {
-        HttpServer server(mLoop, { { "127.0.0.1", 0 } }, Handler([](const HttpRequest& aRequest) {
-                            return HttpResponse{ 200, {}, aRequest.mBody.Text() };
-                          }));
-        boost::fibers::fiber serve([&server] { server.Serve(); });
-        mStarted.set_value(server.Address());
-        mStop.get_future().wait();
-        server.Close();
-        serve.join();
-      });
-    });
-    mAddress = mStarted.get_future().get();
-  }
-
-  ~PiecesFixture()
-  {
-    mLoop.Post([this] { mStop.set_value(); });
-    mThread.join();
-  }
-
-  /// Sends a request and closes the sending side.
-  /// @return all that the server answers
   std::string Send(const std::vector<std::string>& aPieces)
   {
-    Tcp::socket socket(mContext);
-    socket.connect({ boost::asio::ip::make_address_v4(mAddress.mHost), mAddress.mPort });
-    socket.set_option(Tcp::no_delay(true));
-    boost::system::error_code ec;
-    for (const std::string& it : aPieces) {
-      boost::asio::write(socket, boost::asio::buffer(it), ec);
-      std::this_thread::sleep_for(kPause);
-    }
-    socket.shutdown(Tcp::socket::shutdown_send, ec);
-    std::string text;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(text), ec);
-    return text;
+    return mServer.Send(aPieces, kPause);
   }
 
   /// Lets the faulty server answer a request of the client.
   ExchangeResult Receive(const std::vector<std::string>& aPieces)
   {
     mAnswer = aPieces;
-    std::promise<ExchangeResult> result;
-    mLoop.Post([&] {
-      boost::fibers::fiber([&] {
-        HttpConnection connection(mLoop, mFaulty.Address());
-        result.set_value(
-          connection.Exchange({}, std::chrono::steady_clock::now() + std::chrono::seconds(10)));
-      }).detach();
-    });
-    return result.get_future().get();
+    return mServer.Exchange(
+      mFaulty.Address(), {}, { std::chrono::steady_clock::now() + std::chrono::seconds(10) });
   }
 
   bool Serves()
