--- a/packages/control/include/fighold/control/state.hpp
+++ b/packages/control/include/fighold/control/state.hpp
@@ -19,9 +19,10 @@
 /// State of a control process's decisions, owned by the decide thread.
 namespace fighold::control {
 
-/// Number of configuration versions from which an entry can get a delta. Entries renew twice a
-/// second; when hundreds of machines start together, each of them makes a version.
-constexpr std::size_t kJournalVersions = 4096;
+/// Configuration versions from which an entry can get a delta. Entries renew twice a second; when
+/// hundreds of machines start together, each of them makes a version. The bytes bound the memory
+/// when versions change many routes each.
+constexpr membership::JournalLimits kJournalLimits{ 4096, 4U << 20U };
 
 /// States of charts/plan_change.scxml, in the order of its registry.
 enum class CallStage : std::uint8_t
@@ -176,7 +177,7 @@
   claims::Replica mClaims;
   bool mStartedEmpty = false; ///< the data folder held no state at start
   SharedValue<membership::Configuration> mConfiguration;
-  membership::ChangeJournal mJournal; ///< of the newest kJournalVersions versions
+  membership::ChangeJournal mJournal; ///< within kJournalLimits
   /// Deltas to the current configuration, by the version they start from.
   std::map<Version, std::optional<SharedValue<membership::ConfigurationDelta>>> mDeltas;
   std::map<EntryId, EntryView> mEntries;
--- a/packages/control/src/decide.cpp
+++ b/packages/control/src/decide.cpp
@@ -40,7 +40,7 @@
   }
   if (aConfiguration->mVersion != state.mConfiguration->mVersion) {
     membership::AppendVersion(
-      state.mJournal, *state.mConfiguration, *aConfiguration, kJournalVersions);
+      state.mJournal, *state.mConfiguration, *aConfiguration, kJournalLimits);
   }
   state.mConfiguration = aConfiguration;
   state.mDeltas.clear();
--- a/packages/membership/src/delta.cpp
+++ b/packages/membership/src/delta.cpp
@@ -23,27 +23,6 @@
   }
 }
 
-/// Collects the elements that were added or changed, and the keys that were removed.
-template<typename Key, typename Value>
-void
-DiffMaps(const std::map<Key, Value>& aFrom,
-         const std::map<Key, Value>& aTo,
-         std::map<Key, Value>& aChanged,
-         std::set<Key>& aRemoved)
-{
-  for (const auto& [key, value] : aTo) {
-    const auto it = aFrom.find(key);
-    if (it == aFrom.end() || !(it->second == value)) {
-      aChanged[key] = value;
-    }
-  }
-  for (const auto& [key, value] : aFrom) {
-    if (aTo.count(key) == 0) {
-      aRemoved.insert(key);
-    }
-  }
-}
-
 template<typename Key, typename Value>
 void
 ApplyMapDiff(std::map<Key, Value>& aBase,
@@ -58,19 +37,14 @@
   }
 }
 
-/// @return patch, or nothing when a host was removed, which a patch cannot express
-std::optional<routes::RoutePatch>
-MakeRoutePatch(const routes::RouteSet& aFrom, const routes::RouteSet& aTo)
+routes::RoutePatch
+MakeRoutePatch(const VersionChanges& aChanges, const routes::RouteSet& aTo)
 {
-  if (!std::includes(
-        aTo.mHosts.begin(), aTo.mHosts.end(), aFrom.mHosts.begin(), aFrom.mHosts.end())) {
-    return std::nullopt;
-  }
   routes::RoutePatch patch;
   patch.mNumber = aTo.mNumber;
   patch.mHosts = aTo.mHosts;
-  DiffMaps(aFrom.mServices, aTo.mServices, patch.mServices, patch.mRemovedServices);
-  DiffMaps(aFrom.mRoutes, aTo.mRoutes, patch.mRoutes, patch.mRemovedRoutes);
+  CollectElements(aChanges.mServices, aTo.mServices, patch.mServices, patch.mRemovedServices);
+  CollectElements(aChanges.mRoutes, aTo.mRoutes, patch.mRoutes, patch.mRemovedRoutes);
   patch.mLimits = { aTo.mLimits };
   return patch;
 }
@@ -95,6 +69,9 @@
     all.mEntries.insert(it->mEntries.begin(), it->mEntries.end());
     all.mServers.insert(it->mServers.begin(), it->mServers.end());
     all.mDeparted.insert(it->mDeparted.begin(), it->mDeparted.end());
+    all.mRoutes.insert(it->mRoutes.begin(), it->mRoutes.end());
+    all.mServices.insert(it->mServices.begin(), it->mServices.end());
+    all.mRouteSet = all.mRouteSet || it->mRouteSet;
   }
   ConfigurationDelta delta;
   delta.mFrom = aFrom;
@@ -104,11 +81,8 @@
   CollectElements(
     all.mServers, aTo.mBackendServers, delta.mChanged.mBackendServers, delta.mRemovedServers);
   CollectElements(all.mDeparted, aTo.mDeparted, delta.mChanged.mDeparted, delta.mForgotten);
-  if (first->mRoutesBefore->mNumber != aTo.mRoutes->mNumber) {
-    delta.mRoutes = MakeRoutePatch(*first->mRoutesBefore, *aTo.mRoutes);
-    if (!delta.mRoutes) {
-      return std::nullopt;
-    }
+  if (all.mRouteSet) {
+    delta.mRoutes = MakeRoutePatch(all, *aTo.mRoutes);
   }
   return delta;
 }
@@ -116,7 +90,7 @@
 std::optional<ConfigurationDelta>
 MakeDelta(const Configuration& aFrom, const Configuration& aTo)
 {
-  return MakeDelta(ChangeJournal{ { FindChanges(aFrom, aTo) } }, aFrom.mVersion, aTo);
+  return MakeDelta(ChangeJournal{ { FindChanges(aFrom, aTo) }, 0 }, aFrom.mVersion, aTo);
 }
 
 Configuration
--- a/packages/membership/src/route_change_test.cpp
+++ b/packages/membership/src/route_change_test.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
+
 namespace fighold::membership {
 namespace {
 
@@ -143,6 +145,9 @@
   return aConfiguration;
 }
 
+/// Bytes of a journal that holds all versions of a test.
+constexpr std::size_t kBytes = 1U << 20U;
+
 // Guards against an entry whose configuration differs from that of the others after it applied
 // deltas.
 TEST_CASE("ApplyDelta, any two versions of random changes, gives the later one", "[membership]")
@@ -195,7 +200,7 @@
     ChangeJournal journal;
     for (std::size_t n = 1; n < versions.size(); ++n) {
       if (versions[n]->mVersion != versions[n - 1]->mVersion) {
-        AppendVersion(journal, *versions[n - 1], *versions[n], versions.size());
+        AppendVersion(journal, *versions[n - 1], *versions[n], { versions.size(), kBytes });
       }
     }
     if (versions[from]->mVersion != versions.back()->mVersion) {
@@ -212,5 +217,76 @@
   });
 }
 
+/// A configuration with many routes of long names, and a journal of its changes.
+struct JournalFixture
+{
+  static constexpr std::size_t kRoutes = 1400;
+
+  Configuration mConfiguration;
+  ChangeJournal mJournal;
+
+  JournalFixture()
+  {
+    routes::RouteSet routes;
+    routes.mNumber = 1;
+    for (std::size_t n = 0; n < kRoutes; ++n) {
+      const std::string name = "route-with-a-long-name-" + std::to_string(n);
+      routes.mRoutes[name].mName = name;
+    }
+    mConfiguration.mRoutes = SharedValue(std::move(routes));
+  }
+
+  /// Changes the time-outs of the first routes.
+  void Change(std::size_t aCount, const JournalLimits& aLimits)
+  {
+    Configuration next = mConfiguration;
+    routes::RouteSet routes = *mConfiguration.mRoutes;
+    ++routes.mNumber;
+    for (auto it = routes.mRoutes.begin(); aCount > 0; ++it, --aCount) {
+      it->second.mTimeout += Millis(1);
+    }
+    next.mRoutes = SharedValue(std::move(routes));
+    ++next.mVersion;
+    AppendVersion(mJournal, mConfiguration, next, aLimits);
+    mConfiguration = std::move(next);
+  }
+};
+
+// Guards against a journal whose memory grows with the size of the configuration, so that some
+// hundred small changes of a large one exhaust the memory of a control process (review/7).
+TEST_CASE_METHOD(JournalFixture,
+                 "AppendVersion, small changes of many routes, takes a few hundred bytes for each",
+                 "[membership]")
+{
+  for (std::size_t n = 0; n < 600; ++n) {
+    Change(1, { 4096, 4U << 20U });
+  }
+  CHECK(mJournal.mChanges.size() == 600);
+  CHECK(mJournal.mBytes < 600 * 1000);
+  const auto delta = MakeDelta(mJournal, 0, mConfiguration);
+  REQUIRE(delta);
+  CHECK(delta->mRoutes->mRoutes.size() == 1);
+}
+
+// Guards against a bound in versions that is no bound in bytes when each version changes all
+// routes.
+TEST_CASE_METHOD(JournalFixture,
+                 "AppendVersion, changes of all routes, drops the oldest beyond the bytes",
+                 "[membership]")
+{
+  constexpr std::size_t kLimit = 1U << 20U;
+  for (std::size_t n = 0; n < 40; ++n) {
+    Change(kRoutes, { 4096, kLimit });
+    CHECK(mJournal.mBytes <= kLimit);
+  }
+  CHECK(mJournal.mChanges.size() > 1);
+  CHECK(mJournal.mChanges.size() < 40);
+  CHECK_FALSE(MakeDelta(mJournal, 0, mConfiguration));
+  CHECK(MakeDelta(mJournal, mJournal.mChanges.front().mFrom, mConfiguration));
+  Change(kRoutes, { 4096, 1000 });
+  CHECK(mJournal == ChangeJournal{});
+  CHECK_FALSE(MakeDelta(mJournal, mConfiguration.mVersion - 1, mConfiguration));
+}
+
 } // namespace
 } // namespace fighold::membership
--- a/packages/wire/src/grant_size_test.cpp
+++ b/packages/wire/src/grant_size_test.cpp
@@ -134,7 +134,7 @@
           mConfiguration.mBackendServers.erase(ServerId(next));
         }
         ++mConfiguration.mVersion;
-        AppendVersion(journal, previous, mConfiguration, 4096);
+        AppendVersion(journal, previous, mConfiguration, { 4096, 4U << 20U });
       }
     }
     LeaseGrant grant = CalmGrant();
