Bound the log of control processes in bytes

A leader takes no proposal beyond 16 MiB that are not committed, and nobody takes entries beyond 16 MiB that are not stored; both are resent, as with the bounds on their number.

--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -62,6 +62,16 @@
 /// of 1,024 places never fills.
 constexpr std::uint64_t kMaxUnstoredWrites = 768;
 
+/// Payload bytes beyond which no entry is accepted: of writes that are not stored, and of entries
+/// that are not committed. One entry may exceed them, since its size is known only when it arrives.
+constexpr std::size_t kMaxUnstoredBytes = 16U << 20U;
+constexpr std::size_t kMaxUncommittedBytes = 16U << 20U;
+
+/// The committed part of the log may be this much larger than the snapshot before the next snapshot
+/// is taken. A process that loads a snapshot starts anew when the leader takes the next one, so
+/// that a large one needs time.
+constexpr std::size_t kLogPerSnapshot = 4;
+
 /// States of charts/control_role.scxml, in the order of its registry.
 enum class Role : std::uint8_t
 {
@@ -92,7 +102,10 @@
   std::set<ControlId> mConfigured;
   bool mMayBootstrap = true; ///< first start of the deployment: a group may be bootstrapped
   std::uint64_t mSeed = 1;   ///< seed of the random part of election timeouts
-  std::uint64_t mSnapshotInterval = 1000;    ///< committed entries between snapshots
+  std::uint64_t mSnapshotInterval = 1000; ///< committed entries between snapshots
+  /// Payload bytes of committed entries after which a snapshot is taken, if it is due earlier by
+  /// them than by mSnapshotInterval; more for a large snapshot, see kLogPerSnapshot.
+  std::size_t mSnapshotBytes = 4U << 20U;
   std::uint64_t mSnapshotChunkSize = 65'536; ///< bytes
   std::shared_ptr<const RoleChart> mChart;
 };
@@ -262,10 +275,12 @@
   IncomingSnapshot mIncomingSnapshot;
 
   std::uint64_t mNextWrite = 1;
-  std::uint64_t mStoredWrite = 0;                   ///< last synced write
-  std::uint64_t mTermWrite = 0;                     ///< write that persists mTermVote
-  std::map<std::uint64_t, Index> mPendingWrites;    ///< by write; last entry that it syncs
-  std::multimap<std::uint64_t, Send> mPendingSends; ///< by write; sent once it is synced
+  std::uint64_t mStoredWrite = 0;                      ///< last synced write
+  std::uint64_t mTermWrite = 0;                        ///< write that persists mTermVote
+  std::map<std::uint64_t, Index> mPendingWrites;       ///< by write; last entry that it syncs
+  std::map<std::uint64_t, std::size_t> mUnstoredSizes; ///< payload bytes of writes, by write
+  std::size_t mUnstoredBytes = 0;                      ///< sum of mUnstoredSizes
+  std::multimap<std::uint64_t, Send> mPendingSends;    ///< by write; sent once it is synced
 
   std::set<ControlId> mVotes;                   ///< votes or pre-votes received as a candidate
   std::set<ControlId> mReportedVoters;          ///< voters named in join replies
--- a/packages/agreement/src/cluster_fake.hpp
+++ b/packages/agreement/src/cluster_fake.hpp
@@ -77,8 +77,9 @@
   bool RestoreDisk(const ControlId& aId);
 
   /// Submits a unique proposal to a process.
+  /// @param aSize least size of the payload in bytes
   /// @return payload of the proposal
-  std::string Propose(const ControlId& aId);
+  std::string Propose(const ControlId& aId, std::size_t aSize = 0);
 
   /// Removes all link, suspension and message faults, and starts crashed processes.
   void Heal();
--- a/packages/agreement/src/cluster_fake_test.cpp
+++ b/packages/agreement/src/cluster_fake_test.cpp
@@ -158,9 +158,10 @@
 }
 
 std::string
-Cluster::Propose(const ControlId& aId)
+Cluster::Propose(const ControlId& aId, std::size_t aSize)
 {
   std::string payload = "p" + std::to_string(mNextPayload++);
+  payload.resize(std::max(payload.size(), aSize), '.');
   if (mProcesses[aId].mNode && !mProcesses[aId].mSuspended) {
     StepProcess(aId, agreement::Propose{ payload });
   }
--- a/packages/agreement/src/context.hpp
+++ b/packages/agreement/src/context.hpp
@@ -42,6 +42,14 @@
 const LogEntry&
 EntryAt(const Node& aNode, Index aIndex);
 
+/// @return payload bytes of the entries of the log from aFirst to aLast
+std::size_t
+PayloadBytes(const Node& aNode, Index aFirst, Index aLast);
+
+/// @return false if too many entries or bytes wait for the storage
+bool
+HasRoomForEntries(const Node& aNode);
+
 // Effects.
 
 /// Sends a message immediately.
@@ -189,7 +197,8 @@
 
 // Snapshots.
 
-/// Requests a snapshot when enough entries have been committed since the last one.
+/// Requests a snapshot when enough entries, or bytes of them, have been committed since the last
+/// one.
 void
 SnapshotIfDue(Context& aContext);
 
--- a/packages/agreement/src/node.cpp
+++ b/packages/agreement/src/node.cpp
@@ -42,7 +42,8 @@
 {
   const Node& node = aContext.mNode;
   if (IsLeader(node)) {
-    if (node.mPendingWrites.size() < kMaxPendingWrites) {
+    if (HasRoomForEntries(node) &&
+        PayloadBytes(node, node.mCommitIndex + 1, LastIndex(node)) < kMaxUncommittedBytes) {
       AppendAsLeader(aContext, EntryKind::Change, aPropose.mPayload);
     }
   } else if (node.mLeader) {
@@ -55,6 +56,11 @@
 {
   Node& node = aContext.mNode;
   node.mStoredWrite = std::max(node.mStoredWrite, aStored.mWrite);
+  auto& sizes = node.mUnstoredSizes;
+  while (!sizes.empty() && sizes.begin()->first <= aStored.mWrite) {
+    node.mUnstoredBytes -= sizes.begin()->second;
+    sizes.erase(sizes.begin());
+  }
   const auto firstUnsynced = node.mPendingWrites.upper_bound(aStored.mWrite);
   if (firstUnsynced != node.mPendingWrites.begin()) {
     node.mSyncedIndex = std::prev(firstUnsynced)->second;
@@ -185,6 +191,23 @@
   return aNode.mLog[aIndex - aNode.mSnapshot->mIndex - 1];
 }
 
+std::size_t
+PayloadBytes(const Node& aNode, Index aFirst, Index aLast)
+{
+  std::size_t bytes = 0;
+  for (Index n = aFirst; n <= aLast; ++n) {
+    bytes += EntryAt(aNode, n).mPayload.size();
+  }
+  return bytes;
+}
+
+bool
+HasRoomForEntries(const Node& aNode)
+{
+  return aNode.mPendingWrites.size() < kMaxPendingWrites &&
+         aNode.mUnstoredBytes < kMaxUnstoredBytes;
+}
+
 void
 SendTo(Context& aContext, const ControlId& aTo, Body aBody)
 {
@@ -206,8 +229,15 @@
 std::uint64_t
 EmitWrite(Context& aContext, Write aWrite)
 {
-  aWrite.mWrite = aContext.mNode.mNextWrite++;
+  Node& node = aContext.mNode;
+  aWrite.mWrite = node.mNextWrite++;
   const std::uint64_t number = aWrite.mWrite;
+  std::size_t bytes = aWrite.mSnapshot ? (*aWrite.mSnapshot)->mState.size() : 0;
+  for (const LogEntry& it : aWrite.mEntries) {
+    bytes += it.mPayload.size();
+  }
+  node.mUnstoredSizes[number] = bytes;
+  node.mUnstoredBytes += bytes;
   aContext.mEffects.emplace_back(std::move(aWrite));
   return number;
 }
--- a/packages/agreement/src/node_test.cpp
+++ b/packages/agreement/src/node_test.cpp
@@ -232,6 +232,42 @@
   CHECK(mNode.mPendingWrites.size() == kMaxPendingWrites);
 }
 
+// Guards against memory that fills with large entries while the disk is slow, at a follower and at
+// a leader whose followers commit without it.
+TEST_CASE_METHOD(NodeFixture,
+                 "Step, storage many bytes behind, accepts no more entries",
+                 "[agreement]")
+{
+  const std::string payload(kMaxUnstoredBytes / 4, 'x');
+  for (Index n = 4; n < 12; ++n) {
+    Receive({ kSecond, 2 },
+            AppendEntries{ 3, n - 1, n == 4 ? 2U : 3U, 0, 7, { { n, 3, payload } } });
+  }
+  CHECK(mNode.mLog.back().mIndex == 7);
+  Sync();
+  CHECK(mNode.mUnstoredBytes == 0);
+  Receive({ kSecond, 2 }, AppendEntries{ 3, 7, 3, 0, 8, { { 8, 3, payload } } });
+  CHECK(mNode.mLog.back().mIndex == 8);
+}
+
+// Guards against memory that fills with changes that operators repeat while no majority answers.
+TEST_CASE_METHOD(NodeFixture,
+                 "Step, many bytes not committed, accepts no more proposals",
+                 "[agreement]")
+{
+  BecomeLeader();
+  const Index first = mNode.mLog.back().mIndex;
+  const std::string payload(kMaxUncommittedBytes / 4, 'x');
+  for (int n = 0; n < 8; ++n) {
+    StepNode(Propose{ payload });
+    Sync();
+  }
+  CHECK(mNode.mLog.back().mIndex == first + 4);
+  Acknowledge({ kSecond, 2 }, first + 4);
+  StepNode(Propose{ payload });
+  CHECK(mNode.mLog.back().mIndex == first + 5);
+}
+
 // Guards against overflowing the bounded ring to the storage with terms of a faulty or foreign
 // sender.
 TEST_CASE_METHOD(NodeFixture,
--- a/packages/agreement/src/replication.cpp
+++ b/packages/agreement/src/replication.cpp
@@ -246,7 +246,7 @@
     FireRoleEvent(aContext, RoleEvent::Conflict, aFrom.mValue + " replaces a committed entry");
     return;
   }
-  const bool storageBehind = !missing->empty() && node.mPendingWrites.size() >= kMaxPendingWrites;
+  const bool storageBehind = !missing->empty() && !HasRoomForEntries(node);
   const Index matchIndex = aRequest.mPrevLogIndex + (storageBehind ? 0 : aRequest.mEntries.size());
   if (!missing->empty() && !storageBehind) {
     const std::uint64_t write = WriteEntries(aContext, std::move(*missing));
--- a/packages/agreement/src/snapshot.cpp
+++ b/packages/agreement/src/snapshot.cpp
@@ -40,7 +40,11 @@
 SnapshotIfDue(Context& aContext)
 {
   const Node& node = aContext.mNode;
-  if (node.mCommitIndex >= node.mSnapshot->mIndex + node.mOptions.mSnapshotInterval) {
+  const Index last = node.mSnapshot->mIndex;
+  const std::size_t maxBytes =
+    std::max(node.mOptions.mSnapshotBytes, kLogPerSnapshot * node.mSnapshot->mState.size());
+  if (node.mCommitIndex >= last + node.mOptions.mSnapshotInterval ||
+      PayloadBytes(node, last + 1, node.mCommitIndex) >= maxBytes) {
     aContext.mEffects.emplace_back(TakeSnapshot{ node.mCommitIndex });
   }
 }
--- a/packages/agreement/src/storage.cpp
+++ b/packages/agreement/src/storage.cpp
@@ -54,7 +54,10 @@
   if (!file) {
     return std::nullopt;
   }
-  std::string bytes{ std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+  // With the capacity set first, the text is not copied while it grows.
+  std::string bytes;
+  bytes.reserve(std::filesystem::file_size(aPath));
+  bytes.assign(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
   if (file.bad()) {
     ThrowErrno("cannot read " + aPath.string());
   }
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -281,6 +281,19 @@
   WaitForExit(aName);
 }
 
+std::size_t
+Cluster::AnonymousMemory(const std::string& aName) const
+{
+  const auto process = mProcesses.find(aName);
+  if (process == mProcesses.end()) {
+    return 0;
+  }
+  const std::string status = ReadFile("/proc/" + std::to_string(process->second) + "/status");
+  const std::string mark = "RssAnon:";
+  const std::size_t at = status.find(mark);
+  return at == std::string::npos ? 0 : std::stoul(status.substr(at + mark.size()));
+}
+
 std::string
 Cluster::Output(const std::string& aName) const
 {
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -77,6 +77,9 @@
   std::filesystem::path Folder() const { return mFolder; }
   std::filesystem::path Data(int aNumber) const;
 
+  /// @return memory of a process without its program and libraries, in KiB; 0 if it has ended
+  std::size_t AnonymousMemory(const std::string& aName) const;
+
   /// @return all that a process printed and logged
   std::string Output(const std::string& aName) const;
 
