Store short messages in the answers kept for repeated changes

Cause, met while looking for other stores that grow with the size of the configuration times the number of changes: the answer to an invalid patch, with one finding for each route, is kept in the replicated state for repeats of the change, 4,096 of them. No caller has reported it.

Change: a stored answer keeps 512 bytes of its message, cut between characters. The operator who sends the change first still gets every finding; a repeat gets the same verdict.

Test: "Apply, invalid change with many findings, stores a short answer".

--- a/packages/membership/include/fighold/membership/configuration.hpp
+++ b/packages/membership/include/fighold/membership/configuration.hpp
@@ -118,6 +118,10 @@
 /// Number of answers kept for retries.
 constexpr std::size_t kMaxAnswers = 4096;
 
+/// Maximum size in bytes of the message of a stored answer. The findings of one invalid change can
+/// fill as much as the configuration.
+constexpr std::size_t kMaxStoredMessage = 512;
+
 /// Number of accepted plans kept as history: three months with one plan a day.
 constexpr std::size_t kMaxHistory = 96;
 
--- a/packages/membership/src/change.cpp
+++ b/packages/membership/src/change.cpp
@@ -238,13 +238,33 @@
     aChange.mBase, SharedValue(routes::PatchRouteSet(*aNext.mRoutes, *aChange.mPatch)), aNext);
 }
 
+/// @return the first kMaxStoredMessage bytes of a text at most, without a part of a character
+std::string
+Shortened(std::string aText)
+{
+  if (aText.size() <= kMaxStoredMessage) {
+    return aText;
+  }
+  const auto continues = [&aText](std::size_t aAt) {
+    return (static_cast<unsigned char>(aText[aAt]) & 0xC0U) == 0x80U;
+  };
+  std::size_t size = kMaxStoredMessage;
+  while (size > 0 && continues(size)) {
+    --size;
+  }
+  aText.resize(size);
+  return aText;
+}
+
 void
 StoreAnswer(Configuration& aNext, const ChangeId& aId, const ChangeAnswer& aAnswer)
 {
   if (aId.mValue.empty()) {
     return;
   }
-  aNext.mAnswers[aId] = aAnswer;
+  ChangeAnswer& stored = aNext.mAnswers[aId];
+  stored = aAnswer;
+  stored.mMessage = Shortened(aAnswer.mMessage);
   if (aNext.mAnswers.size() <= kMaxAnswers) {
     return;
   }
--- a/packages/membership/src/route_change_test.cpp
+++ b/packages/membership/src/route_change_test.cpp
@@ -82,6 +82,35 @@
   CHECK(mConfiguration->mRoutes->mNumber == 4);
 }
 
+// Guards against stored answers that grow with the findings of invalid changes until they exhaust
+// the memory, while the operator still gets every finding.
+TEST_CASE_METHOD(RouteChangeFixture,
+                 "Apply, invalid change with many findings, stores a short answer",
+                 "[membership]")
+{
+  constexpr int kRoutes = 200;
+  routes::RouteSet set = MakeRoutes(1);
+  for (int n = 0; n < kRoutes; ++n) {
+    routes::Route route = set.mRoutes["r1"];
+    route.mName = "r\xc3\xa9" + std::to_string(n);
+    route.mPathPrefix = "/p" + std::to_string(n) + "/";
+    set.mRoutes[route.mName] = route;
+  }
+  REQUIRE(Submit("a", 0, set) == Verdict::Accepted);
+  routes::RoutePatch patch;
+  patch.mNumber = 2;
+  patch.mRemovedServices = { { "vardia" } };
+  const auto answer = ApplyChange("b", PatchRoutes{ 1, SharedValue(patch) });
+  CHECK(answer.mVerdict == Verdict::Refused);
+  CHECK(std::count(answer.mMessage.begin(), answer.mMessage.end(), '\n') >= kRoutes);
+  const std::string& stored = mConfiguration->mAnswers.at({ "b" }).mMessage;
+  CHECK(stored.size() <= kMaxStoredMessage);
+  CHECK(stored.size() > kMaxStoredMessage - 4);
+  CHECK(answer.mMessage.substr(0, stored.size()) == stored);
+  CHECK((static_cast<unsigned char>(answer.mMessage[stored.size()]) & 0xC0U) != 0x80U);
+  CHECK(ApplyChange("b", PatchRoutes{ 1, SharedValue(patch) }).mVerdict == Verdict::Refused);
+}
+
 // Guards against refusing the announcement of a backend server before the first route set or from a
 // data centre that the plan does not name.
 TEST_CASE_METHOD(RouteChangeFixture,
