--- a/packages/agreement/include/fighold/agreement/storage.hpp
+++ b/packages/agreement/include/fighold/agreement/storage.hpp
@@ -40,7 +40,7 @@
 };
 
 /// Opens a data folder and creates it if it does not exist. An incomplete last record of the log is
-/// truncated.
+/// truncated, and a log that a crash left behind its snapshot is replaced.
 /// @param aFolder data folder
 /// @param aOps file operations
 /// @param aNewIncarnation incarnation to store if the folder is new; not 0
--- a/packages/agreement/src/records.cpp
+++ b/packages/agreement/src/records.cpp
@@ -129,6 +129,11 @@
   entry.mKind = static_cast<EntryKind>(entryKind);
   entry.mPayload = in.mRemaining;
   auto& log = aRecovered.mLog;
+  // An earlier version appended behind a log that ends before the snapshot.
+  if (!log.empty() && entry.mIndex == aRecovered.mSnapshot->mIndex + 1 &&
+      entry.mIndex > log.back().mIndex + 1) {
+    log.clear();
+  }
   const Index first = log.empty() ? entry.mIndex : log.front().mIndex;
   if (!in.mOk || kind != static_cast<std::uint8_t>(RecordKind::Entry) ||
       entryKind > static_cast<std::uint8_t>(EntryKind::Membership) || entry.mIndex == 0 ||
--- a/packages/agreement/src/storage.cpp
+++ b/packages/agreement/src/storage.cpp
@@ -120,13 +120,14 @@
 }
 
 /// Drops entries covered by the snapshot, or the complete log if it conflicts with the snapshot.
-void
+/// @return true if entries were dropped
+bool
 TrimLog(RecoveredState& aRecovered, const std::string& aName)
 {
   const Snapshot& snapshot = *aRecovered.mSnapshot;
   std::vector<LogEntry>& log = aRecovered.mLog;
   if (log.empty()) {
-    return;
+    return false;
   }
   if (log.front().mIndex > snapshot.mIndex + 1) {
     throw StorageError(aName + ": entries before " + std::to_string(log.front().mIndex) +
@@ -136,9 +137,10 @@
   // A crash after the snapshot was replaced and before the log was leaves an older log.
   if (covered > log.size() || (covered > 0 && log[covered - 1].mTerm != snapshot.mTerm)) {
     log.clear();
-    return;
+    return true;
   }
   log.erase(log.begin(), log.begin() + static_cast<std::ptrdiff_t>(covered));
+  return covered > 0;
 }
 
 void
@@ -154,8 +156,15 @@
   }
 }
 
-/// @return total size of the valid records, and size of the file, in bytes
-std::pair<std::size_t, std::size_t>
+/// What was read of the log file.
+struct LogFile
+{
+  std::size_t mValidSize = 0; ///< total size of the valid records in bytes
+  std::size_t mSize = 0;      ///< in bytes
+  bool mTrimmed = false;      ///< it holds entries that the snapshot covers or contradicts
+};
+
+LogFile
 ReadLog(const Storage& aStorage, RecoveredState& aRecovered)
 {
   const std::filesystem::path path = aStorage.mFolder / kLogFile;
@@ -166,8 +175,7 @@
       throw StorageError(path.string() + ": malformed record or record out of order");
     }
   }
-  TrimLog(aRecovered, path.string());
-  return { records.mValidSize, bytes.size() };
+  return { records.mValidSize, bytes.size(), TrimLog(aRecovered, path.string()) };
 }
 
 std::string
@@ -217,9 +225,17 @@
   Storage storage{ -1, aFolder, std::move(aOps) };
   aRecovered.mIncarnation = ReadIncarnation(storage, aNewIncarnation);
   ReadSnapshot(storage, aRecovered);
-  const auto [validSize, size] = ReadLog(storage, aRecovered);
+  const LogFile log = ReadLog(storage, aRecovered);
+  if (log.mTrimmed) {
+    // Entries that are appended behind those of an older log would leave a gap, or belong to a log
+    // that the snapshot contradicts.
+    const Write rest{ 0, aRecovered.mTermVote, std::nullopt, aRecovered.mLog };
+    storage.mFile = ReplaceFile(storage, kLogFile, EncodeLogRecords(rest, 0));
+    return storage;
+  }
   OpenFile file(aFolder / kLogFile, O_WRONLY | O_CREAT | O_APPEND);
-  if (validSize < size && ::ftruncate(file.mFile, static_cast<off_t>(validSize)) != 0) {
+  if (log.mValidSize < log.mSize &&
+      ::ftruncate(file.mFile, static_cast<off_t>(log.mValidSize)) != 0) {
     ThrowErrno("cannot truncate the incomplete last record of the log");
   }
   // The contents may not have been synced before the crash, but count as synced from now on.
--- a/packages/agreement/src/storage_test.cpp
+++ b/packages/agreement/src/storage_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <cstdlib>
+#include <fcntl.h>
 #include <fstream>
 
 namespace fighold::agreement {
@@ -234,5 +235,55 @@
   CHECK(Recover().mLog == std::vector<LogEntry>{ { 1, 1, "a" } });
 }
 
+// Guards against a control process that ends at each start, because it appended entries behind a
+// log that ended before its snapshot (review/9).
+TEST_CASE_METHOD(StorageFixture,
+                 "OpenStorage, log older than the snapshot and appended to, reads the new entries",
+                 "[agreement]")
+{
+  Append({ { 1, 1, "a" } });
+  std::filesystem::copy(mFolder / "log", mFolder / "old");
+  WriteAndClose({ 1, {}, SharedValue(Snapshot{ 9, 2, {}, "s" }), {} });
+  std::filesystem::rename(mFolder / "old", mFolder / "log");
+  Append({ { 10, 2, "b" } });
+  CHECK(Recover().mLog == std::vector<LogEntry>{ { 10, 2, "b" } });
+  Append({ { 11, 2, "c" } });
+  CHECK(Recover().mLog.size() == 2);
+}
+
+// Guards against acknowledged entries that vanish at the second start, because they were appended
+// behind a log that the snapshot contradicts.
+TEST_CASE_METHOD(
+  StorageFixture,
+  "OpenStorage, log in conflict with the snapshot and appended to, keeps new entries",
+  "[agreement]")
+{
+  Append({ { 1, 1, "a" }, { 2, 1, "b" }, { 3, 1, "c" } });
+  std::filesystem::copy(mFolder / "log", mFolder / "old");
+  WriteAndClose({ 1, {}, SharedValue(Snapshot{ 2, 5, {}, "s" }), {} });
+  std::filesystem::rename(mFolder / "old", mFolder / "log");
+  Append({ { 3, 5, "d" } });
+  CHECK(Recover().mLog == std::vector<LogEntry>{ { 3, 5, "d" } });
+}
+
+// Guards against a data folder of an earlier version that stays unreadable after an upgrade.
+TEST_CASE_METHOD(StorageFixture,
+                 "OpenStorage, gap up to the snapshot left by an earlier version, is read",
+                 "[agreement]")
+{
+  Append({ { 1, 1, "a" } });
+  std::filesystem::copy(mFolder / "log", mFolder / "old");
+  WriteAndClose({ 1, {}, SharedValue(Snapshot{ 9, 2, {}, "s" }), {} });
+  std::filesystem::rename(mFolder / "old", mFolder / "log");
+  // Written without OpenStorage(), which would replace the log first.
+  Storage storage{ ::open((mFolder / "log").c_str(), O_WRONLY | O_APPEND),
+                   mFolder,
+                   PosixFileOps() };
+  PerformWrite(storage, { 1, {}, {}, { { 10, 2, "b" } } });
+  CloseStorage(storage);
+  CHECK(Recover().mLog == std::vector<LogEntry>{ { 10, 2, "b" } });
+  CHECK(Recover().mLog == std::vector<LogEntry>{ { 10, 2, "b" } });
+}
+
 } // namespace
 } // namespace fighold::agreement
