Read and write header fields of any length within the limit

Cause: the message types of Beast hold names and values of at most 65,533 bytes and throw beyond, in reading and in writing, whatever the limit of the parser is.

Change: the parser of Beast stores what it finds in the values of this package (MessageParser), and heads are written as text (FormatRequestHead, FormatResponseHead). The limit on the whole head is the only one left. Fields keep the order in which they came; Host now comes first in a request that is passed on.

Evidence: "HTTP, field, name, target or method of any length in the limit, ..." fails on at 65,534 bytes ("exception: field value too large") and holds now, up to 900,000 bytes; the tests of cut and broken messages hold with the new parser.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -2,27 +2,26 @@
 
 #include "asio_endpoint.hpp"
 #include "await.hpp"
-#include "beast_convert.hpp"
+#include "message_parser.hpp"
+#include "message_text.hpp"
 #include "read_message.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/span_body.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <exception>
+#include <string_view>
 
 namespace fighold::net {
 namespace {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using detail::Await;
 using Tcp = asio::ip::tcp;
 
@@ -32,28 +31,11 @@
 
 /// An answer without a length ends with the connection, so a cut answer would look whole.
 bool
-HasEnd(const http::response<http::string_body>& aAnswer, bool aHead)
+HasEnd(const detail::MessageParser<false>& aAnswer, bool aHead)
 {
-  const unsigned status = aAnswer.result_int();
+  const unsigned status = aAnswer.Head().mStatus;
   const bool bodiless = aHead || status < kFirstFinalStatus || status == 204 || status == 304;
-  return bodiless || aAnswer.has_content_length() || aAnswer.chunked();
-}
-
-/// @return message that refers to the body of the request
-http::request<http::span_body<const char>>
-ToMessage(const HttpRequest& aRequest, const Endpoint& aEndpoint)
-{
-  http::request<http::span_body<const char>> message;
-  message.version(11);
-  message.method_string(detail::ToView(aRequest.mMethod));
-  message.target(detail::ToView(aRequest.mTarget));
-  detail::SetHeaders(aRequest.mHeaders, message.base());
-  message.set(http::field::host,
-              aRequest.mHost.empty() ? ToText(aEndpoint) : std::string(aRequest.mHost));
-  const std::string& body = aRequest.mBody.Text();
-  message.body() = { body.data(), body.size() };
-  message.prepare_payload();
-  return message;
+  return bodiless || aAnswer.content_length() || aAnswer.chunked();
 }
 
 } // namespace
@@ -93,11 +75,11 @@
 
 /// @return time of a Keep-Alive header such as "timeout=5, max=100", 0 without one
 Millis
-KeepAliveOf(boost::beast::string_view aValue)
+KeepAliveOf(std::string_view aValue)
 {
-  constexpr boost::beast::string_view kName = "timeout=";
+  constexpr std::string_view kName = "timeout=";
   const auto n = aValue.find(kName);
-  if (n == boost::beast::string_view::npos) {
+  if (n == std::string_view::npos) {
     return Millis(0);
   }
   std::int64_t seconds = 0;
@@ -116,7 +98,7 @@
                                   HttpResponse& aResponse,
                                   bool& aKeepAlive)
 {
-  http::response_parser<http::string_body> parser;
+  detail::MessageParser<false> parser;
   parser.header_limit(detail::HeaderLimit(mOptions.mMaxHeaderBytes));
   parser.body_limit(std::min(mOptions.mMaxBodyBytes, aMaxBodyBytes));
   parser.skip(aHead);
@@ -129,19 +111,19 @@
   if (read.mError) {
     return "read: " + read.mError.message();
   }
-  auto& answer = parser.get();
-  if (!HasEnd(answer, aHead) && !mOptions.mUntilClose) {
+  detail::MessageHead& head = parser.Head();
+  if (!HasEnd(parser, aHead) && !mOptions.mUntilClose) {
     return "read: answer without a length";
   }
-  if (detail::HasAmbiguousLength(answer.base())) {
+  if (detail::HasAmbiguousLength(head)) {
     return "read: answer with conflicting lengths";
   }
-  aResponse.mStatus = answer.result_int();
-  aResponse.mHeaders = detail::CopyHeaders(answer.base());
-  aResponse.mBody = std::move(answer.body());
+  aResponse.mStatus = head.mStatus;
+  aResponse.mHeaders = std::move(head.mHeaders);
+  aResponse.mBody = std::move(parser.Body());
   aResponse.mHold = { reservation };
-  aKeepAlive = answer.keep_alive() && HasEnd(answer, aHead);
-  mKeepAlive = KeepAliveOf(answer[http::field::keep_alive]);
+  aKeepAlive = parser.keep_alive() && HasEnd(parser, aHead);
+  mKeepAlive = KeepAliveOf(head.mKeepAlive);
   return {};
 }
 
@@ -215,14 +197,17 @@
     Close();
     return ExchangeResult{ ExchangeStage::NoAnswer, {}, aError, aSilent, reused };
   };
-  auto message = ToMessage(aRequest, state.mEndpoint);
+  const std::string head = detail::FormatRequestHead(
+    aRequest, aRequest.mHost.empty() ? ToText(state.mEndpoint) : aRequest.mHost);
+  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(head),
+                                                   asio::buffer(aRequest.mBody.Text()) };
   // The process may have been frozen since the request was decided.
   if (std::chrono::steady_clock::now() >= std::min(aLimits.mSendBefore, aLimits.mUntil)) {
     return { ExchangeStage::NotSent, {}, "too late to send", false, reused };
   }
   state.mStream.expires_at(std::min(aLimits.mFirstByteUntil, aLimits.mUntil));
   const auto written =
-    Await([&](auto aHandler) { http::async_write(state.mStream, message, std::move(aHandler)); });
+    Await([&](auto aHandler) { asio::async_write(state.mStream, buffers, std::move(aHandler)); });
   if (written.mError) {
     return lost("write: " + written.mError.message(), written.mError == beast::error::timeout);
   }
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -2,22 +2,22 @@
 
 #include "asio_endpoint.hpp"
 #include "await.hpp"
-#include "beast_convert.hpp"
+#include "message_parser.hpp"
+#include "message_text.hpp"
 #include "read_message.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <exception>
 #include <set>
@@ -156,7 +156,7 @@
             const bool& aStopping,
             Exchange& aExchange)
 {
-  http::request_parser<http::string_body> parser;
+  detail::MessageParser<true> parser;
   parser.header_limit(detail::HeaderLimit(aOptions.mMaxHeaderBytes));
   parser.body_limit(aOptions.mMaxBodyBytes);
   // Without a limit, a chunk size or extension without an end fills the memory.
@@ -184,21 +184,21 @@
   if (read.mError == http::error::end_of_stream || read.mError == beast::error::timeout) {
     return 0;
   }
-  if (read.mError || detail::HasAmbiguousLength(parser.get().base())) {
+  if (read.mError || detail::HasAmbiguousLength(parser.Head())) {
     return 400;
   }
-  auto& message = parser.get();
+  detail::MessageHead& head = parser.Head();
   // By RFC 9110 TRACE has no body, and it could not be passed on with one.
-  if (message.method() == http::verb::trace && !message.body().empty()) {
+  if (head.mMethod == "TRACE" && !parser.Body().empty()) {
     return 400;
   }
-  aExchange.mKeepAlive = message.keep_alive();
+  aExchange.mKeepAlive = parser.keep_alive();
   HttpRequest& request = aExchange.mRequest;
-  request.mMethod = detail::ToString(message.method_string());
-  request.mTarget = detail::ToString(message.target());
-  request.mHost = detail::ToString(message[http::field::host]);
-  request.mHeaders = detail::CopyHeaders(message.base());
-  request.mBody = std::move(message.body());
+  request.mMethod = std::move(head.mMethod);
+  request.mTarget = std::move(head.mTarget);
+  request.mHost = std::move(head.mHost);
+  request.mHeaders = std::move(head.mHeaders);
+  request.mBody = std::move(parser.Body());
   request.mHold = { reservation };
   detail::ShrinkIdle(aConnection.mBuffer, kReadSize);
   return 200;
@@ -206,28 +206,18 @@
 
 bool
 WriteResponse(Connection& aConnection,
-              HttpResponse aResponse,
+              const HttpResponse& aResponse,
               bool aKeepAlive,
               bool aHead,
               Millis aTimeout)
 {
-  http::response<http::string_body> message;
-  message.version(11);
-  message.result(aResponse.mStatus);
-  detail::SetHeaders(aResponse.mHeaders, message.base());
-  message.keep_alive(aKeepAlive);
-  message.body() = std::move(aResponse.mBody);
-  message.prepare_payload();
+  const std::string head = detail::FormatResponseHead(aResponse, aKeepAlive);
+  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(head),
+                                                   aHead ? asio::const_buffer()
+                                                         : asio::buffer(aResponse.mBody) };
   aConnection.mStream.expires_after(aTimeout);
-  if (aHead) {
-    http::response_serializer<http::string_body> serializer(message);
-    const auto written = Await([&](auto aHandler) {
-      http::async_write_header(aConnection.mStream, serializer, std::move(aHandler));
-    });
-    return !written.mError;
-  }
   const auto written = Await(
-    [&](auto aHandler) { http::async_write(aConnection.mStream, message, std::move(aHandler)); });
+    [&](auto aHandler) { asio::async_write(aConnection.mStream, buffers, std::move(aHandler)); });
   return !written.mError;
 }
 
@@ -236,13 +226,12 @@
 bool
 TryWriteResponse(Connection& aConnection,
                  const ServerOptions& aOptions,
-                 HttpResponse aResponse,
+                 const HttpResponse& aResponse,
                  bool aKeepAlive,
                  bool aHead)
 {
   try {
-    return WriteResponse(
-      aConnection, std::move(aResponse), aKeepAlive, aHead, aOptions.mWriteTimeout);
+    return WriteResponse(aConnection, aResponse, aKeepAlive, aHead, aOptions.mWriteTimeout);
   } catch (const std::exception& error) {
     ReportFault(aOptions, error);
     return false;
@@ -274,7 +263,7 @@
     const bool head = exchange.mRequest.mMethod == "HEAD";
     aConnection.mBroken =
       aConnection.mBroken ||
-      !TryWriteResponse(aConnection, aState->mOptions, std::move(exchange.mResponse), !last, head);
+      !TryWriteResponse(aConnection, aState->mOptions, exchange.mResponse, !last, head);
     aConnection.mExchanges.pop_front();
   }
   aConnection.mWriting = false;
--- a/packages/net/src/beast_convert.cpp
+++ b/packages/net/src/message_parser.cpp
@@ -1,4 +1,4 @@
-#include "beast_convert.hpp"
+#include "message_parser.hpp"
 
 #include <algorithm>
 #include <array>
@@ -26,61 +26,53 @@
   return std::find(kFields.begin(), kFields.end(), aField) != kFields.end();
 }
 
-} // namespace
-
-std::uint32_t
-HeaderLimit(std::size_t aBytes)
+std::string
+ToString(boost::beast::string_view aText)
 {
-  constexpr std::size_t kLargest = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(std::min(aBytes, kLargest));
+  return { aText.data(), aText.size() };
 }
 
+/// Only the first of several fields counts.
 void
-ShrinkIdle(boost::beast::flat_buffer& aBuffer, std::size_t aKeep)
+SetOnce(std::string& aField, boost::beast::string_view aValue)
 {
-  if (aBuffer.size() == 0 && aBuffer.capacity() > aKeep) {
-    aBuffer.shrink_to_fit();
+  if (aField.empty()) {
+    aField = ToString(aValue);
   }
 }
 
-Headers
-CopyHeaders(const http::fields& aFields)
-{
-  Headers headers;
-  for (const auto& it : aFields) {
-    if (!IsHopByHop(it.name())) {
-      headers.push_back({ ToString(it.name_string()), ToString(it.value()) });
-    }
-  }
-  return headers;
-}
+} // namespace
 
 void
-SetHeaders(const Headers& aHeaders, http::fields& aFields)
+AddField(MessageHead& aHead,
+         http::field aField,
+         boost::beast::string_view aName,
+         boost::beast::string_view aValue)
 {
-  for (const Header& it : aHeaders) {
-    aFields.insert(ToView(it.mName), ToView(it.mValue));
+  if (!IsHopByHop(aField)) {
+    aHead.mHeaders.push_back({ ToString(aName), ToString(aValue) });
+    return;
+  }
+  aHead.mLengths += aField == http::field::content_length ? 1 : 0;
+  aHead.mEncodings += aField == http::field::transfer_encoding ? 1 : 0;
+  if (aField == http::field::host) {
+    SetOnce(aHead.mHost, aValue);
+  } else if (aField == http::field::keep_alive) {
+    SetOnce(aHead.mKeepAlive, aValue);
   }
 }
 
 bool
-HasAmbiguousLength(const http::fields& aFields)
-{
-  const auto encodings = aFields.count(http::field::transfer_encoding);
-  const auto lengths = aFields.count(http::field::content_length);
-  return lengths > 1 || encodings > 1 || (encodings > 0 && lengths > 0);
-}
-
-std::string
-ToString(boost::beast::string_view aText)
+HasAmbiguousLength(const MessageHead& aHead)
 {
-  return { aText.data(), aText.size() };
+  return aHead.mLengths > 1 || aHead.mEncodings > 1 || (aHead.mEncodings > 0 && aHead.mLengths > 0);
 }
 
-boost::beast::string_view
-ToView(const std::string& aText)
+std::uint32_t
+HeaderLimit(std::size_t aBytes)
 {
-  return { aText.data(), aText.size() };
+  constexpr std::size_t kLargest = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(aBytes, kLargest));
 }
 
 } // namespace fighold::net::detail
--- a/packages/net/src/parse_bytes_test.cpp
+++ b/packages/net/src/parse_bytes_test.cpp
@@ -1,9 +1,8 @@
 #include "parse_bytes.hpp"
 
+#include "message_parser.hpp"
 #include "message_pieces.hpp"
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -34,7 +33,7 @@
   template<bool isRequest>
   static Parsed Parse(const std::vector<std::string>& aPieces, bool aEnd = false)
   {
-    http::parser<isRequest, http::string_body> parser;
+    detail::MessageParser<isRequest> parser;
     parser.header_limit(4096);
     parser.body_limit(4096);
     Parsed parsed;
@@ -59,7 +58,7 @@
     }
     parsed.mDone = parser.is_done();
     if (parsed.mDone) {
-      parsed.mBody = parser.get().body();
+      parsed.mBody = parser.Body();
       parsed.mUnused = pending.size();
     }
     return parsed;
--- a/packages/net/src/read_message.hpp
+++ b/packages/net/src/read_message.hpp
@@ -41,13 +41,23 @@
               const boost::beast::flat_buffer& aBuffer,
               MemoryReservation& aReservation)
 {
-  const std::string& body = aParser.get().body();
+  const std::string& body = aParser.Body();
   const std::size_t head = std::min(aParsed - std::min(aParsed, body.size()), aMaxHeaderBytes);
   const bool declared = aParser.is_header_done() && aParser.content_length();
   return (!declared || aReservation.Accepts(kGrowthFactor * *aParser.content_length())) &&
          aReservation.TryResize(kGrowthFactor * body.capacity() + head + aBuffer.capacity());
 }
 
+/// Releases the memory of an empty read buffer that has grown.
+/// @param aKeep capacity that may stay
+inline void
+ShrinkIdle(boost::beast::flat_buffer& aBuffer, std::size_t aKeep)
+{
+  if (aBuffer.size() == 0 && aBuffer.capacity() > aKeep) {
+    aBuffer.shrink_to_fit();
+  }
+}
+
 /// Reads until the parser has a whole message. Beast's own read functions collect a whole head
 /// before they return, which the budget could not see.
 /// @param aBuffer bytes that were read before, and those behind the message afterwards
@@ -99,7 +109,7 @@
     needsMore = ec == http::error::need_more || aBuffer.size() == 0;
   }
   // Less than before, so that it is granted.
-  aReservation.TryResize(aParser.get().body().capacity() + std::min(parsed, aMaxHeaderBytes));
+  aReservation.TryResize(aParser.Body().capacity() + std::min(parsed, aMaxHeaderBytes));
   return {};
 }
 
