--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -2,23 +2,16 @@
 
 #include "asio_endpoint.hpp"
 #include "await.hpp"
-#include "message_parser.hpp"
-#include "message_text.hpp"
-#include "read_message.hpp"
+#include "server_connection.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
-#include <array>
-#include <deque>
 #include <exception>
 #include <set>
 #include <stdexcept>
@@ -28,63 +21,17 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using detail::Await;
+using detail::Connection;
+using detail::Exchange;
 using Tcp = asio::ip::tcp;
 
 /// Time between two attempts to accept after an error such as too many open files.
 constexpr Millis kAcceptPause{ 50 };
 
-constexpr std::size_t kReadSize = 4096;
-
 /// Time between two looks for connections that were idle for too long.
 constexpr Millis kIdleCheck{ 500 };
 
-/// Time after a stop in which requests are still taken: the first one of a connection that was
-/// opened just before, or one behind a running request.
-constexpr Millis kLastRequestWait{ 500 };
-
-/// A request that was read, and its answer once there is one.
-struct Exchange
-{
-  HttpRequest mRequest;
-  HttpResponse mResponse;
-  CallerWatch mWatch;
-  bool mKeepAlive = true; ///< the client may send more
-  bool mDone = false;     ///< mResponse may be written
-};
-
-struct Connection
-{
-  explicit Connection(Tcp::socket aSocket)
-    : mStream(std::move(aSocket))
-  {
-  }
-
-  beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
-  std::deque<std::shared_ptr<Exchange>> mExchanges; ///< in the order of the requests
-  bool mFresh = true;                               ///< no request has begun
-  bool mReading = false;                            ///< a request is being read
-  bool mWriting = false;
-  bool mBroken = false;    ///< nothing can be written any more
-  bool mClosing = false;   ///< no further request is read
-  bool mStopEnded = false; ///< a stop, not the client, ended the wait for a request
-  Instant mIdleSince = std::chrono::steady_clock::now();
-  boost::fibers::mutex mMutex;
-  boost::fibers::condition_variable mChanged;
-
-  bool IsIdle() const { return !mReading && mExchanges.empty(); }
-};
-
-void
-ReportFault(const ServerOptions& aOptions, const std::exception& aError)
-{
-  if (aOptions.mOnFault) {
-    aOptions.mOnFault(aError.what());
-  }
-}
-
 Endpoint
 ToEndpoint(const Tcp::endpoint& aEndpoint)
 {
@@ -117,127 +64,6 @@
 
 namespace {
 
-/// Waits for a request. A stop ends the wait, but bytes that arrived before it are still read, so
-/// that their request is answered and not cut off.
-bool
-ReadFirstBytes(Connection& aConnection, const bool& aStopping)
-{
-  beast::error_code ec;
-  if (aStopping && !aConnection.mFresh && aConnection.mStream.socket().available(ec) == 0) {
-    aConnection.mStopEnded = true;
-    return false;
-  }
-  const auto read = [&aConnection] {
-    return Await([&](auto aHandler) {
-      aConnection.mStream.async_read_some(aConnection.mBuffer.prepare(kReadSize),
-                                          std::move(aHandler));
-    });
-  };
-  if (aStopping) {
-    aConnection.mStream.expires_after(kLastRequestWait);
-  } else {
-    aConnection.mStream.expires_never();
-  }
-  auto first = read();
-  if (first.mError == asio::error::operation_aborted && !aConnection.mClosing &&
-      (aConnection.mFresh || aConnection.mStream.socket().available(ec) > 0)) {
-    aConnection.mStream.expires_after(kLastRequestWait);
-    first = read();
-  }
-  aConnection.mBuffer.commit(first.mError ? 0 : first.mSize);
-  return !first.mError;
-}
-
-/// Reads one request.
-/// @return 200, or the status with which the request is refused; 0 when the connection ended
-unsigned
-ReadRequest(Connection& aConnection,
-            const ServerOptions& aOptions,
-            const bool& aStopping,
-            Exchange& aExchange)
-{
-  detail::MessageParser<true> parser;
-  parser.header_limit(detail::HeaderLimit(aOptions.mMaxHeaderBytes));
-  parser.body_limit(aOptions.mMaxBodyBytes);
-  // Without a limit, a chunk size or extension without an end fills the memory.
-  aConnection.mBuffer.max_size(2 * std::max(aOptions.mMaxHeaderBytes, detail::kMaxRead));
-  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aStopping)) {
-    return 0;
-  }
-  aConnection.mReading = true;
-  aConnection.mFresh = false;
-  aConnection.mStream.expires_after(aOptions.mReadTimeout);
-  const auto reservation = std::make_shared<MemoryReservation>(aOptions.mBudget);
-  const detail::ReadResult read = detail::ReadMessage(
-    aConnection.mStream, aConnection.mBuffer, parser, aOptions.mMaxHeaderBytes, *reservation);
-  aConnection.mReading = false;
-  aExchange.mKeepAlive = false;
-  if (!read.mHasMemory) {
-    return 503;
-  }
-  if (read.mError == http::error::body_limit) {
-    return 413;
-  }
-  if (read.mError == http::error::header_limit) {
-    return 431;
-  }
-  if (read.mError == http::error::end_of_stream || read.mError == beast::error::timeout) {
-    return 0;
-  }
-  if (read.mError || detail::HasAmbiguousLength(parser.Head())) {
-    return 400;
-  }
-  detail::MessageHead& head = parser.Head();
-  // By RFC 9110 TRACE has no body, and it could not be passed on with one.
-  if (head.mMethod == "TRACE" && !parser.Body().empty()) {
-    return 400;
-  }
-  aExchange.mKeepAlive = parser.keep_alive();
-  HttpRequest& request = aExchange.mRequest;
-  request.mMethod = std::move(head.mMethod);
-  request.mTarget = std::move(head.mTarget);
-  request.mHost = std::move(head.mHost);
-  request.mHeaders = std::move(head.mHeaders);
-  request.mBody = std::move(parser.Body());
-  request.mHold = { reservation };
-  detail::ShrinkIdle(aConnection.mBuffer, kReadSize);
-  return 200;
-}
-
-bool
-WriteResponse(Connection& aConnection,
-              const HttpResponse& aResponse,
-              bool aKeepAlive,
-              bool aHead,
-              Millis aTimeout)
-{
-  const std::string head = detail::FormatResponseHead(aResponse, aKeepAlive);
-  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(head),
-                                                   aHead ? asio::const_buffer()
-                                                         : asio::buffer(aResponse.mBody) };
-  aConnection.mStream.expires_after(aTimeout);
-  const auto written = Await(
-    [&](auto aHandler) { asio::async_write(aConnection.mStream, buffers, std::move(aHandler)); });
-  return !written.mError;
-}
-
-/// As WriteResponse().
-/// @return false also if the response cannot be written because of an exception
-bool
-TryWriteResponse(Connection& aConnection,
-                 const ServerOptions& aOptions,
-                 const HttpResponse& aResponse,
-                 bool aKeepAlive,
-                 bool aHead)
-{
-  try {
-    return WriteResponse(aConnection, aResponse, aKeepAlive, aHead, aOptions.mWriteTimeout);
-  } catch (const std::exception& error) {
-    ReportFault(aOptions, error);
-    return false;
-  }
-}
-
 /// Writes the answers that are ready, in the order of the requests. Only one fiber writes at a
 /// time.
 template<typename State>
@@ -263,7 +89,7 @@
     const bool head = exchange.mRequest.mMethod == "HEAD";
     aConnection.mBroken =
       aConnection.mBroken ||
-      !TryWriteResponse(aConnection, aState->mOptions, exchange.mResponse, !last, head);
+      !detail::TryWriteResponse(aConnection, aState->mOptions, exchange.mResponse, !last, head);
     aConnection.mExchanges.pop_front();
   }
   aConnection.mWriting = false;
@@ -281,17 +107,6 @@
   aConnection.mChanged.notify_all();
 }
 
-/// @return answer to a request that was not handed to the handler
-HttpResponse
-RefusalOf(unsigned aStatus)
-{
-  HttpResponse response{ aStatus, { { "Fighold-Outcome", "not-run" } }, "" };
-  if (aStatus == 503) {
-    response.mHeaders.push_back({ "Retry-After", "1" });
-  }
-  return response;
-}
-
 template<typename State>
 void
 HandleExchange(const std::shared_ptr<State>& aState,
@@ -301,7 +116,7 @@
   try {
     aExchange->mResponse = aState->mHandler(aExchange->mRequest, aExchange->mWatch);
   } catch (const std::exception& error) {
-    ReportFault(aState->mOptions, error);
+    detail::ReportFault(aState->mOptions, error);
     // What the handler began may go on, so that the answer must not say "not-run".
     aExchange->mResponse = { 500,
                              { { "Fighold-Outcome", "unknown" }, { "Connection", "close" } },
@@ -311,18 +126,6 @@
   WriteReady(aState, *aConnection);
 }
 
-/// Tells the handlers of requests without an answer that their client has gone.
-void
-MarkGone(Connection& aConnection)
-{
-  for (const auto& it : aConnection.mExchanges) {
-    it->mWatch.mGone = true;
-    if (!it->mDone && it->mWatch.mOnGone) {
-      it->mWatch.mOnGone();
-    }
-  }
-}
-
 template<typename State>
 void
 ReadRequests(const std::shared_ptr<State>& aState, const std::shared_ptr<Connection>& aConnection)
@@ -334,20 +137,21 @@
   bool more = true;
   while (more && !connection.mClosing) {
     const auto exchange = std::make_shared<Exchange>();
-    const unsigned status = ReadRequest(connection, aState->mOptions, aState->mStopping, *exchange);
+    const unsigned status =
+      detail::ReadRequest(connection, aState->mOptions, aState->mStopping, *exchange);
     if (status == 0) {
       if (connection.mStopEnded) {
         break;
       }
       if (!connection.mClosing) {
-        MarkGone(connection);
+        detail::MarkGone(connection);
       }
       return;
     }
     // A request that comes late behind a running one might not end before the process does. It
     // counts as not read, since the answer before it closes the connection.
     if (!connection.mExchanges.empty() && aState->mStopping &&
-        std::chrono::steady_clock::now() >= aState->mStoppedAt + kLastRequestWait) {
+        std::chrono::steady_clock::now() >= aState->mStoppedAt + detail::kLastRequestWait) {
       break;
     }
     exchange->mRequest.mPeer = peer;
@@ -359,7 +163,7 @@
         HandleExchange(aState, aConnection, exchange);
       }).detach();
     } else {
-      exchange->mResponse = RefusalOf(status);
+      exchange->mResponse = detail::RefusalOf(status);
       exchange->mDone = true;
       WriteReady(aState, connection);
     }
@@ -376,7 +180,7 @@
       connection.mStream.async_read_some(connection.mBuffer.prepare(1), std::move(aHandler));
     });
     if (end.mError && end.mError != asio::error::operation_aborted && !connection.mClosing) {
-      MarkGone(connection);
+      detail::MarkGone(connection);
     }
   }
 }
@@ -390,7 +194,7 @@
     ReadRequests(aState, aConnection);
   } catch (const std::exception& error) {
     // Nothing more can be read. Requests that were read before are still answered.
-    ReportFault(aState->mOptions, error);
+    detail::ReportFault(aState->mOptions, error);
     aConnection->mReading = false;
     aConnection->mClosing = true;
   }
--- /dev/null
+++ b/packages/net/src/server_connection.cpp
@@ -0,0 +1,170 @@
+#include "server_connection.hpp"
+
+#include "await.hpp"
+#include "message_parser.hpp"
+#include "message_text.hpp"
+#include "read_message.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace fighold::net::detail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadSize = 4096;
+
+/// Waits for a request. A stop ends the wait, but bytes that arrived before it are still read, so
+/// that their request is answered and not cut off.
+bool
+ReadFirstBytes(Connection& aConnection, const bool& aStopping)
+{
+  beast::error_code ec;
+  if (aStopping && !aConnection.mFresh && aConnection.mStream.socket().available(ec) == 0) {
+    aConnection.mStopEnded = true;
+    return false;
+  }
+  const auto read = [&aConnection] {
+    return Await([&](auto aHandler) {
+      aConnection.mStream.async_read_some(aConnection.mBuffer.prepare(kReadSize),
+                                          std::move(aHandler));
+    });
+  };
+  if (aStopping) {
+    aConnection.mStream.expires_after(kLastRequestWait);
+  } else {
+    aConnection.mStream.expires_never();
+  }
+  auto first = read();
+  if (first.mError == asio::error::operation_aborted && !aConnection.mClosing &&
+      (aConnection.mFresh || aConnection.mStream.socket().available(ec) > 0)) {
+    aConnection.mStream.expires_after(kLastRequestWait);
+    first = read();
+  }
+  aConnection.mBuffer.commit(first.mError ? 0 : first.mSize);
+  return !first.mError;
+}
+
+bool
+WriteResponse(Connection& aConnection,
+              const HttpResponse& aResponse,
+              bool aKeepAlive,
+              bool aHead,
+              Millis aTimeout)
+{
+  const std::string head = FormatResponseHead(aResponse, aKeepAlive);
+  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(head),
+                                                   aHead ? asio::const_buffer()
+                                                         : asio::buffer(aResponse.mBody) };
+  aConnection.mStream.expires_after(aTimeout);
+  const auto written = Await(
+    [&](auto aHandler) { asio::async_write(aConnection.mStream, buffers, std::move(aHandler)); });
+  return !written.mError;
+}
+
+} // namespace
+
+void
+ReportFault(const ServerOptions& aOptions, const std::exception& aError)
+{
+  if (aOptions.mOnFault) {
+    aOptions.mOnFault(aError.what());
+  }
+}
+
+unsigned
+ReadRequest(Connection& aConnection,
+            const ServerOptions& aOptions,
+            const bool& aStopping,
+            Exchange& aExchange)
+{
+  MessageParser<true> parser;
+  parser.header_limit(HeaderLimit(aOptions.mMaxHeaderBytes));
+  parser.body_limit(aOptions.mMaxBodyBytes);
+  // Without a limit, a chunk size or extension without an end fills the memory.
+  aConnection.mBuffer.max_size(2 * std::max(aOptions.mMaxHeaderBytes, kMaxRead));
+  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aStopping)) {
+    return 0;
+  }
+  aConnection.mReading = true;
+  aConnection.mFresh = false;
+  aConnection.mStream.expires_after(aOptions.mReadTimeout);
+  const auto reservation = std::make_shared<MemoryReservation>(aOptions.mBudget);
+  const ReadResult read = ReadMessage(
+    aConnection.mStream, aConnection.mBuffer, parser, aOptions.mMaxHeaderBytes, *reservation);
+  aConnection.mReading = false;
+  aExchange.mKeepAlive = false;
+  if (!read.mHasMemory) {
+    return 503;
+  }
+  if (read.mError == http::error::body_limit) {
+    return 413;
+  }
+  if (read.mError == http::error::header_limit) {
+    return 431;
+  }
+  if (read.mError == http::error::end_of_stream || read.mError == beast::error::timeout) {
+    return 0;
+  }
+  if (read.mError || HasAmbiguousLength(parser.Head())) {
+    return 400;
+  }
+  MessageHead& head = parser.Head();
+  // By RFC 9110 TRACE has no body, and it could not be passed on with one.
+  if (head.mMethod == "TRACE" && !parser.Body().empty()) {
+    return 400;
+  }
+  aExchange.mKeepAlive = parser.keep_alive();
+  HttpRequest& request = aExchange.mRequest;
+  request.mMethod = std::move(head.mMethod);
+  request.mTarget = std::move(head.mTarget);
+  request.mHost = std::move(head.mHost);
+  request.mHeaders = std::move(head.mHeaders);
+  request.mBody = std::move(parser.Body());
+  request.mHold = { reservation };
+  ShrinkIdle(aConnection.mBuffer, kReadSize);
+  return 200;
+}
+
+HttpResponse
+RefusalOf(unsigned aStatus)
+{
+  HttpResponse response{ aStatus, { { "Fighold-Outcome", "not-run" } }, "" };
+  if (aStatus == 503) {
+    response.mHeaders.push_back({ "Retry-After", "1" });
+  }
+  return response;
+}
+
+bool
+TryWriteResponse(Connection& aConnection,
+                 const ServerOptions& aOptions,
+                 const HttpResponse& aResponse,
+                 bool aKeepAlive,
+                 bool aHead)
+{
+  try {
+    return WriteResponse(aConnection, aResponse, aKeepAlive, aHead, aOptions.mWriteTimeout);
+  } catch (const std::exception& error) {
+    ReportFault(aOptions, error);
+    return false;
+  }
+}
+
+void
+MarkGone(Connection& aConnection)
+{
+  for (const auto& it : aConnection.mExchanges) {
+    it->mWatch.mGone = true;
+    if (!it->mDone && it->mWatch.mOnGone) {
+      it->mWatch.mOnGone();
+    }
+  }
+}
+
+} // namespace fighold::net::detail
--- /dev/null
+++ b/packages/net/src/server_connection.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "fighold/net/http_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include <deque>
+#include <exception>
+#include <memory>
+
+/// One connection of a server: reading of requests and writing of responses.
+namespace fighold::net::detail {
+
+/// Time after a stop in which requests are still taken: the first one of a connection that was
+/// opened just before, or one behind a running request.
+constexpr Millis kLastRequestWait{ 500 };
+
+/// A request that was read, and its answer once there is one.
+struct Exchange
+{
+  HttpRequest mRequest;
+  HttpResponse mResponse;
+  CallerWatch mWatch;
+  bool mKeepAlive = true; ///< the client may send more
+  bool mDone = false;     ///< mResponse may be written
+};
+
+/// A connection of a client. Used on the loop's thread only.
+struct Connection
+{
+  explicit Connection(boost::asio::ip::tcp::socket aSocket)
+    : mStream(std::move(aSocket))
+  {
+  }
+
+  boost::beast::tcp_stream mStream;
+  boost::beast::flat_buffer mBuffer;
+  std::deque<std::shared_ptr<Exchange>> mExchanges; ///< in the order of the requests
+  bool mFresh = true;                               ///< no request has begun
+  bool mReading = false;                            ///< a request is being read
+  bool mWriting = false;
+  bool mBroken = false;    ///< nothing can be written any more
+  bool mClosing = false;   ///< no further request is read
+  bool mStopEnded = false; ///< a stop, not the client, ended the wait for a request
+  Instant mIdleSince = std::chrono::steady_clock::now();
+  boost::fibers::mutex mMutex;
+  boost::fibers::condition_variable mChanged;
+
+  bool IsIdle() const { return !mReading && mExchanges.empty(); }
+};
+
+/// Passes an exception on that ended a request or a connection.
+void
+ReportFault(const ServerOptions& aOptions, const std::exception& aError);
+
+/// Reads one request.
+/// @param aStopping true as soon as the server stops
+/// @param aExchange receives the request
+/// @return 200, or the status with which the request is refused; 0 when the connection ended
+unsigned
+ReadRequest(Connection& aConnection,
+            const ServerOptions& aOptions,
+            const bool& aStopping,
+            Exchange& aExchange);
+
+/// @return answer to a request that was not handed to the handler
+HttpResponse
+RefusalOf(unsigned aStatus);
+
+/// Writes a response.
+/// @param aKeepAlive false: the connection closes after it
+/// @param aHead the body is left out, as HEAD asks
+/// @return false if it could not be written, also because of an exception, which is reported
+bool
+TryWriteResponse(Connection& aConnection,
+                 const ServerOptions& aOptions,
+                 const HttpResponse& aResponse,
+                 bool aKeepAlive,
+                 bool aHead);
+
+/// Tells the handlers of requests without an answer that their client has gone.
+void
+MarkGone(Connection& aConnection);
+
+} // namespace fighold::net::detail
