Count the exceptions that end an exchange with a backend server

Change: ClientOptions has an mOnFault as ServerOptions has; the backend thread sets it. Two comments say more plainly what they mean.

--- a/packages/agreement/include/fighold/agreement/node.hpp
+++ b/packages/agreement/include/fighold/agreement/node.hpp
@@ -103,8 +103,8 @@
   bool mMayBootstrap = true; ///< first start of the deployment: a group may be bootstrapped
   std::uint64_t mSeed = 1;   ///< seed of the random part of election timeouts
   std::uint64_t mSnapshotInterval = 1000; ///< committed entries between snapshots
-  /// Payload bytes of committed entries after which a snapshot is taken, if it is due earlier by
-  /// them than by mSnapshotInterval; more for a large snapshot, see kLogPerSnapshot.
+  /// Payload bytes of committed entries after which a snapshot is taken before mSnapshotInterval is
+  /// reached; more behind a large snapshot, see kLogPerSnapshot.
   std::size_t mSnapshotBytes = 4U << 20U;
   std::uint64_t mSnapshotChunkSize = 65'536; ///< bytes
   std::shared_ptr<const RoleChart> mChart;
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -37,6 +37,9 @@
     , mCodec(std::move(aOptions.mCodec))
   {
     mPool.mChart = std::move(aChart);
+    aOptions.mClient.mOnFault = [this](const Endpoint& aServer, const std::string& aReason) {
+      ReportFault(aServer, aReason);
+    };
     mPool.mCreateConnection = [this, options = aOptions.mClient](const Endpoint& aEndpoint) {
       return std::make_unique<net::HttpConnection>(mLoop, aEndpoint, options);
     };
@@ -55,6 +58,7 @@
   net::ExchangeResult Exchange(const Dispatch& aDispatch);
   void Perform(const Dispatch& aDispatch, DispatchDone& aDone);
   void Report(DispatchDone aDone);
+  void ReportFault(const Endpoint& aServer, const std::string& aReason);
   void RunDispatch(const Dispatch& aDispatch);
   void Start(Dispatch aDispatch);
   void Cancel(const CancelDispatch& aCancel);
@@ -121,6 +125,12 @@
   }
 }
 
+void
+Backend::State::ReportFault(const Endpoint& aServer, const std::string& aReason)
+{
+  telemetry::ReportConnectionFault(mChannels.mLog, mChannels.mMetrics, ToText(aServer), aReason);
+}
+
 void
 Backend::State::Perform(const Dispatch& aDispatch, DispatchDone& aDone)
 {
@@ -146,8 +156,7 @@
       FireConnection(
         mPool, connection, ConnectionEvent::Cancelled, std::chrono::steady_clock::now());
     }
-    telemetry::ReportConnectionFault(
-      mChannels.mLog, mChannels.mMetrics, ToText(aDispatch.mServer.mAddress), error.what());
+    ReportFault(aDispatch.mServer.mAddress, error.what());
   }
   if (done.mResult.mSilent) {
     mChannels.mMetrics.Count("connections_silent_total");
--- a/packages/entry/src/backend_thread_test.cpp
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -485,7 +485,7 @@
   CHECK(mChannels.mInbox.Size() <= 1);
 }
 
-/// A backend thread whose codec throws on the first answer.
+/// A backend thread whose codec throws on the first answer, and while the second one is read.
 struct ThrowingCodecFixture : BackendFixture
 {
   ThrowingCodecFixture()
@@ -503,6 +503,12 @@
       }
       return meaning(aDispatch, aAnswer);
     };
+    codec.mMatchesDispatch = [calls = 0](const Dispatch&, const net::HttpResponse&) mutable {
+      if (++calls == 2) {
+        throw std::length_error("too long");
+      }
+      return true;
+    };
     return codec;
   }
 };
@@ -510,18 +516,20 @@
 // Guards against an answer that ends the process, or whose request waits until its deadline,
 // because it cannot be read by the codec.
 TEST_CASE_METHOD(ThrowingCodecFixture,
-                 "Backend, codec throws on an answer, ends that dispatch alone",
+                 "Backend, codec throws on an answer, ends that dispatch alone and is counted",
                  "[entry]")
 {
   FaultyServer server([](FaultyConnection& aConnection, int) {
     aConnection.Answer("body");
     return true;
   });
-  const auto failed = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
-  CHECK(failed.mStage == ExchangeStage::NoAnswer);
-  CHECK(failed.mError == "exception: too long");
+  for (int n = 0; n < 2; ++n) {
+    const auto failed = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
+    CHECK(failed.mStage == ExchangeStage::NoAnswer);
+    CHECK(failed.mError == "exception: too long");
+  }
   CHECK(Run(MakeDispatch(server.Address(), kTimeout, kTimeout)).mStage == ExchangeStage::Answered);
-  CHECK(mChannels.mMetrics.Text().find("fighold_connection_faults_total 1") != std::string::npos);
+  CHECK(mChannels.mMetrics.Text().find("fighold_connection_faults_total 2") != std::string::npos);
 }
 
 } // namespace
--- a/packages/membership/src/change.cpp
+++ b/packages/membership/src/change.cpp
@@ -295,6 +295,8 @@
   aNext.mAnswers.erase(oldest);
 }
 
+/// @param aNext unchanged afterwards; its withdrawals, which entries do not see, are left out
+/// meanwhile
 /// @return true if the configurations differ in anything that entries see
 bool
 DifferForEntries(Configuration& aNext, const Configuration& aBefore)
--- a/packages/net/include/fighold/net/http_client.hpp
+++ b/packages/net/include/fighold/net/http_client.hpp
@@ -41,6 +41,8 @@
   std::size_t mMaxBodyBytes = 64U << 20U;
   bool mUntilClose = false; ///< an answer without a length is whole when its connection ends
   std::shared_ptr<MemoryBudget> mBudget{}; ///< shared by the messages of a process; may be null
+  /// Told of an exception that ended an exchange, as ServerOptions::mOnFault.
+  std::function<void(const Endpoint&, const std::string&)> mOnFault{};
 };
 
 /// Time limits of an exchange.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -173,6 +173,9 @@
   try {
     return TryExchange(aRequest, aLimits);
   } catch (const std::exception& error) {
+    if (mState->mOptions.mOnFault) {
+      mState->mOptions.mOnFault(mState->mEndpoint, error.what());
+    }
     Close();
     return {
       ExchangeStage::NoAnswer, {}, std::string("exception: ") + error.what(), false, reused
