--- a/packages/agreement/src/log_size_test.cpp
+++ b/packages/agreement/src/log_size_test.cpp
@@ -1,7 +1,7 @@
 #include "cluster_fake.hpp"
+#include "environment.hpp"
 
 #include <algorithm>
-#include <cstdlib>
 #include <limits>
 
 namespace fighold::agreement::test {
@@ -95,8 +95,7 @@
                  "Group, changes of random size under faults, keeps its log within the bound",
                  "[agreement][schedule]")
 {
-  const char* number = std::getenv("FIGHOLD_SCHEDULES");
-  const std::uint64_t seeds = number == nullptr ? 100 : std::strtoull(number, nullptr, 10);
+  const std::uint64_t seeds = testing::FromEnvironment("FIGHOLD_SCHEDULES", 100);
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     CAPTURE(seed);
     const auto cluster = MakeCluster(seed);
--- a/packages/agreement/src/schedule_test.cpp
+++ b/packages/agreement/src/schedule_test.cpp
@@ -1,7 +1,7 @@
 #include "cluster_fake.hpp"
+#include "environment.hpp"
 
 #include <algorithm>
-#include <cstdlib>
 #include <set>
 
 namespace fighold::agreement::test {
@@ -11,9 +11,7 @@
 std::uint64_t
 ScheduleCount()
 {
-  constexpr std::uint64_t kDefault = 1500;
-  const char* number = std::getenv("FIGHOLD_SCHEDULES");
-  return number == nullptr ? kDefault : std::strtoull(number, nullptr, 10);
+  return testing::FromEnvironment("FIGHOLD_SCHEDULES", 1500);
 }
 
 struct ScheduleFixture
--- a/packages/agreement/src/storage_crash_test.cpp
+++ b/packages/agreement/src/storage_crash_test.cpp
@@ -1,31 +1,23 @@
+#include "cluster_fake.hpp"
+#include "environment.hpp"
 #include "fighold/agreement/storage.hpp"
+#include "folder_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
+#include <algorithm>
 #include <random>
 
 namespace fighold::agreement {
 namespace {
 
 /// A data folder whose process is killed at any operation on its files, and what it must hold.
-struct StorageCrashFixture
+struct StorageCrashFixture : testing::FolderFixture
 {
-  std::filesystem::path mFolder;
   std::mt19937_64 mRandom;
   RecoveredState mStored; ///< after the last write that was reported as stored
   int mLeft = 0;          ///< operations until the process is killed
 
-  StorageCrashFixture()
-  {
-    std::string name = (std::filesystem::temp_directory_path() / "fighold-storage-XXXXXX").string();
-    REQUIRE(mkdtemp(name.data()) != nullptr);
-    mFolder = name;
-  }
-  ~StorageCrashFixture() { std::filesystem::remove_all(mFolder); }
-  StorageCrashFixture(const StorageCrashFixture&) = delete;
-  StorageCrashFixture& operator=(const StorageCrashFixture&) = delete;
-
   std::size_t Draw(std::size_t aBelow) { return mRandom() % aBelow; }
 
   /// Operations that fail once mLeft is used up, like those of a killed process.
@@ -94,19 +86,11 @@
     }
   }
 
-  static RecoveredState After(RecoveredState aState, const Write& aWrite)
+  static RecoveredState After(const RecoveredState& aState, const Write& aWrite)
   {
-    if (aWrite.mTermVote) {
-      aState.mTermVote = *aWrite.mTermVote;
-    }
-    if (aWrite.mSnapshot) {
-      aState.mSnapshot = *aWrite.mSnapshot;
-      aState.mLog = aWrite.mEntries;
-    } else if (!aWrite.mEntries.empty()) {
-      aState.mLog.resize(aWrite.mEntries.front().mIndex - aState.mSnapshot->mIndex - 1);
-      aState.mLog.insert(aState.mLog.end(), aWrite.mEntries.begin(), aWrite.mEntries.end());
-    }
-    return aState;
+    test::Disk disk{ aState, { aWrite } };
+    disk.SyncOldestWrite();
+    return disk.mDurable;
   }
 
   /// A crash within the write of a snapshot may leave the new snapshot, and of the log what agrees
@@ -169,8 +153,7 @@
                  "OpenStorage, killed at random operations again and again, keeps what was stored",
                  "[agreement]")
 {
-  const char* number = std::getenv("FIGHOLD_SCHEDULES");
-  const std::uint64_t seeds = number == nullptr ? 60 : std::strtoull(number, nullptr, 10);
+  const std::uint64_t seeds = testing::FromEnvironment("FIGHOLD_SCHEDULES", 60);
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     CAPTURE(seed);
     std::filesystem::remove_all(mFolder);
--- a/packages/agreement/src/storage_test.cpp
+++ b/packages/agreement/src/storage_test.cpp
@@ -1,27 +1,16 @@
 #include "fighold/agreement/storage.hpp"
+#include "folder_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 
 namespace fighold::agreement {
 namespace {
 
-struct StorageFixture
+struct StorageFixture : testing::FolderFixture
 {
-  std::filesystem::path mFolder;
-
-  StorageFixture()
-  {
-    std::string name = (std::filesystem::temp_directory_path() / "fighold-storage-XXXXXX").string();
-    REQUIRE(mkdtemp(name.data()) != nullptr);
-    mFolder = name;
-  }
-  ~StorageFixture() { std::filesystem::remove_all(mFolder); }
-  StorageFixture(const StorageFixture&) = delete;
-  StorageFixture& operator=(const StorageFixture&) = delete;
 
   void Append(const std::vector<LogEntry>& aEntries) const
   {
--- a/packages/net/src/message_pieces_test.cpp
+++ b/packages/net/src/message_pieces_test.cpp
@@ -1,17 +1,17 @@
 #include "message_pieces.hpp"
 
+#include "environment.hpp"
 #include "faulty_server.hpp"
 #include "loop_server.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
-
 namespace fighold::net {
 namespace {
 
 using testing::FaultyConnection;
 using testing::FaultyServer;
+using testing::FromEnvironment;
 using testing::LoopServer;
 using testing::MessagePieces;
 
@@ -21,13 +21,6 @@
 /// Places at the end of a message at which it is cut or broken off.
 constexpr std::size_t kLastBytes = 14;
 
-std::uint64_t
-FromEnvironment(const char* aName, std::uint64_t aDefault)
-{
-  const char* text = std::getenv(aName);
-  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
-}
-
 /// The test is the other side of a server and of a client, and sends raw bytes.
 struct PiecesFixture
 {
--- a/packages/net/src/parse_bytes_test.cpp
+++ b/packages/net/src/parse_bytes_test.cpp
@@ -1,12 +1,12 @@
 #include "parse_bytes.hpp"
 
+#include "environment.hpp"
 #include "message_parser.hpp"
 #include "message_pieces.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 #include <memory>
 
 namespace fighold::net {
@@ -143,12 +143,8 @@
                  "ParseBytes, seeded broken messages in pieces, are read as when whole",
                  "[net]")
 {
-  const auto number = [](const char* aName, std::uint64_t aDefault) {
-    const char* text = std::getenv(aName);
-    return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
-  };
-  const std::uint64_t seed = number("FIGHOLD_SEED", 39);
-  const std::uint64_t count = number("FIGHOLD_MESSAGES", 20'000);
+  const std::uint64_t seed = testing::FromEnvironment("FIGHOLD_SEED", 39);
+  const std::uint64_t count = testing::FromEnvironment("FIGHOLD_MESSAGES", 20'000);
   INFO("FIGHOLD_SEED=" << seed);
   MessagePieces state{ std::mt19937_64(seed) };
   const auto requests = testing::WholeRequests();
--- a/tests/model/lease_test.cpp
+++ b/tests/model/lease_test.cpp
@@ -1,9 +1,8 @@
+#include "environment.hpp"
 #include "world.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
-
 namespace fighold::testing {
 namespace {
 
@@ -107,8 +106,7 @@
                  "Servers, heartbeats and withdrawals late and at any process, stay withdrawn",
                  "[model]")
 {
-  const char* number = std::getenv("FIGHOLD_SCHEDULES");
-  const std::uint64_t seeds = number == nullptr ? 200 : std::strtoull(number, nullptr, 10);
+  const std::uint64_t seeds = FromEnvironment("FIGHOLD_SCHEDULES", 200);
   RunAll(seeds, Faults{ false, false, false, false, false, false, true, true });
   RunAll(seeds, Faults{ true, true, true, true, true, true, true, true });
 }
--- a/tests/processes/memory_test.cpp
+++ b/tests/processes/memory_test.cpp
@@ -1,11 +1,11 @@
 #include "cluster.hpp"
+#include "environment.hpp"
 #include "odd_requests.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <csignal>
-#include <cstdlib>
 #include <string>
 
 namespace fighold::testing {
@@ -132,8 +132,7 @@
   "Control, many changes of many routes, stays within its memory and after a restart",
   "[processes]")
 {
-  const char* number = std::getenv("FIGHOLD_CHANGES");
-  const int changes = number == nullptr ? 60 : std::atoi(number);
+  const auto changes = static_cast<int>(FromEnvironment("FIGHOLD_CHANGES", 60));
   Change("PUT", WholeSet());
   for (int n = 0; n < changes; ++n) {
     Change("PATCH", SmallPatch());
--- a/tests/processes/odd_values_test.cpp
+++ b/tests/processes/odd_values_test.cpp
@@ -1,11 +1,11 @@
 #include "cluster.hpp"
+#include "environment.hpp"
 #include "faulty_server.hpp"
 #include "odd_requests.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace fighold::testing {
 namespace {
@@ -14,13 +14,6 @@
 constexpr std::uint64_t kSeed = 20261205;
 constexpr std::uint64_t kSeconds = 8;
 
-std::uint64_t
-FromEnvironment(const char* aName, std::uint64_t aDefault)
-{
-  const char* const text = std::getenv(aName);
-  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
-}
-
 /// What an operator reads back.
 struct ReadBack
 {
