Send a large delta like a whole configuration, one at a time

Cause: the entry got no grant for 3 to 7 s after its start, while 100 to 217 KB/s of deltas filled its link of 250 KB/s.

Whole configurations go out one at a time, deltas with each grant, and without a grant an entry renews five times a second.

Change: a delta of 256 elements or more is left out of a grant if the renewal says that another one has asked for the whole.

"Renewal of an entry, large delta on its way already, gets none" fails without the change.

--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -26,6 +26,10 @@
 /// been replaced since.
 constexpr Millis kMaxRegistrationAge{ 1000 };
 
+/// Elements of a delta from which it is sent like a whole configuration, one at a time to an entry:
+/// about 25 KB, a tenth of a second of the slowest link of an entry (2 Mbit/s).
+constexpr std::size_t kLargeDelta = 256;
+
 /// @return maximum duration of a granted lease by the granter's clock, including clock drift
 Duration
 LongestLease()
@@ -110,6 +114,19 @@
   return delta;
 }
 
+/// @return true if a delta may take as long on a link as a whole configuration, such as one for an
+/// entry that has just started
+bool
+IsLarge(const membership::ConfigurationDelta& aDelta)
+{
+  const membership::Configuration& changed = aDelta.mChanged;
+  const std::size_t routes =
+    aDelta.mRoutes ? aDelta.mRoutes->mRoutes.size() + aDelta.mRoutes->mRemovedRoutes.size() : 0;
+  return changed.mEntries.size() + changed.mBackendServers.size() + changed.mDeparted.size() +
+           aDelta.mRemovedServers.size() + aDelta.mForgotten.size() + routes >=
+         kLargeDelta;
+}
+
 /// @return latest time at which an entry may have renewed, as far as known here. An entry unknown
 /// to a new leader may have renewed at another process until just before the election.
 Instant
@@ -266,6 +283,9 @@
   if (aRenewal.mHeld < grant.mVersion) {
     grant.mDelta = DeltaFrom(state, aRenewal.mHeld);
   }
+  if (grant.mDelta && aRenewal.mOmitWhole && IsLarge(**grant.mDelta)) {
+    grant.mDelta.reset();
+  }
   if (aRenewal.mHeld < grant.mVersion && !grant.mDelta && !aRenewal.mOmitWhole) {
     grant.mConfiguration = state.mConfiguration;
     grant.mSameRoutes = aRenewal.mRoutesHeld == state.mConfiguration->mRoutes->mNumber;
--- a/packages/control/src/server_calls_test.cpp
+++ b/packages/control/src/server_calls_test.cpp
@@ -322,6 +322,50 @@
   CHECK(leases() == 1);
 }
 
+// Guards against an entry that starts, asks all control processes five times a second, and gets so
+// many copies of the same large delta that none arrives while its renewal is still remembered.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Renewal of an entry, large delta on its way already, gets none",
+                 "[control]")
+{
+  SendHeartbeat(100, 1);
+  const auto addServers = [this](std::size_t aCount) {
+    membership::Configuration next = *mState.mConfiguration;
+    for (std::size_t n = 0; n < aCount; ++n) {
+      next.mBackendServers[{ "s-" + std::to_string(n) }] = Registered();
+    }
+    ++next.mVersion;
+    membership::AppendVersion(mState.mJournal, *mState.mConfiguration, next, kJournalLimits);
+    mState.mConfiguration = SharedValue(next);
+    mState.mDeltas.clear();
+  };
+  membership::LeaseRenewal renewal;
+  renewal.mId = { "e1" };
+  const auto grant = [&](bool aOmitWhole) {
+    mEffects.clear();
+    ++renewal.mRequestNumber;
+    renewal.mOmitWhole = aOmitWhole;
+    HandleEvent(EntryMessage{ { "e1" }, renewal });
+    for (const Effect& it : mEffects) {
+      if (const auto* send = std::get_if<SendEntry>(&it)) {
+        return std::get<membership::LeaseGrant>(send->mBody);
+      }
+    }
+    FAIL("no grant");
+    return membership::LeaseGrant{};
+  };
+  addServers(10);
+  CHECK(grant(true).mDelta);
+  addServers(300);
+  CHECK_FALSE(grant(true).mDelta);
+  CHECK_FALSE(grant(true).mConfiguration);
+  CHECK(grant(false).mDelta);
+  // The next change is a small delta again for an entry that has applied the large one.
+  renewal.mHeld = mState.mConfiguration->mVersion;
+  addServers(301);
+  CHECK(grant(true).mDelta);
+}
+
 // Guards against a stale read: a route set older than one that another process has acknowledged.
 TEST_CASE_METHOD(ServerCallFixture,
                  "Read of the route set, leader, waits for a majority to confirm it",
--- a/packages/membership/include/fighold/membership/protocol.hpp
+++ b/packages/membership/include/fighold/membership/protocol.hpp
@@ -58,8 +58,8 @@
   EchoedTimestamp mTimestamp;    ///< the latest that this control process issued
   std::uint32_t mInFlight = 0;   ///< callers' requests in progress, shown during a drain
   std::uint64_t mRoutesHeld = 0; ///< number of the route set in use
-  /// The grant may be without the configuration if no delta leads to it: another renewal has asked
-  /// for it.
+  /// The grant may be without the configuration if no delta, or only a large one, leads to it:
+  /// another renewal has asked for it.
   bool mOmitWhole = false;
 
   friend auto operator<=>(const LeaseRenewal&, const LeaseRenewal&) = default;
