Read on after the last answer of a connection until the client closes

Cause: the server closed the socket right after it had written the last answer. The kernel resets a connection whose socket is closed with unread bytes, or that gets bytes afterwards, and drops what it has not delivered of the answer. Clients send on, since only that last answer tells them to stop. A stop that found a connection without a request closed it in the same way while its last answer was still being delivered.

Change: after an answer that says "close" the server shuts its sending side down, and reads and drops what the client sends until it closes, for 2 s and 1 MiB at most. A stop still takes a request of a connection whose answer was written less than 0.5 s ago. Nothing is dropped on connections without such an answer, whose clients could not tell that a request was not read.

Ruled out: to say "close" in the first answer after a stop. Requests that were read behind it have run, and their clients would send them again.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -90,6 +90,7 @@
     aConnection.mBroken =
       aConnection.mBroken ||
       !detail::TryWriteResponse(aConnection, aState->mOptions, exchange.mResponse, !last, head);
+    aConnection.mSaidClose = last && !aConnection.mBroken;
     aConnection.mExchanges.pop_front();
   }
   aConnection.mWriting = false;
@@ -201,9 +202,7 @@
   std::unique_lock lock(aConnection->mMutex);
   aConnection->mChanged.wait(
     lock, [&] { return aConnection->mExchanges.empty() && !aConnection->mWriting; });
-  beast::error_code ec;
-  aConnection->mStream.socket().shutdown(Tcp::socket::shutdown_both, ec);
-  aConnection->mStream.close();
+  detail::CloseConnection(*aConnection);
 }
 
 template<typename State>
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -19,13 +19,23 @@
 
 constexpr std::size_t kReadSize = 4096;
 
-/// Waits for a request. A stop ends the wait, but bytes that arrived before it are still read, so
-/// that their request is answered and not cut off.
+/// @return true if a stop leaves time for a request: the connection is fresh, bytes have arrived,
+/// or the client may still be receiving an answer, which a request that meets a closed socket would
+/// cut off
 bool
-ReadFirstBytes(Connection& aConnection, const bool& aStopping)
+MayTakeRequest(Connection& aConnection)
 {
   beast::error_code ec;
-  if (aStopping && !aConnection.mFresh && aConnection.mStream.socket().available(ec) == 0) {
+  return aConnection.mFresh || aConnection.mStream.socket().available(ec) > 0 ||
+         std::chrono::steady_clock::now() < aConnection.mIdleSince + kLastRequestWait;
+}
+
+/// Waits for a request. A stop ends the wait, but a request that MayTakeRequest() allows for is
+/// still read, so that it is answered and not cut off.
+bool
+ReadFirstBytes(Connection& aConnection, const bool& aStopping)
+{
+  if (aStopping && !MayTakeRequest(aConnection)) {
     aConnection.mStopEnded = true;
     return false;
   }
@@ -42,7 +52,7 @@
   }
   auto first = read();
   if (first.mError == asio::error::operation_aborted && !aConnection.mClosing &&
-      (aConnection.mFresh || aConnection.mStream.socket().available(ec) > 0)) {
+      MayTakeRequest(aConnection)) {
     aConnection.mStream.expires_after(kLastRequestWait);
     first = read();
   }
@@ -156,6 +166,28 @@
   }
 }
 
+void
+CloseConnection(Connection& aConnection)
+{
+  beast::error_code ec;
+  if (aConnection.mSaidClose) {
+    aConnection.mLingering = true;
+    aConnection.mStream.socket().shutdown(asio::socket_base::shutdown_send, ec);
+    aConnection.mStream.expires_after(kLingerTime);
+    std::array<char, kReadSize> bytes{};
+    std::size_t dropped = 0;
+    while (!ec && dropped < kLingerBytes) {
+      const auto read = Await([&](auto aHandler) {
+        aConnection.mStream.async_read_some(asio::buffer(bytes), std::move(aHandler));
+      });
+      dropped += read.mSize;
+      ec = read.mError;
+    }
+  }
+  aConnection.mStream.socket().shutdown(asio::socket_base::shutdown_both, ec);
+  aConnection.mStream.close();
+}
+
 void
 MarkGone(Connection& aConnection)
 {
--- a/packages/net/src/server_connection.hpp
+++ b/packages/net/src/server_connection.hpp
@@ -19,6 +19,11 @@
 /// opened just before, or one behind a running request.
 constexpr Millis kLastRequestWait{ 500 };
 
+/// Time and bytes in which a client may go on sending after the last answer of its connection. The
+/// bytes exceed what a connection has on its way.
+constexpr Millis kLingerTime{ 2000 };
+constexpr std::size_t kLingerBytes = 1U << 20U;
+
 /// A request that was read, and its answer once there is one.
 struct Exchange
 {
@@ -46,11 +51,13 @@
   bool mBroken = false;    ///< nothing can be written any more
   bool mClosing = false;   ///< no further request is read
   bool mStopEnded = false; ///< a stop, not the client, ended the wait for a request
+  bool mSaidClose = false; ///< the last answer was written and says that the connection closes
+  bool mLingering = false; ///< what the client still sends is dropped
   Instant mIdleSince = std::chrono::steady_clock::now();
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
 
-  bool IsIdle() const { return !mReading && mExchanges.empty(); }
+  bool IsIdle() const { return !mReading && !mLingering && mExchanges.empty(); }
 };
 
 /// Passes an exception on that ended a request or a connection.
@@ -82,6 +89,13 @@
                  bool aKeepAlive,
                  bool aHead);
 
+/// Closes a connection. After an answer that says so, what the client still sends is read and
+/// dropped until it closes its side, within kLingerTime and kLingerBytes: bytes that are left
+/// unread make the kernel reset the connection and drop what the client has not received of that
+/// answer.
+void
+CloseConnection(Connection& aConnection);
+
 /// Tells the handlers of requests without an answer that their client has gone.
 void
 MarkGone(Connection& aConnection);
--- a/tests/support/loop_server.hpp
+++ b/tests/support/loop_server.hpp
@@ -31,8 +31,9 @@
 
   ~LoopServer()
   {
-    mLoop.Post([this] { mStop.set_value(); });
-    mThread.join();
+    if (!mIsStopped) {
+      Stop();
+    }
   }
 
   LoopServer(const LoopServer&) = delete;
@@ -40,6 +41,16 @@
 
   const Endpoint& Address() const { return mAddress; }
 
+  /// Stops the server and waits until it has ended. May be called once.
+  /// @return true if all connections ended in time
+  bool Stop()
+  {
+    mIsStopped = true;
+    mLoop.Post([this] { mStop.set_value(); });
+    mThread.join();
+    return mAllEnded;
+  }
+
   /// Sends bytes on a new connection and closes its sending side.
   /// @param aPause time after each piece, so that the server reads the pieces one by one
   /// @return all that the server answers
@@ -84,7 +95,7 @@
     boost::fibers::fiber serve([&server] { server.Serve(); });
     mStarted.set_value(server.Address());
     mStop.get_future().wait();
-    server.Stop(std::chrono::steady_clock::now() + std::chrono::seconds(10));
+    mAllEnded = server.Stop(std::chrono::steady_clock::now() + std::chrono::seconds(10));
     serve.join();
   }
 
@@ -95,6 +106,8 @@
   boost::fibers::promise<void> mStop;
   std::thread mThread;
   Endpoint mAddress;
+  bool mIsStopped = false;
+  bool mAllEnded = false; ///< written by the loop's thread before it ends
 };
 
 } // namespace fighold::testing
