Bound the requests in progress that the front of an entry hands over

Cause: the ring of replies has 4,096 slots, and a full one ends the process. The design says that it cannot fill; nothing kept that. Dispatches are bounded, but the inbox takes 6,144 requests, and each of them gets a reply.

Change: the front counts the replies that are due, refuses callers' requests beyond 3,776 and other calls beyond 4,032 at once (503, not run, with a time to return), and counts them as front_full_total. New limits for callers, which use the same ring, wait while more than 64 of its slots are in use.

Evidence: the two new tests fail without the change.

--- a/packages/entry/src/decide_thread.cpp
+++ b/packages/entry/src/decide_thread.cpp
@@ -2,6 +2,7 @@
 #include "gauges.hpp"
 #include "threads.hpp"
 
+#include <optional>
 #include <stdexcept>
 
 namespace fighold::entry {
@@ -13,6 +14,7 @@
   Channels& mChannels;
   State& mState;
   const std::function<void()>& mOnStopped;
+  std::optional<SetCallerLimits> mLimits{}; ///< not handed to the front yet
 
   void ExecuteAll(std::vector<Effect> aEffects)
   {
@@ -62,8 +64,16 @@
 
   void Execute(const SetCallerLimits& aLimits)
   {
-    if (!mChannels.mReplies.TryPush(FrontCommand(aLimits))) {
-      throw std::logic_error("the reply ring is full");
+    mLimits = aLimits;
+    SendLimits();
+  }
+
+  /// Hands the latest limits to the front, unless the slots of the ring that do not belong to
+  /// replies are in use.
+  void SendLimits()
+  {
+    if (mLimits && mChannels.mReplies.TryPush(FrontCommand(*mLimits), kMaxPendingReplies)) {
+      mLimits.reset();
     }
   }
 
@@ -105,6 +115,7 @@
     if (event) {
       executor.ExecuteAll(Step(aState, std::move(*event), now));
     }
+    executor.SendLimits();
     if (now >= nextTick) {
       executor.ExecuteAll(Step(aState, Tick{}, now));
       SetGauges(aChannels.mMetrics, aState, now);
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -14,6 +14,14 @@
 /// Maximum time for which a planned stop waits until callers have read their answers.
 constexpr std::chrono::seconds kStopTimeout{ 60 };
 
+/// @return true for events that a caller's request becomes
+bool
+IsCallersEvent(const Event& aEvent)
+{
+  return std::holds_alternative<CallerRequest>(aEvent) ||
+         std::holds_alternative<ForwardRequest>(aEvent) || std::holds_alternative<Lookup>(aEvent);
+}
+
 } // namespace
 
 struct Front::State
@@ -53,10 +61,16 @@
     if (auto* response = std::get_if<net::HttpResponse>(&parsed)) {
       return std::move(*response);
     }
+    Event& event = std::get<Event>(parsed);
+    const std::size_t reserved = IsCallersEvent(event) ? kReservedReplies : 0;
+    if (mPendingReplies.size() + reserved >= kMaxPendingReplies) {
+      mChannels.mMetrics.Count("front_full_total");
+      return mCodec.mOverloadResponse("too-many-requests");
+    }
     boost::fibers::promise<Reply> promise;
     auto future = promise.get_future();
     mPendingReplies[id] = &promise;
-    if (!mChannels.mInbox.TryPush(std::move(std::get<Event>(parsed)), kInboxReserve)) {
+    if (!mChannels.mInbox.TryPush(std::move(event), kInboxReserve)) {
       mPendingReplies.erase(id);
       mChannels.mMetrics.Count("inbox_full_total");
       return mCodec.mOverloadResponse("inbox-full");
--- /dev/null
+++ b/packages/entry/src/front_test.cpp
@@ -0,0 +1,195 @@
+#include "fighold/entry/decide.hpp"
+#include "threads.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <list>
+#include <thread>
+
+namespace fighold::entry {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+constexpr std::chrono::seconds kTimeout{ 30 };
+
+/// The front thread with its rings; the test stands in for the decide thread.
+struct FrontFixture
+{
+  Channels mChannels;
+  Front mFront{ mChannels, Listeners(), NativeFrontCodec() };
+  std::thread mThread{ [this] { mFront.Run(); } };
+  boost::asio::io_context mContext;
+
+  ~FrontFixture()
+  {
+    mFront.Drain();
+    mThread.join();
+  }
+
+  static std::vector<net::ServerOptions> Listeners()
+  {
+    net::ServerOptions options{ { "127.0.0.1", 0 } };
+    options.mBudget = std::make_shared<net::MemoryBudget>(std::size_t{ 64 } << 20U);
+    return { options };
+  }
+
+  Tcp::socket Connect()
+  {
+    Tcp::socket socket(mContext);
+    const Endpoint address = mFront.Address();
+    socket.connect({ boost::asio::ip::make_address_v4(address.mHost), address.mPort });
+    return socket;
+  }
+
+  static void Send(Tcp::socket& aSocket, const std::string& aText)
+  {
+    boost::asio::write(aSocket, boost::asio::buffer(aText));
+  }
+
+  std::optional<Event> Pop(Duration aTime)
+  {
+    return mChannels.mInbox.PopUntil(std::chrono::steady_clock::now() + aTime);
+  }
+};
+
+std::size_t
+Occurrences(const std::string& aText, const std::string& aOf)
+{
+  std::size_t n = 0;
+  for (auto at = aText.find(aOf); at != std::string::npos; at = aText.find(aOf, at + 1)) {
+    ++n;
+  }
+  return n;
+}
+
+// Guards against a ring of replies that fills because callers pipeline more requests than it has
+// slots, which ended the process.
+TEST_CASE_METHOD(FrontFixture,
+                 "Front, more requests at once than replies fit, refuses those beyond",
+                 "[entry]")
+{
+  constexpr std::size_t kConnections = 280;
+  constexpr std::size_t kPipelined = 16;
+  const std::string request = "GET /s/vardia/x HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::string requests;
+  for (std::size_t n = 0; n < kPipelined; ++n) {
+    requests += request;
+  }
+  std::list<Tcp::socket> sockets;
+  for (std::size_t n = 0; n < kConnections; ++n) {
+    sockets.push_back(Connect());
+    Send(sockets.back(), requests);
+  }
+  std::vector<RequestId> taken;
+  while (const auto event = Pop(std::chrono::seconds(2))) {
+    taken.push_back(std::get<CallerRequest>(*event).mId);
+  }
+  CHECK(taken.size() == kMaxPendingReplies - kReservedReplies);
+
+  // Calls of backend servers and of the platform find their place beside the callers' requests.
+  Tcp::socket platform = Connect();
+  Send(platform, "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto status = Pop(kTimeout);
+  REQUIRE(status);
+  taken.push_back(std::get<StatusRequest>(*status).mId);
+
+  for (const RequestId it : taken) {
+    CallerAnswer answer;
+    answer.mReason = "test";
+    REQUIRE(mChannels.mReplies.TryPush(FrontCommand(Reply{ it, answer, false })));
+  }
+  std::size_t answered = 0;
+  std::size_t refused = 0;
+  for (Tcp::socket& it : sockets) {
+    boost::system::error_code ec;
+    it.shutdown(Tcp::socket::shutdown_send, ec);
+    std::string text;
+    boost::asio::read(it, boost::asio::dynamic_buffer(text), ec);
+    answered += Occurrences(text, "HTTP/1.1 ");
+    refused += Occurrences(text, "too-many-requests");
+  }
+  CHECK(answered == kConnections * kPipelined);
+  CHECK(refused == kConnections * kPipelined - (kMaxPendingReplies - kReservedReplies));
+}
+
+/// The decide thread with its rings; the test stands in for the front and for the control group.
+struct DecideThreadFixture
+{
+  Channels mChannels;
+  std::function<void()> mOnStopped = [] {};
+  std::thread mThread{ [this] { DecideThread(mChannels, InitialState(), mOnStopped); } };
+
+  ~DecideThreadFixture()
+  {
+    mChannels.mInbox.Close();
+    mThread.join();
+  }
+
+  static membership::Entry Registration()
+  {
+    return { 7, { "127.0.0.1", 80 }, { "attiki" }, { "attiki-a" }, 0 };
+  }
+
+  static State InitialState()
+  {
+    Options options;
+    options.mId = { "e1" };
+    options.mEntry = Registration();
+    options.mControls = { { "c1" } };
+    return MakeState(options, LoadCharts(FIGHOLD_CHARTS_DIR));
+  }
+
+  /// Answers the next renewal with a configuration.
+  void Grant(const membership::Configuration& aConfiguration)
+  {
+    const Instant until = std::chrono::steady_clock::now() + kTimeout;
+    std::optional<std::uint64_t> number;
+    while (!number && std::chrono::steady_clock::now() < until) {
+      const auto sent = mChannels.mControlOut.PopUntil(until);
+      if (sent && std::holds_alternative<membership::LeaseRenewal>(sent->mBody)) {
+        number = std::get<membership::LeaseRenewal>(sent->mBody).mRequestNumber;
+      }
+    }
+    REQUIRE(number);
+    membership::LeaseGrant grant{ *number,
+                                  membership::kConfigurationLease,
+                                  aConfiguration.mVersion,
+                                  SharedValue(aConfiguration),
+                                  {} };
+    REQUIRE(mChannels.mInbox.TryPush(GrantReceived{ { "c1" }, std::move(grant) }));
+  }
+};
+
+// Guards against new limits for callers that end the process because they find the ring of replies
+// full, and against limits that are lost then.
+TEST_CASE_METHOD(DecideThreadFixture,
+                 "DecideThread, ring of replies full, hands new limits over later",
+                 "[entry]")
+{
+  while (mChannels.mReplies.TryPush(FrontCommand(Reply{}))) {
+  }
+  membership::Configuration configuration;
+  configuration.mVersion = 3;
+  configuration.mEntries[{ "e1" }] = Registration();
+  routes::RouteSet routes;
+  routes.mNumber = 1;
+  routes.mLimits.mMaxHeaderBytes = 12'345;
+  configuration.mRoutes = SharedValue(std::move(routes));
+  Grant(configuration);
+  std::this_thread::sleep_for(Millis(300));
+  for (std::size_t n = 0; n < kReplySlots; ++n) {
+    REQUIRE(mChannels.mReplies.TryPop());
+  }
+  const auto command = mChannels.mReplies.PopUntil(std::chrono::steady_clock::now() + kTimeout);
+  REQUIRE(command);
+  REQUIRE(std::holds_alternative<SetCallerLimits>(*command));
+  CHECK(std::get<SetCallerLimits>(*command).mLimits.mMaxHeaderBytes == 12'345);
+}
+
+} // namespace
+} // namespace fighold::entry
--- a/packages/entry/src/threads.hpp
+++ b/packages/entry/src/threads.hpp
@@ -19,6 +19,14 @@
 /// and messages from control processes are pushed only while more slots are free.
 constexpr std::size_t kInboxReserve = 2048;
 
+/// Slots of the ring of replies. Each request that the front hands over gets one reply, so that the
+/// ring never fills while no more than kMaxPendingReplies are due; the rest is for other commands.
+constexpr std::size_t kReplySlots = 4096;
+constexpr std::size_t kMaxPendingReplies = 4032;
+
+/// Replies due that callers' requests leave to the calls of backend servers and of the platform.
+constexpr std::size_t kReservedReplies = 256;
+
 /// Settings of the backend thread.
 struct BackendOptions
 {
@@ -37,7 +45,7 @@
 {
   ring::BoundedRing<Event> mInbox{ 8192 };
   ring::BoundedRing<BackendCommand> mDispatches{ 2048 };
-  ring::BoundedRing<FrontCommand> mReplies{ 4096 };
+  ring::BoundedRing<FrontCommand> mReplies{ kReplySlots };
   wire::OutboundRing mControlOut{ 1024 };
   wire::TrafficCounter mTraffic;
   telemetry::LogQueue mLog;
