Drop an order without a number whose client has given up

Cause: evacuations, their withdrawals and withdrawals of servers bear no number, so that a late copy of one is taken for a new order.

Change: such an order is held for 100 ms and dropped if its connection has ended by then. After a freeze the end lies behind the order in the socket; after a cut it follows within a round trip. Dropped orders are counted.

Ruled out: a number of the last order in the replicated state. The process that reads a late copy may know the present state, and would take it as new.

--- a/packages/control/include/fighold/control/event.hpp
+++ b/packages/control/include/fighold/control/event.hpp
@@ -27,6 +27,7 @@
   membership::Change mChange;
   Millis mTimeout{ 10'000 };
   bool mWaitUntilInForce = true; ///< answer only when every entry uses the change
+  bool mIsNumbered = true;       ///< false: a late copy cannot be told from a new call
 
   friend bool operator==(const ChangeCall&, const ChangeCall&) = default;
 };
--- a/packages/control/src/front.cpp
+++ b/packages/control/src/front.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/future.hpp>
+#include <boost/fiber/operations.hpp>
 
 #include <map>
 
@@ -17,6 +18,20 @@
 /// Maximum number of pending calls; below the capacity of the answer ring, so that it never fills.
 constexpr std::size_t kMaxCalls = 512;
 
+/// Time for which a call without a number is held before it is decided. A call that arrives late,
+/// from the socket of a process that was frozen or over a link that was cut, is followed by the end
+/// of its connection within a round trip if its client has given up; 70 ms between regions.
+constexpr Millis kHoldTime{ 100 };
+
+/// @return true if a late copy of a call cannot be told from a new one, so that it may undo what
+/// was acknowledged since
+bool
+IsUnnumbered(const Event& aEvent)
+{
+  const auto* change = std::get_if<ChangeCall>(&aEvent);
+  return std::holds_alternative<ServerWithdrawal>(aEvent) || (change && !change->mIsNumbered);
+}
+
 } // namespace
 
 struct Front::State
@@ -32,14 +47,16 @@
         telemetry::ReportConnectionFault(mChannels.mLog, mChannels.mMetrics, "client", aReason);
       };
       mServers.push_back(std::make_unique<net::HttpServer>(
-        mLoop, std::move(it), [this](const net::HttpRequest& aRequest) {
-          return net::HoldOrRefuse(mBudget, Handle(aRequest));
-        }));
+        mLoop,
+        std::move(it),
+        net::WatchedHandler([this](const net::HttpRequest& aRequest, net::CallerWatch& aWatch) {
+          return net::HoldOrRefuse(mBudget, Handle(aRequest, aWatch));
+        })));
     }
     mChannels.mAnswers.SetWakeup([this] { mLoop.Post([this] { DeliverAnswers(); }); });
   }
 
-  net::HttpResponse Handle(const net::HttpRequest& aRequest)
+  net::HttpResponse Handle(const net::HttpRequest& aRequest, const net::CallerWatch& aWatch)
   {
     const auto metrics = [this] {
       telemetry::SetMessageMemory(mChannels.mMetrics, mBudget->Used(), mBudget->Refusals());
@@ -53,6 +70,13 @@
     if (auto* response = std::get_if<net::HttpResponse>(&parsed)) {
       return std::move(*response);
     }
+    if (IsUnnumbered(std::get<Event>(parsed))) {
+      boost::this_fiber::sleep_for(kHoldTime);
+      if (aWatch.mGone) {
+        mChannels.mMetrics.Count("calls_abandoned_total");
+        return net::JsonResponse(503, R"({"error":"the client has gone, not accepted"})");
+      }
+    }
     boost::fibers::promise<CallAnswer> promise;
     auto future = promise.get_future();
     const bool hasCapacity = mPendingAnswers.size() < kMaxCalls;
