Check callers' limits where callers' requests are known

What callers saw: after a route set with max_body_bytes 0 no request was served, because entries answered all heartbeats of backend servers 413 (process_odd_limits_test, in KNOWN-RED.txt until now).

Cause: the limits for callers were set at the listener, which in the native dialect reads the calls of backend servers as well.

Change: a listener that is not callers' alone allows heads of 16 KiB and bodies of 64 KiB at least, and the front checks callers' requests against their limits once they are told apart. The generator of odd values names the limit again.

--- a/packages/entry/include/fighold/entry/front_codec.hpp
+++ b/packages/entry/include/fighold/entry/front_codec.hpp
@@ -11,6 +11,12 @@
 /// own functions in a FrontCodec.
 namespace fighold::entry {
 
+/// Longest body of a backend server's call; parsed, JSON takes a multiple of its size.
+constexpr std::size_t kMaxCallBytes = 64U << 10U;
+
+/// Size of a head that the calls of backend servers and of the platform may have at least.
+constexpr std::size_t kMinCallHeadBytes = 16U << 10U;
+
 /// An event for the decide thread, or the response to an invalid request.
 using ParsedRequest = std::variant<Event, net::HttpResponse>;
 
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -6,7 +6,9 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/future.hpp>
 
+#include <algorithm>
 #include <map>
+#include <optional>
 
 namespace fighold::entry {
 namespace {
@@ -22,6 +24,28 @@
          std::holds_alternative<ForwardRequest>(aEvent) || std::holds_alternative<Lookup>(aEvent);
 }
 
+/// @return size of the start line and the fields of a request, without the fields of its connection
+std::size_t
+HeadBytes(const net::HttpRequest& aRequest)
+{
+  constexpr std::size_t kFieldSeparators = 4; // ": " and the end of the line
+  std::size_t bytes = aRequest.mMethod.size() + aRequest.mTarget.size() + aRequest.mHost.size();
+  for (const net::Header& it : aRequest.mHeaders) {
+    bytes += it.mName.size() + it.mValue.size() + kFieldSeparators;
+  }
+  return bytes;
+}
+
+/// @return 200, or the status with which a caller's request beyond the limits is refused
+unsigned
+CheckLimits(const net::HttpRequest& aRequest, const routes::CallerLimits& aLimits)
+{
+  if (aRequest.mBody.Size() > aLimits.mMaxBodyBytes) {
+    return 413;
+  }
+  return HeadBytes(aRequest) > aLimits.mMaxHeaderBytes ? 431 : 200;
+}
+
 } // namespace
 
 struct Front::State
@@ -62,7 +86,12 @@
       return std::move(*response);
     }
     Event& event = std::get<Event>(parsed);
-    const std::size_t reserved = IsCallersEvent(event) ? kReservedReplies : 0;
+    const bool isCallers = IsCallersEvent(event);
+    const unsigned status = isCallers && mLimits ? CheckLimits(aRequest, *mLimits) : 200;
+    if (status != 200) {
+      return { status, { { "Fighold-Outcome", "not-run" } }, "" };
+    }
+    const std::size_t reserved = isCallers ? kReservedReplies : 0;
     if (mPendingReplies.size() + reserved >= kMaxPendingReplies) {
       mChannels.mMetrics.Count("front_full_total");
       return mCodec.mOverloadResponse("too-many-requests");
@@ -102,16 +131,24 @@
     }
   }
 
+  /// A listener that takes other calls as well allows what these need, and callers' requests are
+  /// checked once they are told apart.
   void SetLimits(const routes::CallerLimits& aLimits)
   {
-    for (const auto& it : mServers) {
-      it->SetLimits(aLimits.mMaxHeaderBytes, aLimits.mMaxBodyBytes, aLimits.mIdleTimeout);
+    mLimits = aLimits;
+    for (std::size_t n = 0; n < mServers.size(); ++n) {
+      const bool isCallersOnly = mCodec.mFirstListenerIsCallersOnly && n == 0;
+      mServers[n]->SetLimits(
+        std::max<std::size_t>(aLimits.mMaxHeaderBytes, isCallersOnly ? 0 : kMinCallHeadBytes),
+        std::max<std::size_t>(aLimits.mMaxBodyBytes, isCallersOnly ? 0 : kMaxCallBytes),
+        aLimits.mIdleTimeout);
     }
   }
 
   Channels& mChannels;
   std::shared_ptr<net::MemoryBudget> mBudget;
   FrontCodec mCodec;
+  std::optional<routes::CallerLimits> mLimits; ///< of the route set in use
   net::FiberLoop mLoop;
   std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::map<RequestId, boost::fibers::promise<Reply>*> mPendingReplies;
--- a/packages/entry/src/front_codec.cpp
+++ b/packages/entry/src/front_codec.cpp
@@ -19,9 +19,6 @@
 
 constexpr std::size_t kMaxKeyLength = 128;
 
-/// Longest body of a backend server's call; parsed, JSON takes a multiple of its size.
-constexpr std::size_t kMaxCallBytes = 64U << 10U;
-
 net::HttpResponse
 ErrorResponse(unsigned aStatus, const std::string& aMessage)
 {
--- a/packages/entry/src/front_test.cpp
+++ b/packages/entry/src/front_test.cpp
@@ -117,6 +117,37 @@
   CHECK(refused == kConnections * kPipelined - (kMaxPendingReplies - kReservedReplies));
 }
 
+// Guards against limits for callers that refuse the heartbeats of backend servers at the same
+// listener, and against callers who are allowed what these calls need.
+TEST_CASE_METHOD(FrontFixture,
+                 "Front, limits for callers below what calls need, hold for callers alone",
+                 "[entry]")
+{
+  constexpr std::size_t kMaxHeader = 256;
+  REQUIRE(mChannels.mReplies.TryPush(
+    FrontCommand(SetCallerLimits{ { kMaxHeader, 0, Millis(1000), Millis(1000) } })));
+  std::this_thread::sleep_for(Millis(100));
+  const auto request = [](const std::string& aStart, std::size_t aField, std::size_t aBody) {
+    return aStart +
+           " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Field: " + std::string(aField, 'x') +
+           "\r\nContent-Length: " + std::to_string(aBody) + "\r\n\r\n" + std::string(aBody, ' ');
+  };
+  const auto statusOf = [this](const std::string& aRequest) {
+    Tcp::socket socket = Connect();
+    Send(socket, aRequest);
+    std::string text;
+    boost::system::error_code ec;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(text), ec);
+    return text.substr(0, std::string("HTTP/1.1 413").size());
+  };
+  CHECK(statusOf(request("POST /s/vardia/x", 1, 1)) == "HTTP/1.1 413");
+  CHECK(statusOf(request("GET /s/vardia/x", 2 * kMaxHeader, 0)) == "HTTP/1.1 431");
+  // The answer 400 is that of the call itself: it was read, and is no JSON.
+  CHECK(statusOf(request("PUT /v1/backend-servers/b", 1, 100)) == "HTTP/1.1 400");
+  CHECK(statusOf(request("PUT /v1/backend-servers/b", 2 * kMaxHeader, 1)) == "HTTP/1.1 400");
+  CHECK_FALSE(Pop(Millis(0)));
+}
+
 /// The decide thread with its rings; the test stands in for the front and for the control group.
 struct DecideThreadFixture
 {
--- a/tests/support/odd_requests.hpp
+++ b/tests/support/odd_requests.hpp
@@ -23,13 +23,11 @@
 inline const std::string kMessageGreeting = "\xff" + std::string(8, '\0') + "\x7f\x03" +
                                             std::string(1, '\0') + "CURVE" + std::string(47, '\0');
 
-/// `max_body_bytes` is left out: a small one ends heartbeats, see process_odd_limits_test in
-/// KNOWN-RED.txt.
 inline std::string
 RouteSet(std::uint64_t aNumber, std::uint64_t aBase)
 {
   return R"({"number":)" + std::to_string(aNumber) + R"(,"base":)" + std::to_string(aBase) +
-         R"(,"limits":{"max_header_bytes":8192,"header_timeout_ms":5000,)"
+         R"(,"limits":{"max_header_bytes":8192,"max_body_bytes":67108864,"header_timeout_ms":5000,)"
          R"("idle_timeout_ms":60000},"services":[{"name":"offers","max_connections":390,)"
          R"("warm_up_s":3,"warm_up_per_second":3.8,"health_path":"/health"}],)"
          R"("hosts":[{"host":"desk.example","routes":[{"name":"checks","path_prefix":"/offers/",)"
