Count services and hosts of a delta when it is taken for a large one

A delta of many services or hosts, which a patch always repeats, counted as small and was sent with each grant.

Change: all elements of the patch and removed entries count.

Evidence: "Renewal of an entry, delta of many services or hosts, counts as large" fails without the change for both. Found by reading; no caller was seen to meet it.

--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -114,16 +114,24 @@
   return delta;
 }
 
+/// @return number of the elements that a patch adds, changes, removes or repeats
+std::size_t
+CountElements(const routes::RoutePatch& aPatch)
+{
+  return aPatch.mHosts.size() + aPatch.mServices.size() + aPatch.mRemovedServices.size() +
+         aPatch.mRoutes.size() + aPatch.mRemovedRoutes.size();
+}
+
 /// @return true if a delta may take as long on a link as a whole configuration, such as one for an
 /// entry that has just started
 bool
 IsLarge(const membership::ConfigurationDelta& aDelta)
 {
   const membership::Configuration& changed = aDelta.mChanged;
-  const std::size_t routes =
-    aDelta.mRoutes ? aDelta.mRoutes->mRoutes.size() + aDelta.mRoutes->mRemovedRoutes.size() : 0;
+  const std::size_t routes = aDelta.mRoutes ? CountElements(*aDelta.mRoutes) : 0;
   return changed.mEntries.size() + changed.mBackendServers.size() + changed.mDeparted.size() +
-           aDelta.mRemovedServers.size() + aDelta.mForgotten.size() + routes >=
+           aDelta.mRemovedEntries.size() + aDelta.mRemovedServers.size() +
+           aDelta.mForgotten.size() + routes >=
          kLargeDelta;
 }
 
--- a/packages/control/src/server_calls_test.cpp
+++ b/packages/control/src/server_calls_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace fighold::control {
 namespace {
 
@@ -366,6 +368,44 @@
   CHECK(grant(true).mDelta);
 }
 
+// Guards against a delta that counts as small because its services or hosts are not counted.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Renewal of an entry, delta of many services or hosts, counts as large",
+                 "[control]")
+{
+  routes::RouteSet routes = *mState.mConfiguration->mRoutes;
+  const bool hosts = GENERATE(false, true);
+  for (int n = 0; n < 300; ++n) {
+    const std::string name = "n-" + std::to_string(n);
+    if (hosts) {
+      routes.mHosts.insert(name);
+    } else {
+      routes.mServices[{ name }] = {};
+    }
+  }
+  ++routes.mNumber;
+  membership::Configuration next = *mState.mConfiguration;
+  next.mRoutes = SharedValue(routes);
+  ++next.mVersion;
+  membership::AppendVersion(mState.mJournal, *mState.mConfiguration, next, kJournalLimits);
+  membership::LeaseRenewal renewal;
+  renewal.mId = { "e1" };
+  renewal.mHeld = mState.mConfiguration->mVersion;
+  renewal.mOmitWhole = true;
+  mState.mConfiguration = SharedValue(next);
+  mState.mDeltas.clear();
+  mEffects.clear();
+  HandleEvent(EntryMessage{ { "e1" }, renewal });
+  const auto isGrant = [](const Effect& aEffect) {
+    return std::holds_alternative<SendEntry>(aEffect);
+  };
+  const auto sent = std::find_if(mEffects.begin(), mEffects.end(), isGrant);
+  REQUIRE(sent != mEffects.end());
+  const auto& grant = std::get<membership::LeaseGrant>(std::get<SendEntry>(*sent).mBody);
+  CHECK_FALSE(grant.mDelta);
+  CHECK_FALSE(grant.mConfiguration);
+}
+
 // Guards against a stale read: a route set older than one that another process has acknowledged.
 TEST_CASE_METHOD(ServerCallFixture,
                  "Read of the route set, leader, waits for a majority to confirm it",
