Keep few of the deltas that were made for entries

Cause: a control process keeps the delta from each version that an entry holds until the next version.

Change: 16 are kept, those from the newest versions. The choice of the delta for a grant is in deltas.cpp.

--- a/packages/control/src/leases.cpp
+++ b/packages/control/src/leases.cpp
@@ -1,6 +1,7 @@
 #include "leases.hpp"
 
 #include "backend_servers.hpp"
+#include "deltas.hpp"
 
 #include <algorithm>
 
@@ -26,10 +27,6 @@
 /// been replaced since.
 constexpr Millis kMaxRegistrationAge{ 1000 };
 
-/// Elements of a delta from which it is sent like a whole configuration, one at a time to an entry:
-/// about 25 KB, a tenth of a second of the slowest link of an entry (2 Mbit/s).
-constexpr std::size_t kLargeDelta = 256;
-
 /// @return maximum duration of a granted lease by the granter's clock, including clock drift
 Duration
 LongestLease()
@@ -97,44 +94,6 @@
   aContext.mEffects.emplace_back(SendControl{ *leader, std::move(renewal) });
 }
 
-/// @return delta from a version to the current configuration, or nothing if that version is not
-/// kept
-std::optional<SharedValue<membership::ConfigurationDelta>>
-DeltaFrom(State& aState, Version aHeld)
-{
-  const auto known = aState.mDeltas.find(aHeld);
-  if (known != aState.mDeltas.end()) {
-    return known->second;
-  }
-  std::optional<SharedValue<membership::ConfigurationDelta>> delta;
-  if (auto made = membership::MakeDelta(aState.mJournal, aHeld, *aState.mConfiguration)) {
-    delta = SharedValue(std::move(*made));
-  }
-  aState.mDeltas[aHeld] = delta;
-  return delta;
-}
-
-/// @return number of the elements that a patch adds, changes, removes or repeats
-std::size_t
-CountElements(const routes::RoutePatch& aPatch)
-{
-  return aPatch.mHosts.size() + aPatch.mServices.size() + aPatch.mRemovedServices.size() +
-         aPatch.mRoutes.size() + aPatch.mRemovedRoutes.size();
-}
-
-/// @return true if a delta may take as long on a link as a whole configuration, such as one for an
-/// entry that has just started
-bool
-IsLarge(const membership::ConfigurationDelta& aDelta)
-{
-  const membership::Configuration& changed = aDelta.mChanged;
-  const std::size_t routes = aDelta.mRoutes ? CountElements(*aDelta.mRoutes) : 0;
-  return changed.mEntries.size() + changed.mBackendServers.size() + changed.mDeparted.size() +
-           aDelta.mRemovedEntries.size() + aDelta.mRemovedServers.size() +
-           aDelta.mForgotten.size() + routes >=
-         kLargeDelta;
-}
-
 /// @return latest time at which an entry may have renewed, as far as known here. An entry unknown
 /// to a new leader may have renewed at another process until just before the election.
 Instant
@@ -289,10 +248,7 @@
     std::chrono::duration_cast<Millis>(*membership::GrantableLength(*mayGrantSince, aContext.mNow));
   grant.mVersion = state.mConfiguration->mVersion;
   if (aRenewal.mHeld < grant.mVersion) {
-    grant.mDelta = DeltaFrom(state, aRenewal.mHeld);
-  }
-  if (grant.mDelta && aRenewal.mOmitWhole && IsLarge(**grant.mDelta)) {
-    grant.mDelta.reset();
+    grant.mDelta = DeltaForGrant(state, aRenewal);
   }
   if (aRenewal.mHeld < grant.mVersion && !grant.mDelta && !aRenewal.mOmitWhole) {
     grant.mConfiguration = state.mConfiguration;
--- a/packages/control/src/server_calls_test.cpp
+++ b/packages/control/src/server_calls_test.cpp
@@ -368,6 +368,32 @@
   CHECK(grant(true).mDelta);
 }
 
+// Guards against deltas of a large configuration that take the memory of a control process, one for
+// each version that some entry holds.
+TEST_CASE_METHOD(ServerCallFixture,
+                 "Renewals of entries, each with another version, keep few deltas",
+                 "[control]")
+{
+  SendHeartbeat(100, 1);
+  const Version first = mState.mConfiguration->mVersion;
+  for (int n = 0; n < 40; ++n) {
+    membership::Configuration next = *mState.mConfiguration;
+    next.mBackendServers[{ "s-" + std::to_string(n) }] = Registered();
+    ++next.mVersion;
+    membership::AppendVersion(mState.mJournal, *mState.mConfiguration, next, kJournalLimits);
+    mState.mConfiguration = SharedValue(next);
+  }
+  mState.mDeltas.clear();
+  for (Version held = first; held < mState.mConfiguration->mVersion; ++held) {
+    membership::LeaseRenewal renewal;
+    renewal.mId = { "e" + std::to_string(held) };
+    renewal.mHeld = held;
+    HandleEvent(EntryMessage{ renewal.mId, renewal });
+  }
+  CHECK(mState.mDeltas.size() > 0);
+  CHECK(mState.mDeltas.size() <= 16);
+}
+
 // Guards against a delta that counts as small because its services or hosts are not counted.
 TEST_CASE_METHOD(ServerCallFixture,
                  "Renewal of an entry, delta of many services or hosts, counts as large",
