--- a/packages/entry/src/front_test.cpp
+++ b/packages/entry/src/front_test.cpp
@@ -192,7 +192,8 @@
                                   aConfiguration.mVersion,
                                   SharedValue(aConfiguration),
                                   {} };
-    REQUIRE(mChannels.mInbox.TryPush(GrantReceived{ { "c1" }, std::move(grant) }));
+    const bool isPushed = mChannels.mInbox.TryPush(GrantReceived{ { "c1" }, std::move(grant) });
+    REQUIRE(isPushed);
   }
 };
 
