Log what ended the connection of a caller that has gone

The log of the entry says "caller-gone" for them, as it does for callers that give up, so that an end by the caller cannot be told from one by the entry.

The front now passes on what ended the connection, and the line of the answer has it as "error". Answers after a failed dispatch show the error of that dispatch in the same field.

Ruled out: a line for each connection that ends, since callers that give up would fill the log.

--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -141,6 +141,7 @@
 struct CallerGone
 {
   RequestId mId = 0;
+  std::string mCause{}; ///< what ended the connection
 
   friend auto operator<=>(const CallerGone&, const CallerGone&) = default;
 };
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -164,7 +164,7 @@
 Handle(const CallerGone& aGone, Context& aContext)
 {
   HandleCallerGone(aContext.mState, aGone.mId, aContext.mEffects, aContext.mNow);
-  HandleForwardCallerGone(aContext.mState, aGone.mId, aContext.mEffects, aContext.mNow);
+  HandleForwardCallerGone(aContext.mState, aGone, aContext.mEffects, aContext.mNow);
 }
 
 void
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -138,6 +138,9 @@
   record.mFields.push_back({ "outcome", std::string(ToText(aAnswer.mOutcome)) });
   record.mFields.push_back({ "status", std::to_string(status) });
   record.mFields.push_back({ "retry_after_ms", std::to_string(aAnswer.mRetryAfter.count()) });
+  if (!aScope.mDone.mResult.mError.empty()) {
+    record.mFields.push_back({ "error", aScope.mDone.mResult.mError });
+  }
   record.mChoice = aAnswer.mOutcome == Outcome::Run ? forward.mServer.mId.mValue : "";
   record.mRejected = aScope.mPlacement.mRejected;
   if (aAnswer.mOutcome == Outcome::NotRun) {
@@ -521,11 +524,15 @@
 }
 
 void
-HandleForwardCallerGone(State& aState, RequestId aId, std::vector<Effect>& aEffects, Instant aNow)
+HandleForwardCallerGone(State& aState,
+                        const CallerGone& aGone,
+                        std::vector<Effect>& aEffects,
+                        Instant aNow)
 {
-  const auto it = aState.mForwards.find(aId);
+  const auto it = aState.mForwards.find(aGone.mId);
   if (it != aState.mForwards.end()) {
     ForwardScope scope{ aState, it->second, aEffects, aNow, true, {}, {}, {} };
+    scope.mDone.mResult.mError = aGone.mCause;
     FireForward(scope, ForwardEvent::CallerGone);
   }
 }
--- a/packages/entry/src/forward_chart.hpp
+++ b/packages/entry/src/forward_chart.hpp
@@ -49,6 +49,9 @@
 
 /// Cancels the request of a caller that closed its connection.
 void
-HandleForwardCallerGone(State& aState, RequestId aId, std::vector<Effect>& aEffects, Instant aNow);
+HandleForwardCallerGone(State& aState,
+                        const CallerGone& aGone,
+                        std::vector<Effect>& aEffects,
+                        Instant aNow);
 
 } // namespace fighold::entry
--- a/packages/entry/src/forward_chart_test.cpp
+++ b/packages/entry/src/forward_chart_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace fighold::entry {
 namespace {
 
@@ -264,6 +266,20 @@
   CHECK(mState.mForwards.empty());
 }
 
+// Guards against a log from which a caller that left cannot be told from a connection that this
+// entry closed.
+TEST_CASE_METHOD(ForwardFixture, "Forward, caller gone, logs what ended the connection", "[entry]")
+{
+  Grant();
+  const RequestId id = Arrive("/read/1");
+  HandleEvent(CallerGone{ id, "Connection reset by peer" });
+  const DecisionRecord record = EffectsOfType<LogRecord>().back().mRecord;
+  CHECK(record.mReason == "caller-gone");
+  const std::vector<Field>& fields = record.mFields;
+  CHECK(std::count(fields.begin(), fields.end(), Field{ "error", "Connection reset by peer" }) ==
+        1);
+}
+
 // Guards against requests to a data centre that is drained, and against a burst to its servers,
 // which have become cold, when the drain ends.
 TEST_CASE_METHOD(ForwardFixture,
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -105,7 +105,9 @@
       return mCodec.mOverloadResponse("inbox-full");
     }
     // If the inbox is full, the request is not cancelled, and its answer is dropped.
-    aWatch.mOnGone = [this, id] { mChannels.mInbox.TryPush(CallerGone{ id }, kInboxReserve); };
+    aWatch.mOnGone = [this, id](const std::string& aCause) {
+      mChannels.mInbox.TryPush(CallerGone{ id, aCause }, kInboxReserve);
+    };
     const Reply reply = future.get();
     aWatch.mOnGone = nullptr;
     auto response = mCodec.mToResponse(id, aRequest, reply.mAnswer);
--- a/packages/net/include/fighold/net/http_server.hpp
+++ b/packages/net/include/fighold/net/http_server.hpp
@@ -37,7 +37,8 @@
 /// Tells a handler that its caller has gone away. Used on the loop's thread only.
 struct CallerWatch
 {
-  std::function<void()> mOnGone; ///< set by the handler; called once, must not suspend the fiber
+  /// Set by the handler; called once with what ended the connection, must not suspend the fiber.
+  std::function<void(const std::string&)> mOnGone;
   bool mGone = false;
 };
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -145,7 +145,7 @@
         break;
       }
       if (!connection.mClosing) {
-        detail::MarkGone(connection);
+        detail::MarkGone(connection, connection.mReadError.message());
       }
       return;
     }
@@ -181,7 +181,7 @@
       connection.mStream.async_read_some(connection.mBuffer.prepare(1), std::move(aHandler));
     });
     if (end.mError && end.mError != asio::error::operation_aborted && !connection.mClosing) {
-      detail::MarkGone(connection);
+      detail::MarkGone(connection, end.mError.message());
     }
   }
 }
--- a/packages/net/src/http_server_test.cpp
+++ b/packages/net/src/http_server_test.cpp
@@ -48,7 +48,7 @@
         HttpServer server(
           mLoop, mOptions, WatchedHandler([this](const HttpRequest&, CallerWatch& aWatch) {
             ++mCalls;
-            aWatch.mOnGone = [this] { ++mGone; };
+            aWatch.mOnGone = [this](const std::string& /*aCause*/) { ++mGone; };
             boost::this_fiber::sleep_for(Millis(mHandleMs));
             HttpResponse answer{ 200, mAnswerHeaders, mAnswerBody };
             return mHold ? HoldOrRefuse(mOptions.mBudget, std::move(answer)) : answer;
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -57,6 +57,7 @@
     first = read();
   }
   aConnection.mBuffer.commit(first.mError ? 0 : first.mSize);
+  aConnection.mReadError = first.mError;
   return !first.mError;
 }
 
@@ -119,6 +120,7 @@
     return 431;
   }
   if (read.mError == http::error::end_of_stream || read.mError == beast::error::timeout) {
+    aConnection.mReadError = read.mError;
     return 0;
   }
   if (read.mError || HasAmbiguousLength(parser.Head())) {
@@ -189,12 +191,12 @@
 }
 
 void
-MarkGone(Connection& aConnection)
+MarkGone(Connection& aConnection, const std::string& aCause)
 {
   for (const auto& it : aConnection.mExchanges) {
     it->mWatch.mGone = true;
     if (!it->mDone && it->mWatch.mOnGone) {
-      it->mWatch.mOnGone();
+      it->mWatch.mOnGone(aCause);
     }
   }
 }
--- a/packages/net/src/server_connection.hpp
+++ b/packages/net/src/server_connection.hpp
@@ -53,6 +53,7 @@
   bool mStopEnded = false; ///< a stop, not the client, ended the wait for a request
   bool mSaidClose = false; ///< the last answer was written and says that the connection closes
   bool mLingering = false; ///< what the client still sends is dropped
+  boost::beast::error_code mReadError; ///< what ended the wait for a request
   Instant mIdleSince = std::chrono::steady_clock::now();
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
@@ -97,7 +98,8 @@
 CloseConnection(Connection& aConnection);
 
 /// Tells the handlers of requests without an answer that their client has gone.
+/// @param aCause what ended the connection
 void
-MarkGone(Connection& aConnection);
+MarkGone(Connection& aConnection, const std::string& aCause);
 
 } // namespace fighold::net::detail
--- a/tests/support/backend_standin.cpp
+++ b/tests/support/backend_standin.cpp
@@ -90,7 +90,7 @@
       json::serialize(
         json::object{ { "ran", aServer.mRan }, { "gone", aServer.mGone }, { "keys", runs } }));
   }
-  aWatch.mOnGone = [&aServer] { ++aServer.mGone; };
+  aWatch.mOnGone = [&aServer](const std::string& /*aCause*/) { ++aServer.mGone; };
   std::unique_lock lock(aServer.mMutex);
   aServer.mFree.wait(lock, [&aServer] { return aServer.mRunning < aServer.mSlots; });
   ++aServer.mRunning;
