Cancel waits for a request, and let no read of the server expire

Cause: the wait without a request in progress was still limited by the expiry of Beast's stream. If it fires after bytes have been read and before the fiber runs, the stream drops the bytes and closes the socket (timeout_handler and transfer_op in basic_stream.hpp).

Now a stop cancels idle connections, again each 0.1 s, and the reader goes on waiting as long as it may still take a request. A cancelled read whose bytes have arrived returns them. A time limit of reading no longer closes a socket anywhere in the server; that of writing still does.

A client that ends its connection while the server closes it, with answers still to come, is noticed on all paths.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <optional>
 #include <set>
 #include <stdexcept>
 
@@ -32,6 +33,9 @@
 /// Time between two looks for connections that were idle, or read a request, for too long.
 constexpr Millis kLimitCheck{ 500 };
 
+/// The same while the server stops.
+constexpr Millis kStopCheck{ 100 };
+
 Endpoint
 ToEndpoint(const Tcp::endpoint& aEndpoint)
 {
@@ -57,10 +61,9 @@
   std::set<Connection*> mConnections;
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
-  bool mStopping = false;
-  bool mEnded = false;  ///< limits are no longer watched
-  Instant mStoppedAt{}; ///< when it began to stop
-  int mStarting = 0;    ///< connections whose fiber has not run yet
+  std::optional<Instant> mStoppedAt; ///< when it began to stop
+  bool mEnded = false;               ///< limits are no longer watched
+  int mStarting = 0;                 ///< connections whose fiber has not run yet
 };
 
 namespace {
@@ -78,7 +81,7 @@
   while (!aConnection.mExchanges.empty() && aConnection.mExchanges.front()->mDone) {
     Exchange& exchange = *aConnection.mExchanges.front();
     const bool closeAsked = FindHeader(exchange.mResponse.mHeaders, "Connection") == "close";
-    if (closeAsked || aState->mStopping || !exchange.mKeepAlive) {
+    if (closeAsked || aState->mStoppedAt || !exchange.mKeepAlive) {
       aConnection.mClosing = true;
     }
     // Requests that were read are all answered before the connection closes.
@@ -102,7 +105,7 @@
     if ((aConnection.mClosing || aConnection.mBroken) && !aConnection.mReading) {
       aConnection.mClosing = true;
       aConnection.mStream.cancel();
-    } else if (aState->mStopping && !aConnection.mReading) {
+    } else if (aState->mStoppedAt && !aConnection.mReading) {
       // The stop came during the write and left this connection alone. A request that has arrived
       // since then is still read.
       aConnection.mStream.cancel();
@@ -142,21 +145,19 @@
   while (more && !connection.mClosing) {
     const auto exchange = std::make_shared<Exchange>();
     const unsigned status =
-      detail::ReadRequest(connection, aState->mOptions, aState->mStopping, *exchange);
+      detail::ReadRequest(connection, aState->mOptions, aState->mStoppedAt, *exchange);
     if (status == 0) {
-      if (connection.mStopEnded) {
+      if (connection.mReadError == asio::error::operation_aborted) {
         break;
       }
-      if (connection.mReadError != asio::error::operation_aborted) {
-        detail::MarkGone(connection, connection.mReadError.message());
-      }
+      detail::MarkGone(connection, connection.mReadError.message());
       return;
     }
     // A request that comes late behind a running one might not end before the process does. It
     // counts as not read, since the answer before it closes the connection.
     const bool isLate =
-      aState->mStopping && connection.HasUnwritten() &&
-      std::chrono::steady_clock::now() >= aState->mStoppedAt + detail::kLastRequestWait;
+      aState->mStoppedAt && connection.HasUnwritten() &&
+      std::chrono::steady_clock::now() >= *aState->mStoppedAt + detail::kLastRequestWait;
     if (connection.mHasLast || isLate) {
       break;
     }
@@ -179,13 +180,13 @@
   }
   // Nothing more is taken from the client, but its end is still watched for the sake of its
   // requests.
-  if (!connection.mExchanges.empty() && !connection.mClosing) {
+  if (!connection.mExchanges.empty()) {
     connection.mStream.expires_never();
     connection.mBuffer.clear();
     const auto end = Await([&](auto aHandler) {
       connection.mStream.async_read_some(connection.mBuffer.prepare(1), std::move(aHandler));
     });
-    if (end.mError && end.mError != asio::error::operation_aborted && !connection.mClosing) {
+    if (end.mError && end.mError != asio::error::operation_aborted) {
       detail::MarkGone(connection, end.mError.message());
     }
   }
@@ -240,7 +241,7 @@
 void
 WatchLimits(const std::shared_ptr<State>& aState)
 {
-  aState->mLimitTimer.expires_after(kLimitCheck);
+  aState->mLimitTimer.expires_after(aState->mStoppedAt ? kStopCheck : kLimitCheck);
   aState->mLimitTimer.async_wait([aState](const beast::error_code& aError) {
     if (aError || aState->mEnded) {
       return;
@@ -248,8 +249,10 @@
     const Instant now = std::chrono::steady_clock::now();
     for (Connection* it : aState->mConnections) {
       detail::CheckReadLimit(*it, now);
-      if (!aState->mStopping && it->IsIdle() &&
-          now >= it->mIdleSince + aState->mOptions.mIdleTimeout) {
+      if (aState->mStoppedAt && it->IsIdle()) {
+        // The connection reads on if a last request may still come.
+        it->mStream.cancel();
+      } else if (it->IsIdle() && now >= it->mIdleSince + aState->mOptions.mIdleTimeout) {
         it->mClosing = true;
         it->mStream.cancel();
       }
@@ -304,11 +307,11 @@
 {
   const auto state = mState;
   WatchLimits(state);
-  while (!state->mStopping) {
+  while (!state->mStoppedAt) {
     Tcp::socket socket(state->mAcceptor.get_executor());
     const auto accepted =
       Await([&](auto aHandler) { state->mAcceptor.async_accept(socket, std::move(aHandler)); });
-    if (accepted.mError && state->mStopping) {
+    if (accepted.mError && state->mStoppedAt) {
       break;
     }
     if (accepted.mError) {
@@ -325,8 +328,8 @@
 bool
 HttpServer::Stop(Instant aUntil)
 {
-  mState->mStopping = true;
   mState->mStoppedAt = std::chrono::steady_clock::now();
+  WatchLimits(mState);
   // Closing the listener resets the connections that wait to be accepted.
   beast::error_code ec;
   mState->mAcceptor.non_blocking(true, ec);
@@ -362,12 +365,13 @@
 void
 HttpServer::Close()
 {
-  mState->mStopping = true;
+  mState->mStoppedAt = std::chrono::steady_clock::now();
   mState->mEnded = true;
   mState->mLimitTimer.cancel();
   beast::error_code ec;
   mState->mAcceptor.close(ec);
   for (Connection* it : mState->mConnections) {
+    it->mClosing = true;
     it->mStream.cancel();
   }
 }
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -19,43 +19,39 @@
 
 constexpr std::size_t kReadSize = 4096;
 
-/// @return true if a stop leaves time for a request: the connection is fresh, bytes have arrived,
+/// @return true if a stop leaves time for a request: bytes have arrived, the connection is fresh,
 /// or the client may still be receiving an answer, which a request that meets a closed socket would
 /// cut off
 bool
-MayTakeRequest(Connection& aConnection)
+MayTakeRequest(Connection& aConnection, Instant aStoppedAt)
 {
   beast::error_code ec;
-  return aConnection.mFresh || aConnection.mStream.socket().available(ec) > 0 ||
-         std::chrono::steady_clock::now() < aConnection.mIdleSince + kLastRequestWait;
+  const Instant since =
+    aConnection.mFresh ? std::max(aStoppedAt, aConnection.mIdleSince) : aConnection.mIdleSince;
+  return aConnection.mStream.socket().available(ec) > 0 ||
+         std::chrono::steady_clock::now() < since + kLastRequestWait;
 }
 
-/// Waits for a request. A stop ends the wait, but a request that MayTakeRequest() allows for is
+/// Reads without an expiry of the stream, which would close the socket under answers to earlier
+/// requests and drop bytes that have just been read.
+template<typename Buffer>
+IoResult
+ReadSome(Connection& aConnection, const Buffer& aBuffer)
+{
+  aConnection.mStream.expires_never();
+  return Await(
+    [&](auto aHandler) { aConnection.mStream.async_read_some(aBuffer, std::move(aHandler)); });
+}
+
+/// Waits for a request. A stop cancels the wait, but a request that MayTakeRequest() allows for is
 /// still read, so that it is answered and not cut off.
 bool
-ReadFirstBytes(Connection& aConnection, const bool& aStopping)
+ReadFirstBytes(Connection& aConnection, const std::optional<Instant>& aStoppedAt)
 {
-  if (aStopping && !MayTakeRequest(aConnection)) {
-    aConnection.mStopEnded = true;
-    return false;
-  }
-  const auto read = [&aConnection] {
-    return Await([&](auto aHandler) {
-      aConnection.mStream.async_read_some(aConnection.mBuffer.prepare(kReadSize),
-                                          std::move(aHandler));
-    });
-  };
-  // The expiry closes the socket. While requests are in progress, the last answer ends the wait.
-  if (aStopping && aConnection.mExchanges.empty()) {
-    aConnection.mStream.expires_after(kLastRequestWait);
-  } else {
-    aConnection.mStream.expires_never();
-  }
-  auto first = read();
-  if (first.mError == asio::error::operation_aborted && !aConnection.mClosing &&
-      MayTakeRequest(aConnection)) {
-    aConnection.mStream.expires_after(kLastRequestWait);
-    first = read();
+  IoResult first{ asio::error::operation_aborted };
+  while (first.mError == asio::error::operation_aborted && !aConnection.mClosing &&
+         (!aStoppedAt || MayTakeRequest(aConnection, *aStoppedAt))) {
+    first = ReadSome(aConnection, aConnection.mBuffer.prepare(kReadSize));
   }
   aConnection.mBuffer.commit(first.mError ? 0 : first.mSize);
   aConnection.mReadError = first.mError;
@@ -105,7 +101,7 @@
 unsigned
 ReadRequest(Connection& aConnection,
             const ServerOptions& aOptions,
-            const bool& aStopping,
+            const std::optional<Instant>& aStoppedAt,
             Exchange& aExchange)
 {
   MessageParser<true> parser;
@@ -113,7 +109,7 @@
   parser.body_limit(aOptions.mMaxBodyBytes);
   // Without a limit, a chunk size or extension without an end fills the memory.
   aConnection.mBuffer.max_size(2 * std::max(aOptions.mMaxHeaderBytes, kMaxRead));
-  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aStopping)) {
+  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aStoppedAt)) {
     return 0;
   }
   aConnection.mReading = true;
@@ -121,10 +117,7 @@
   aConnection.mReadUntil = std::chrono::steady_clock::now() + aOptions.mReadTimeout;
   const auto reservation = std::make_shared<MemoryReservation>(aOptions.mBudget);
   const auto readSome = [&aConnection](const auto& aBuffer) {
-    // The expiry of the stream would close the socket under answers to earlier requests.
-    aConnection.mStream.expires_never();
-    return Await(
-      [&](auto aHandler) { aConnection.mStream.async_read_some(aBuffer, std::move(aHandler)); });
+    return ReadSome(aConnection, aBuffer);
   };
   const ReadResult read =
     ReadMessage(readSome, aConnection.mBuffer, parser, aOptions.mMaxHeaderBytes, *reservation);
--- a/packages/net/src/server_connection.hpp
+++ b/packages/net/src/server_connection.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <exception>
 #include <memory>
+#include <optional>
 
 /// One connection of a server: reading of requests and writing of responses.
 namespace fighold::net::detail {
@@ -52,12 +53,12 @@
   bool mWriting = false;
   bool mBroken = false;    ///< nothing can be written any more
   bool mClosing = false;   ///< no further request is read
-  bool mStopEnded = false; ///< a stop, not the client, ended the wait for a request
   bool mHasLast = false;   ///< an answer says that the connection closes; requests behind it are
                            ///< left to other connections
   bool mSaidClose = false; ///< that answer was written
   bool mLingering = false; ///< what the client still sends is dropped
-  boost::beast::error_code mReadError; ///< what ended the wait for a request
+  /// What ended the wait for a request; operation_aborted: the server, not the client.
+  boost::beast::error_code mReadError;
   Instant mIdleSince = std::chrono::steady_clock::now();
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
@@ -78,13 +79,14 @@
 CheckReadLimit(Connection& aConnection, Instant aNow);
 
 /// Reads one request.
-/// @param aStopping true as soon as the server stops
+/// @param aStoppedAt when the server began to stop, as soon as it does
 /// @param aExchange receives the request
-/// @return 200, or the status with which the request is refused; 0 when the connection ended
+/// @return 200, or the status with which the request is refused; 0 if there is none, with
+/// Connection::mReadError
 unsigned
 ReadRequest(Connection& aConnection,
             const ServerOptions& aOptions,
-            const bool& aStopping,
+            const std::optional<Instant>& aStoppedAt,
             Exchange& aExchange);
 
 /// @return answer to a request that was not handed to the handler
