Keep a connection open until its client has received what was written

Cause: the time that a stop leaves a connection counted from the write of the last answer, 0.5 s without a request and 2 s after "Connection: close", not from its delivery. A client that received for longer and then sent met a closed socket, and the kernel dropped what was left of its answer.

Now both times go on while the kernel still holds bytes that the client has not acknowledged (SIOCOUTQ), for as long as a write may take (30 s). Where the kernel does not tell, nothing changes.

The tests "request long after a stop during a slow delivery" and "last answer that is delivered slowly" fail before.

Whether all connections have ended is checked as before.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -248,7 +248,7 @@
     }
     const Instant now = std::chrono::steady_clock::now();
     for (Connection* it : aState->mConnections) {
-      detail::CheckReadLimit(*it, now);
+      detail::CheckLimits(*it, aState->mOptions, now);
       if (aState->mStoppedAt && it->IsIdle()) {
         // The connection reads on if a last request may still come.
         it->mStream.cancel();
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -7,6 +7,9 @@
 
 #include <boost/asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <array>
 
@@ -19,17 +22,27 @@
 
 constexpr std::size_t kReadSize = 4096;
 
+/// @return true if the client has not acknowledged all bytes that were written
+bool
+HasUndelivered(Connection& aConnection)
+{
+  int n = 0;
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg,hicpp-vararg)
+  return ioctl(aConnection.mStream.socket().native_handle(), SIOCOUTQ, &n) == 0 && n > 0;
+}
+
 /// @return true if a stop leaves time for a request: bytes have arrived, the connection is fresh,
 /// or the client may still be receiving an answer, which a request that meets a closed socket would
 /// cut off
 bool
-MayTakeRequest(Connection& aConnection, Instant aStoppedAt)
+MayTakeRequest(Connection& aConnection, const ServerOptions& aOptions, Instant aStoppedAt)
 {
   beast::error_code ec;
+  const Instant now = std::chrono::steady_clock::now();
   const Instant since =
     aConnection.mFresh ? std::max(aStoppedAt, aConnection.mIdleSince) : aConnection.mIdleSince;
-  return aConnection.mStream.socket().available(ec) > 0 ||
-         std::chrono::steady_clock::now() < since + kLastRequestWait;
+  return aConnection.mStream.socket().available(ec) > 0 || now < since + kLastRequestWait ||
+         (now < since + aOptions.mWriteTimeout && HasUndelivered(aConnection));
 }
 
 /// Reads without an expiry of the stream, which would close the socket under answers to earlier
@@ -46,11 +59,13 @@
 /// Waits for a request. A stop cancels the wait, but a request that MayTakeRequest() allows for is
 /// still read, so that it is answered and not cut off.
 bool
-ReadFirstBytes(Connection& aConnection, const std::optional<Instant>& aStoppedAt)
+ReadFirstBytes(Connection& aConnection,
+               const ServerOptions& aOptions,
+               const std::optional<Instant>& aStoppedAt)
 {
   IoResult first{ asio::error::operation_aborted };
   while (first.mError == asio::error::operation_aborted && !aConnection.mClosing &&
-         (!aStoppedAt || MayTakeRequest(aConnection, *aStoppedAt))) {
+         (!aStoppedAt || MayTakeRequest(aConnection, aOptions, *aStoppedAt))) {
     first = ReadSome(aConnection, aConnection.mBuffer.prepare(kReadSize));
   }
   aConnection.mBuffer.commit(first.mError ? 0 : first.mSize);
@@ -86,8 +101,12 @@
 }
 
 void
-CheckReadLimit(Connection& aConnection, Instant aNow)
+CheckLimits(Connection& aConnection, const ServerOptions& aOptions, Instant aNow)
 {
+  if (aConnection.mLingering && aNow >= aConnection.mLingerUntil &&
+      (aNow >= aConnection.mLingerUntil + aOptions.mWriteTimeout || !HasUndelivered(aConnection))) {
+    aConnection.mStream.cancel();
+  }
   if (aConnection.mReading && aNow >= aConnection.mReadUntil) {
     aConnection.mReading = false;
     aConnection.mReadExpired = true;
@@ -109,7 +128,7 @@
   parser.body_limit(aOptions.mMaxBodyBytes);
   // Without a limit, a chunk size or extension without an end fills the memory.
   aConnection.mBuffer.max_size(2 * std::max(aOptions.mMaxHeaderBytes, kMaxRead));
-  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aStoppedAt)) {
+  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aOptions, aStoppedAt)) {
     return 0;
   }
   aConnection.mReading = true;
@@ -192,13 +211,11 @@
   if (aConnection.mSaidClose) {
     aConnection.mLingering = true;
     aConnection.mStream.socket().shutdown(asio::socket_base::shutdown_send, ec);
-    aConnection.mStream.expires_after(kLingerTime);
+    aConnection.mLingerUntil = std::chrono::steady_clock::now() + kLingerTime;
     std::array<char, kReadSize> bytes{};
     std::size_t dropped = 0;
     while (!ec && dropped < kLingerBytes) {
-      const auto read = Await([&](auto aHandler) {
-        aConnection.mStream.async_read_some(asio::buffer(bytes), std::move(aHandler));
-      });
+      const IoResult read = ReadSome(aConnection, asio::buffer(bytes));
       dropped += read.mSize;
       ec = read.mError;
     }
--- a/packages/net/src/server_connection.hpp
+++ b/packages/net/src/server_connection.hpp
@@ -21,7 +21,8 @@
 constexpr Millis kLastRequestWait{ 500 };
 
 /// Time and bytes in which a client may go on sending after the last answer of its connection. The
-/// bytes exceed what a connection has on its way.
+/// time is longer while the client has not received that answer. The bytes exceed what a connection
+/// has on its way.
 constexpr Millis kLingerTime{ 2000 };
 constexpr std::size_t kLingerBytes = 1U << 20U;
 
@@ -57,6 +58,7 @@
                            ///< left to other connections
   bool mSaidClose = false; ///< that answer was written
   bool mLingering = false; ///< what the client still sends is dropped
+  Instant mLingerUntil{};  ///< until then, or longer while the last answer is being delivered
   /// What ended the wait for a request; operation_aborted: the server, not the client.
   boost::beast::error_code mReadError;
   Instant mIdleSince = std::chrono::steady_clock::now();
@@ -73,10 +75,11 @@
 void
 ReportFault(const ServerOptions& aOptions, const std::exception& aError);
 
-/// Gives up on the request that is being read if its time limit has passed. Answers to earlier
-/// requests are still written, so that nothing is closed here.
+/// Gives up on the request that is being read, or on a client that goes on sending after the last
+/// answer, if its time limit has passed. Answers to earlier requests are still written, so that
+/// nothing is closed here.
 void
-CheckReadLimit(Connection& aConnection, Instant aNow);
+CheckLimits(Connection& aConnection, const ServerOptions& aOptions, Instant aNow);
 
 /// Reads one request.
 /// @param aStoppedAt when the server began to stop, as soon as it does
@@ -105,7 +108,7 @@
                  bool aHead);
 
 /// Closes a connection. After an answer that says so, what the client still sends is read and
-/// dropped until it closes its side, within kLingerTime and kLingerBytes: bytes that are left
+/// dropped until it closes its side, within these limits: bytes that are left
 /// unread make the kernel reset the connection and drop what the client has not received of that
 /// answer.
 void
--- a/packages/net/src/stop_test.cpp
+++ b/packages/net/src/stop_test.cpp
@@ -80,6 +80,36 @@
   CHECK(client.Read() == ReadAnswer{ true, true });
 }
 
+// Guards against a connection that is closed once its answer was written 0.5 s ago, although its
+// client has received only a part of that answer.
+TEST_CASE_METHOD(StopFixture,
+                 "HttpServer, request long after a stop during a slow delivery, is answered",
+                 "[net]")
+{
+  SlowClient client(mServer.Address());
+  client.Send(Request("/first", kLargeAnswer));
+  WaitUntilRun("/first");
+  BeginStop();
+  std::this_thread::sleep_for(Millis(kLongMillis));
+  client.Send(Request("/second", 10));
+  CHECK(client.Read() == ReadAnswer{ true, false });
+  CHECK(client.Read() == ReadAnswer{ true, true });
+}
+
+// Guards against the same end for a client that needs long for the last answer and sends on.
+TEST_CASE_METHOD(StopFixture,
+                 "HttpServer, last answer that is delivered slowly, is left whole",
+                 "[net]")
+{
+  SlowClient client(mServer.Address());
+  client.Send(Request("/last", kLargeAnswer));
+  WaitUntilRun("/last");
+  BeginStop();
+  std::this_thread::sleep_for(Millis(3000));
+  client.Send(Request("/behind", 10));
+  CHECK(client.Read() == ReadAnswer{ true, true });
+}
+
 // Guards against a request that is never sent to its end and takes the answer before it along.
 TEST_CASE_METHOD(ImpatientFixture,
                  "HttpServer, request behind a running one times out, leaves that one's answer",
