Log what a planned stop waits for, and requests without a delivered answer

A stop now logs its connections by what they wait for when the listener closes, each second, and at the end (decision=stop). A dropped request and a failed write are logged and counted (decision=unanswered, fighold_requests_unanswered_total). The part of a stop that both roles had twice is net::RunServers now. No decision changes.

--- a/packages/control/src/front.cpp
+++ b/packages/control/src/front.cpp
@@ -1,5 +1,6 @@
 #include "fighold/control/front_codec.hpp"
 #include "fighold/net/process_pages.hpp"
+#include "fighold/net/server_group.hpp"
 #include "fighold/telemetry/faults.hpp"
 #include "threads.hpp"
 
@@ -46,6 +47,14 @@
       it.mOnFault = [this](const std::string& aReason) {
         telemetry::ReportConnectionFault(mChannels.mLog, mChannels.mMetrics, "client", aReason);
       };
+      it.mOnUnanswered = [this](const net::UnansweredRequests& aRequests) {
+        telemetry::ReportUnanswered(mChannels.mLog,
+                                    mChannels.mMetrics,
+                                    "client",
+                                    ToText(aRequests.mCause),
+                                    aRequests.mCount,
+                                    aRequests.mError);
+      };
       mServers.push_back(std::make_unique<net::HttpServer>(
         mLoop,
         std::move(it),
@@ -127,18 +136,12 @@
 Front::Run()
 {
   mState->mLoop.Run([this] {
-    std::vector<boost::fibers::fiber> serving;
-    for (const auto& it : mState->mServers) {
-      serving.emplace_back([&it] { it->Serve(); });
-    }
-    mState->mDrain.get_future().wait();
-    const Instant until = std::chrono::steady_clock::now() + kStopTimeout;
-    for (const auto& it : mState->mServers) {
-      it->Stop(until);
-    }
-    for (auto& it : serving) {
-      it.join();
-    }
+    net::RunServers(mState->mServers,
+                    mState->mDrain.get_future(),
+                    kStopTimeout,
+                    [this](const net::StopProgress& aProgress) {
+                      telemetry::LogDecision(mState->mChannels.mLog, net::RecordOf(aProgress));
+                    });
   });
 }
 
--- a/packages/net/include/fighold/net/http_server.hpp
+++ b/packages/net/include/fighold/net/http_server.hpp
@@ -4,6 +4,8 @@
 #include "fighold/net/fiber_loop.hpp"
 #include "fighold/net/http.hpp"
 
+#include <compare>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,6 +14,38 @@
 /// are handled at once and answered in their order.
 namespace fighold::net {
 
+/// How requests end without a delivered answer, other than that their client has gone.
+enum class UnansweredCause : std::uint8_t
+{
+  WriteFailed, ///< the answer could not be written
+  BehindLast,  ///< read behind the answer that closes the connection, and not handled
+};
+
+/// @return the cause as a word for logs and metrics
+std::string
+ToText(UnansweredCause aCause);
+
+/// Requests of one connection that ended without a delivered answer.
+struct UnansweredRequests
+{
+  UnansweredCause mCause = UnansweredCause::WriteFailed;
+  std::size_t mCount = 0;
+  std::string mError; ///< what ended the connection, if known
+
+  friend auto operator<=>(const UnansweredRequests&, const UnansweredRequests&) = default;
+};
+
+/// Connections of a server, by what they wait for.
+struct ConnectionCounts
+{
+  std::size_t mOpen = 0;
+  std::size_t mReading = 0;    ///< a request is being read
+  std::size_t mUnanswered = 0; ///< requests that were read and whose answer was not written
+  std::size_t mLingering = 0;  ///< the last answer was written, the client has not closed yet
+
+  friend auto operator<=>(const ConnectionCounts&, const ConnectionCounts&) = default;
+};
+
 /// Limits of a server.
 struct ServerOptions
 {
@@ -28,6 +62,8 @@
   /// Told of an exception that ended a request or a connection. Runs on the loop's thread, must not
   /// throw; may be empty.
   std::function<void(const std::string&)> mOnFault{};
+  /// Told of requests that ended without a delivered answer. As mOnFault.
+  std::function<void(const UnansweredRequests&)> mOnUnanswered{};
 };
 
 /// Handles a request; runs in a fiber of its own and may suspend it. If it throws a std::exception,
@@ -71,6 +107,9 @@
   /// @return true when all requests were answered
   bool Stop(Instant aUntil);
 
+  /// @return what the connections wait for now
+  ConnectionCounts Connections() const;
+
   /// Replaces the limits on what clients may send; they hold from the next request on.
   void SetLimits(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes, Millis aIdleTimeout);
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -93,9 +93,15 @@
     headers.erase(std::remove(headers.begin(), headers.end(), Header{ "Connection", "close" }),
                   headers.end());
     const bool head = exchange.mRequest.mMethod == "HEAD";
-    aConnection.mBroken =
-      aConnection.mBroken ||
-      !detail::TryWriteResponse(aConnection, aState->mOptions, exchange.mResponse, !last, head);
+    if (!aConnection.mBroken) {
+      const std::string error =
+        detail::TryWriteResponse(aConnection, aState->mOptions, exchange.mResponse, !last, head);
+      aConnection.mBroken = !error.empty();
+      if (aConnection.mBroken && !exchange.mWatch.mGone) {
+        detail::ReportUnanswered(
+          aState->mOptions, { UnansweredCause::WriteFailed, aConnection.mExchanges.size(), error });
+      }
+    }
     aConnection.mSaidClose = last && !aConnection.mBroken;
     aConnection.mExchanges.pop_front();
   }
@@ -159,6 +165,7 @@
       aState->mStoppedAt && connection.HasUnwritten() &&
       std::chrono::steady_clock::now() >= *aState->mStoppedAt + detail::kLastRequestWait;
     if (connection.mHasLast || isLate) {
+      detail::ReportUnanswered(aState->mOptions, { UnansweredCause::BehindLast, 1, {} });
       break;
     }
     exchange->mRequest.mPeer = peer;
@@ -263,6 +270,18 @@
 
 } // namespace
 
+std::string
+ToText(UnansweredCause aCause)
+{
+  switch (aCause) {
+    case UnansweredCause::WriteFailed:
+      return "write-failed";
+    case UnansweredCause::BehindLast:
+      break;
+  }
+  return "behind-the-last-answer";
+}
+
 HttpServer::HttpServer(FiberLoop& aLoop, ServerOptions aOptions, Handler aHandler)
   : HttpServer(aLoop,
                std::move(aOptions),
@@ -354,6 +373,18 @@
   return allEnded;
 }
 
+ConnectionCounts
+HttpServer::Connections() const
+{
+  ConnectionCounts counts{ mState->mConnections.size(), 0, 0, 0 };
+  for (const Connection* it : mState->mConnections) {
+    counts.mReading += it->mReading ? 1 : 0;
+    counts.mUnanswered += it->Unanswered();
+    counts.mLingering += it->mLingering ? 1 : 0;
+  }
+  return counts;
+}
+
 void
 HttpServer::SetLimits(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes, Millis aIdleTimeout)
 {
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -73,7 +73,7 @@
   return !first.mError;
 }
 
-bool
+std::string
 WriteResponse(Connection& aConnection,
               const HttpResponse& aResponse,
               bool aKeepAlive,
@@ -87,11 +87,19 @@
   aConnection.mStream.expires_after(aTimeout);
   const auto written = Await(
     [&](auto aHandler) { asio::async_write(aConnection.mStream, buffers, std::move(aHandler)); });
-  return !written.mError;
+  return written.mError ? "write: " + written.mError.message() : "";
 }
 
 } // namespace
 
+void
+ReportUnanswered(const ServerOptions& aOptions, const UnansweredRequests& aRequests)
+{
+  if (aOptions.mOnUnanswered && aRequests.mCount > 0) {
+    aOptions.mOnUnanswered(aRequests);
+  }
+}
+
 void
 ReportFault(const ServerOptions& aOptions, const std::exception& aError)
 {
@@ -189,7 +197,7 @@
   return response;
 }
 
-bool
+std::string
 TryWriteResponse(Connection& aConnection,
                  const ServerOptions& aOptions,
                  const HttpResponse& aResponse,
@@ -200,7 +208,7 @@
     return WriteResponse(aConnection, aResponse, aKeepAlive, aHead, aOptions.mWriteTimeout);
   } catch (const std::exception& error) {
     ReportFault(aOptions, error);
-    return false;
+    return std::string("exception: ") + error.what();
   }
 }
 
--- a/packages/net/src/server_connection.hpp
+++ b/packages/net/src/server_connection.hpp
@@ -65,6 +65,9 @@
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
 
+  /// @return requests whose answer was not written
+  std::size_t Unanswered() const { return mExchanges.size(); }
+
   bool IsIdle() const { return !mReading && !mLingering && mExchanges.empty(); }
 
   /// @return true if an answer follows whose write has not begun
@@ -75,6 +78,10 @@
 void
 ReportFault(const ServerOptions& aOptions, const std::exception& aError);
 
+/// Tells of requests that end without a delivered answer.
+void
+ReportUnanswered(const ServerOptions& aOptions, const UnansweredRequests& aRequests);
+
 /// Gives up on the request that is being read, or on a client that goes on sending after the last
 /// answer, if its time limit has passed. Answers to earlier requests are still written, so that
 /// nothing is closed here.
@@ -99,8 +106,8 @@
 /// Writes a response.
 /// @param aKeepAlive false: the connection closes after it
 /// @param aHead the body is left out, as HEAD asks
-/// @return false if it could not be written, also because of an exception, which is reported
-bool
+/// @return empty, or why it could not be written; an exception is reported as well
+std::string
 TryWriteResponse(Connection& aConnection,
                  const ServerOptions& aOptions,
                  const HttpResponse& aResponse,
