--- a/packages/control/include/fighold/control/daemon.hpp
+++ b/packages/control/include/fighold/control/daemon.hpp
@@ -4,6 +4,7 @@
 #include "fighold/control/state.hpp"
 #include "fighold/core/endpoint.hpp"
 #include "fighold/core/id.hpp"
+#include "fighold/core/stop_budget.hpp"
 #include "fighold/net/http_server.hpp"
 #include "fighold/wire/key_file.hpp"
 
@@ -57,8 +58,8 @@
   /// @return address of the first HTTP listener, with the port in use
   Endpoint Address() const;
 
-  /// Answers the calls in progress, then stops all threads.
-  void StopAndWait();
+  /// Answers the calls in progress within the limits of the budget, then stops all threads.
+  void StopAndWait(const StopBudget& aBudget = {});
 
 private:
   struct State;
--- a/packages/control/src/daemon.cpp
+++ b/packages/control/src/daemon.cpp
@@ -163,10 +163,10 @@
 }
 
 void
-Daemon::StopAndWait()
+Daemon::StopAndWait(const StopBudget& aBudget)
 {
   // The decide thread runs until the front has answered every call.
-  mState->mFront.Drain();
+  mState->mFront.Drain(aBudget);
   mState->mFrontThread.join();
   mState->mChannels.mInbox.Close();
   mState->mDecideThread.join();
--- a/packages/control/src/front.cpp
+++ b/packages/control/src/front.cpp
@@ -8,14 +8,14 @@
 #include <boost/fiber/future.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <exception>
 #include <map>
+#include <stdexcept>
+#include <utility>
 
 namespace fighold::control {
 namespace {
 
-/// Maximum time that the stop waits for clients to receive their answers.
-constexpr std::chrono::seconds kStopTimeout{ 15 };
-
 /// Maximum number of pending calls; below the capacity of the answer ring, so that it never fills.
 constexpr std::size_t kMaxCalls = 512;
 
@@ -88,7 +88,7 @@
     }
     boost::fibers::promise<CallAnswer> promise;
     auto future = promise.get_future();
-    const bool hasCapacity = mPendingAnswers.size() < kMaxCalls;
+    const bool hasCapacity = !mHasEnded && mPendingAnswers.size() < kMaxCalls;
     if (!hasCapacity ||
         !mChannels.mInbox.TryPush(std::move(std::get<Event>(parsed)), kInboxReserve)) {
       return net::JsonResponse(503, R"({"error":"busy, not accepted"})");
@@ -108,6 +108,17 @@
     }
   }
 
+  /// Ends the calls for which no answer has come.
+  void EndHandlers()
+  {
+    mHasEnded = true;
+    const auto pending = std::exchange(mPendingAnswers, {});
+    for (const auto& [id, promise] : pending) {
+      promise->set_exception(
+        std::make_exception_ptr(std::runtime_error("the control process has stopped")));
+    }
+  }
+
   Channels& mChannels;
   std::shared_ptr<net::MemoryBudget> mBudget;
   std::string mToken;
@@ -116,7 +127,8 @@
   std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::map<CallId, boost::fibers::promise<CallAnswer>*> mPendingAnswers;
   CallId mNextId = 1;
-  boost::fibers::promise<void> mDrain;
+  bool mHasEnded = false; ///< no answer is waited for any longer
+  boost::fibers::promise<StopBudget> mStop;
 };
 
 Front::Front(Channels& aChannels, const FrontOptions& aOptions)
@@ -136,19 +148,20 @@
 Front::Run()
 {
   mState->mLoop.Run([this] {
-    net::RunServers(mState->mServers,
-                    mState->mDrain.get_future(),
-                    kStopTimeout,
-                    [this](const net::StopProgress& aProgress) {
-                      telemetry::LogDecision(mState->mChannels.mLog, net::RecordOf(aProgress));
-                    });
+    const net::StopHooks hooks{
+      [this](const net::StopProgress& aProgress) {
+        telemetry::LogDecision(mState->mChannels.mLog, net::RecordOf(aProgress));
+      },
+      [this] { mState->EndHandlers(); },
+    };
+    net::RunServers(mState->mServers, mState->mStop.get_future(), hooks);
   });
 }
 
 void
-Front::Drain()
+Front::Drain(const StopBudget& aBudget)
 {
-  mState->mLoop.Post([this] { mState->mDrain.set_value(); });
+  mState->mLoop.Post([this, aBudget] { mState->mStop.set_value(aBudget); });
 }
 
 } // namespace fighold::control
--- a/packages/control/src/threads.hpp
+++ b/packages/control/src/threads.hpp
@@ -3,6 +3,7 @@
 #include "fighold/agreement/storage.hpp"
 #include "fighold/control/front_codec.hpp"
 #include "fighold/control/state.hpp"
+#include "fighold/core/stop_budget.hpp"
 #include "fighold/net/http_server.hpp"
 #include "fighold/ring/bounded_ring.hpp"
 #include "fighold/telemetry/log.hpp"
@@ -39,7 +40,7 @@
 };
 
 /// Front thread: serves HTTP to operators, backend servers, callers and the platform. Run() returns
-/// after Drain(), once every call has been answered.
+/// after Drain(), once every call has been answered or the time of the stop has passed.
 class Front
 {
 public:
@@ -55,8 +56,8 @@
   /// Thread function.
   void Run();
 
-  /// Stops accepting calls and lets those in progress finish. Thread-safe.
-  void Drain();
+  /// Stops accepting calls and lets those in progress finish within the budget. Thread-safe.
+  void Drain(const StopBudget& aBudget = {});
 
 private:
   struct State;
--- a/packages/entry/include/fighold/entry/daemon.hpp
+++ b/packages/entry/include/fighold/entry/daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fighold/core/stop_budget.hpp"
 #include "fighold/entry/backend_codec.hpp"
 #include "fighold/entry/front_codec.hpp"
 #include "fighold/entry/state.hpp"
@@ -46,8 +47,8 @@
   Endpoint Address() const;
 
   /// Planned stop: waits until lookups cached by callers have expired and no request is in flight,
-  /// then stops all threads.
-  void StopAndWait();
+  /// within the limits of the budget, then stops all threads.
+  void StopAndWait(const StopBudget& aBudget = {});
 
 private:
   struct State;
--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -5,6 +5,7 @@
 #include "fighold/core/id.hpp"
 #include "fighold/core/outcome.hpp"
 #include "fighold/core/shared_value.hpp"
+#include "fighold/core/stop_budget.hpp"
 #include "fighold/core/time.hpp"
 #include "fighold/membership/protocol.hpp"
 #include "fighold/net/http.hpp"
@@ -163,6 +164,8 @@
 /// Request for a planned stop.
 struct Stop
 {
+  StopBudget mBudget{};
+
   friend auto operator<=>(const Stop&, const Stop&) = default;
 };
 
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -42,6 +42,7 @@
   Unleased,
   Draining,
   Stopped,
+  Ended,
 };
 
 /// States of charts/forward.scxml, in the order of ForwardRegistry().
@@ -171,6 +172,7 @@
   membership::Lease mLease;
   EntryStage mStage = EntryStage::Starting;
   Instant mDrainStarted{};
+  StopBudget mStop; ///< without limits until a planned stop begins
   std::map<RequestId, InFlightRequest> mInFlight;
   routes::RouteTable mRoutes;
   std::map<std::string, routes::WeightedRoundRobin> mRouteRoundRobins; ///< by route
@@ -220,6 +222,19 @@
 State
 MakeState(Options aOptions, Charts aCharts);
 
+/// @return keys of a map, in their order, for loops that change the map
+template<typename Map>
+std::vector<typename Map::key_type>
+KeysOf(const Map& aMap)
+{
+  std::vector<typename Map::key_type> keys;
+  keys.reserve(aMap.size());
+  for (const auto& [key, value] : aMap) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 /// @return next number of the state's SplitMix64 generator
 std::uint64_t
 NextRandom(State& aState);
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -115,15 +115,15 @@
 }
 
 void
-Daemon::StopAndWait()
+Daemon::StopAndWait(const StopBudget& aBudget)
 {
-  while (!mState->mChannels.mInbox.TryPush(Stop{})) {
+  while (!mState->mChannels.mInbox.TryPush(Stop{ aBudget })) {
     std::this_thread::sleep_for(Millis(10));
   }
   mState->mStopped.get_future().wait();
   // The decide thread keeps running until the front thread has answered every request that arrived
   // in the meantime.
-  mState->mFront.Drain();
+  mState->mFront.Drain(aBudget);
   mState->mFrontThread.join();
   mState->mChannels.mInbox.Close();
   mState->mDecideThread.join();
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -178,12 +178,21 @@
 }
 
 void
-Handle(const Stop& /*aStop*/, Context& aContext)
+Handle(const Stop& aStop, Context& aContext)
 {
+  aContext.mState.mStop = aStop.mBudget;
   FireStage(aContext.mState, StageEvent::Stop, aContext.mEffects, aContext.mNow);
   MaintainLease(aContext.mState, aContext.mEffects, aContext.mNow);
 }
 
+/// @return true once a planned stop has begun
+bool
+IsStopping(const State& aState)
+{
+  return aState.mStage == EntryStage::Draining || aState.mStage == EntryStage::Stopped ||
+         aState.mStage == EntryStage::Ended;
+}
+
 /// Marks replies after which the connection is closed. Callers then move to other entries while
 /// this one still answers.
 void
@@ -209,7 +218,7 @@
   if (!routing::IsEmpty(aState.mQueue)) {
     DispatchWaiting(aState, context.mEffects, aNow);
   }
-  if (aState.mStage == EntryStage::Draining || aState.mStage == EntryStage::Stopped) {
+  if (IsStopping(aState)) {
     MarkRepliesForClose(context.mEffects);
   }
   return std::move(context.mEffects);
@@ -218,9 +227,12 @@
 Instant
 NextTick(const State& aState, Instant aNow)
 {
-  const bool draining = aState.mStage == EntryStage::Draining;
+  const bool stopping =
+    aState.mStage == EntryStage::Draining || aState.mStage == EntryStage::Stopped;
   const Instant due = std::min(aState.mNextRenew, aState.mNextProbes);
-  const Instant next = draining ? std::min(due, aNow + kDrainCheckInterval) : due;
+  const Instant check =
+    std::min(aNow + kDrainCheckInterval, std::max(aNow, aState.mStop.mAnswerDeadline));
+  const Instant next = stopping ? std::min(due, check) : due;
   if (!routing::IsEmpty(aState.mQueue)) {
     return std::min(next, aNow + kQueueCheckInterval);
   }
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -56,7 +56,13 @@
            aScope.mPlacement.mCacheState == routes::CacheState::Uncached,
            forward.mPriorWait + (aScope.mNow - forward.mArrived),
            forward.mRoute->mTargetLatency,
-           forward.mDeadline - aScope.mNow };
+           std::min(forward.mDeadline, aScope.mState.mStop.mAnswerDeadline) - aScope.mNow };
+}
+
+bool
+IsPastArrivalDeadline(const ForwardScope& aScope)
+{
+  return aScope.mNow >= aScope.mState.mStop.mArrivalDeadline;
 }
 
 bool
@@ -112,7 +118,7 @@
   const Forward& forward = aScope.mForward;
   const auto pool = aScope.mState.mPools.find(forward.mService);
   const bool sent = forward.mDispatchCount > forward.mUnsentDispatchCount;
-  return !NoServer(aScope) && !NoTime(aScope) &&
+  return !IsPastArrivalDeadline(aScope) && !NoServer(aScope) && !NoTime(aScope) &&
          forward.mDispatchCount - forward.mUnsentDispatchCount < forward.mRoute->mAttempts &&
          forward.mUnsentDispatchCount < kMaxUnsentDispatches &&
          pool != aScope.mState.mPools.end() &&
@@ -171,6 +177,13 @@
   ReplyWith(aScope, std::move(answer));
 }
 
+/// Other entries can take the request at once.
+void
+AnswerStopping(ForwardScope& aScope)
+{
+  AnswerNotRun(aScope, "entry-stops", kUnavailable, Millis(0));
+}
+
 void
 AnswerNotConfigured(ForwardScope& aScope)
 {
@@ -242,6 +255,16 @@
   ReplyWith(aScope, std::move(answer));
 }
 
+void
+AnswerStopExpired(ForwardScope& aScope)
+{
+  ForwardAnswer answer;
+  answer.mOutcome = Outcome::Unknown;
+  answer.mReason = "entry-stops";
+  answer.mStatus = kGatewayTimeout;
+  ReplyWith(aScope, std::move(answer));
+}
+
 void
 SetMayHaveRun(ForwardScope& aScope)
 {
@@ -430,8 +453,9 @@
 ForwardRegistry()
 {
   return { { "received", "dispatched", "answered", "not_run", "unknown" },
-           { "arrived", "answered", "refused", "unsent", "lost", "caller_gone" },
-           { { "not_configured", NotConfigured },
+           { "arrived", "answered", "refused", "unsent", "lost", "caller_gone", "stop_expired" },
+           { { "past_arrival_deadline", IsPastArrivalDeadline },
+             { "not_configured", NotConfigured },
              { "no_such_route", NoSuchRoute },
              { "too_many", TooManyInFlight },
              { "no_server", NoServer },
@@ -439,7 +463,9 @@
              { "may_have_run", MayHaveRun },
              { "may_send_again", MayRedispatch },
              { "may_repeat", MayRepeat } },
-           { { "answer_not_configured", AnswerNotConfigured },
+           { { "answer_stopping", AnswerStopping },
+             { "answer_stop_expired", AnswerStopExpired },
+             { "answer_not_configured", AnswerNotConfigured },
              { "answer_no_such_route", AnswerNoSuchRoute },
              { "answer_too_many", AnswerTooMany },
              { "answer_no_server", AnswerNoServer },
@@ -537,4 +563,13 @@
   }
 }
 
+void
+EndForwards(State& aState, std::vector<Effect>& aEffects, Instant aNow)
+{
+  for (const RequestId id : KeysOf(aState.mForwards)) {
+    ForwardScope scope{ aState, aState.mForwards.at(id), aEffects, aNow, true, {}, {}, {} };
+    FireForward(scope, ForwardEvent::StopExpired);
+  }
+}
+
 } // namespace fighold::entry
--- a/packages/entry/src/forward_chart.hpp
+++ b/packages/entry/src/forward_chart.hpp
@@ -14,6 +14,7 @@
   Unsent,
   Lost,
   CallerGone,
+  StopExpired,
 };
 
 /// What the guards and actions read and change while one event of a request is handled.
@@ -54,4 +55,9 @@
                         std::vector<Effect>& aEffects,
                         Instant aNow);
 
+/// Answers all requests that have no answer at the end of a planned stop, and cancels their
+/// dispatches.
+void
+EndForwards(State& aState, std::vector<Effect>& aEffects, Instant aNow);
+
 } // namespace fighold::entry
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -8,15 +8,15 @@
 #include <boost/fiber/future.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <map>
 #include <optional>
+#include <stdexcept>
+#include <utility>
 
 namespace fighold::entry {
 namespace {
 
-/// Maximum time for which a planned stop waits until callers have read their answers.
-constexpr std::chrono::seconds kStopTimeout{ 60 };
-
 /// @return true for events that a caller's request becomes
 bool
 IsCallersEvent(const Event& aEvent)
@@ -101,6 +101,9 @@
       return { status, { { "Fighold-Outcome", "not-run" } }, "" };
     }
     const std::size_t reserved = isCallers ? kReservedReplies : 0;
+    if (mHasEnded) {
+      return mCodec.mOverloadResponse("entry-stops");
+    }
     if (mPendingReplies.size() + reserved >= kMaxPendingReplies) {
       mChannels.mMetrics.Count("front_full_total");
       return mCodec.mOverloadResponse("too-many-requests");
@@ -142,6 +145,16 @@
     }
   }
 
+  /// Ends the requests for which no reply has come.
+  void EndHandlers()
+  {
+    mHasEnded = true;
+    const auto pending = std::exchange(mPendingReplies, {});
+    for (const auto& [id, promise] : pending) {
+      promise->set_exception(std::make_exception_ptr(std::runtime_error("the entry has stopped")));
+    }
+  }
+
   /// A listener that takes other calls as well allows what these need, and callers' requests are
   /// checked once they are told apart.
   void SetLimits(const routes::CallerLimits& aLimits)
@@ -164,7 +177,8 @@
   std::vector<std::unique_ptr<net::HttpServer>> mServers;
   std::map<RequestId, boost::fibers::promise<Reply>*> mPendingReplies;
   RequestId mNextRequestId = 1;
-  boost::fibers::promise<void> mDrain;
+  bool mHasEnded = false; ///< no reply is waited for any longer
+  boost::fibers::promise<StopBudget> mStop;
 };
 
 Front::Front(Channels& aChannels,
@@ -186,19 +200,20 @@
 Front::Run()
 {
   mState->mLoop.Run([this] {
-    net::RunServers(mState->mServers,
-                    mState->mDrain.get_future(),
-                    kStopTimeout,
-                    [this](const net::StopProgress& aProgress) {
-                      telemetry::LogDecision(mState->mChannels.mLog, net::RecordOf(aProgress));
-                    });
+    const net::StopHooks hooks{
+      [this](const net::StopProgress& aProgress) {
+        telemetry::LogDecision(mState->mChannels.mLog, net::RecordOf(aProgress));
+      },
+      [this] { mState->EndHandlers(); },
+    };
+    net::RunServers(mState->mServers, mState->mStop.get_future(), hooks);
   });
 }
 
 void
-Front::Drain()
+Front::Drain(const StopBudget& aBudget)
 {
-  mState->mLoop.Post([this] { mState->mDrain.set_value(); });
+  mState->mLoop.Post([this, aBudget] { mState->mStop.set_value(aBudget); });
 }
 
 } // namespace fighold::entry
--- a/packages/entry/src/request_chart.cpp
+++ b/packages/entry/src/request_chart.cpp
@@ -11,6 +11,12 @@
 /// Maximum number of dispatches of one request, including the first one.
 constexpr std::uint32_t kMaxDispatches = 3;
 
+bool
+IsPastArrivalDeadline(const RequestScope& aScope)
+{
+  return aScope.mNow >= aScope.mState.mStop.mArrivalDeadline;
+}
+
 bool
 NoLease(const RequestScope& aScope)
 {
@@ -34,8 +40,8 @@
 MayRedispatch(const RequestScope& aScope)
 {
   // The claim may have expired since the last dispatch.
-  return !NoLease(aScope) && !NoRoute(aScope) && !MustWait(aScope) &&
-         aScope.mNow < aScope.mRequest.mClaimExpiry &&
+  return !NoLease(aScope) && !IsPastArrivalDeadline(aScope) && !NoRoute(aScope) &&
+         !MustWait(aScope) && aScope.mNow < aScope.mRequest.mClaimExpiry &&
          aScope.mRequest.mDispatchCount < kMaxDispatches && aScope.mNow < aScope.mRequest.mDeadline;
 }
 
@@ -82,6 +88,18 @@
   aScope.mEffects.emplace_back(Reply{ aScope.mRequest.mRequest.mId, std::move(answer) });
 }
 
+void
+AnswerStopping(RequestScope& aScope)
+{
+  ReplyWith(aScope, Outcome::NotRun, "entry-stops");
+}
+
+void
+AnswerStopExpired(RequestScope& aScope)
+{
+  ReplyWith(aScope, Outcome::Unknown, "entry-stops");
+}
+
 void
 AnswerNoLease(RequestScope& aScope)
 {
@@ -192,7 +210,8 @@
   const auto service = services.find(aRequest.mService);
   const Millis limit =
     service == services.end() ? plan::Service{}.mDeadline : service->second.mDeadline;
-  return aNow + std::min(limit, aRequest.mDeadline.value_or(limit));
+  return std::min(aNow + std::min(limit, aRequest.mDeadline.value_or(limit)),
+                  aState.mStop.mAnswerDeadline);
 }
 
 } // namespace
@@ -213,8 +232,10 @@
              "refused",
              "unsent",
              "lost",
-             "caller_gone" },
-           { { "no_lease", NoLease },
+             "caller_gone",
+             "stop_expired" },
+           { { "past_arrival_deadline", IsPastArrivalDeadline },
+             { "no_lease", NoLease },
              { "not_admitted", TooManyInFlight },
              { "no_route", NoRoute },
              { "must_wait", MustWait },
@@ -224,7 +245,9 @@
              { "needs_claim", NeedsClaim },
              { "may_try_again", MayRedispatch },
              { "may_repeat", MayRepeat } },
-           { { "answer_no_lease", AnswerNoLease },
+           { { "answer_stopping", AnswerStopping },
+             { "answer_stop_expired", AnswerStopExpired },
+             { "answer_no_lease", AnswerNoLease },
              { "answer_overload", AnswerOverload },
              { "answer_no_route", AnswerNoRoute },
              { "answer_no_share", AnswerNoShare },
@@ -293,4 +316,13 @@
   }
 }
 
+void
+EndCallerRequests(State& aState, std::vector<Effect>& aEffects, Instant aNow)
+{
+  for (const RequestId id : KeysOf(aState.mInFlight)) {
+    RequestScope scope{ aState, aState.mInFlight.at(id), aEffects, aNow, {}, {} };
+    FireRequest(scope, RequestEvent::StopExpired);
+  }
+}
+
 } // namespace fighold::entry
--- a/packages/entry/src/request_chart.hpp
+++ b/packages/entry/src/request_chart.hpp
@@ -21,6 +21,7 @@
   Unsent,
   Lost,
   CallerGone,
+  StopExpired,
 };
 
 /// What the guards and actions read and change while one event of a request is handled.
@@ -66,6 +67,11 @@
 void
 HandleCallerGone(State& aState, RequestId aId, std::vector<Effect>& aEffects, Instant aNow);
 
+/// Answers all requests that have no answer at the end of a planned stop, and cancels their
+/// dispatches.
+void
+EndCallerRequests(State& aState, std::vector<Effect>& aEffects, Instant aNow);
+
 /// Handles the arrival of a request.
 void
 HandleArrival(State& aState, CallerRequest aRequest, std::vector<Effect>& aEffects, Instant aNow);
--- a/packages/entry/src/stage_chart.cpp
+++ b/packages/entry/src/stage_chart.cpp
@@ -1,9 +1,13 @@
 #include "stage_chart.hpp"
 
+#include "forward_chart.hpp"
+#include "request_chart.hpp"
+
 namespace fighold::entry {
 namespace {
 
-const std::vector<std::string> kStages{ "starting", "serving", "unleased", "draining", "stopped" };
+const std::vector<std::string> kStages{ "starting", "serving", "unleased",
+                                        "draining", "stopped", "ended" };
 const std::vector<std::string> kEvents{ "granted", "lease_lost", "stop", "tick" };
 
 void
@@ -35,12 +39,40 @@
          (idle && elapsed >= state.mOptions.mLookupTimeToLive);
 }
 
+/// Logs how many requests a stop finds at one of its steps.
+void
+LogStop(StageScope& aScope, const std::string& aStep)
+{
+  const State& state = aScope.mState;
+  const auto elapsed = std::chrono::duration_cast<Millis>(aScope.mNow - state.mStop.mBegan);
+  DecisionRecord record{ "stop", state.mOptions.mId.mValue, "", aStep, "", {} };
+  record.mFields = { { "elapsed_ms", std::to_string(elapsed.count()) },
+                     { "requests",
+                       std::to_string(state.mInFlight.size() + state.mForwards.size()) } };
+  aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
+}
+
 void
 AnnounceStopped(StageScope& aScope)
 {
+  LogStop(aScope, "listener-closes");
   aScope.mEffects.emplace_back(Stopped{});
 }
 
+bool
+IsStopExpired(const StageScope& aScope)
+{
+  return aScope.mNow >= aScope.mState.mStop.mAnswerDeadline;
+}
+
+void
+EndRequests(StageScope& aScope)
+{
+  LogStop(aScope, "requests-end");
+  EndForwards(aScope.mState, aScope.mEffects, aScope.mNow);
+  EndCallerRequests(aScope.mState, aScope.mEffects, aScope.mNow);
+}
+
 } // namespace
 
 chart::Registry<StageScope>
@@ -48,10 +80,11 @@
 {
   return { kStages,
            kEvents,
-           { { "drained", IsDrainComplete } },
+           { { "drained", IsDrainComplete }, { "stop_expired", IsStopExpired } },
            { { "log_state", LogStageEvent },
              { "start_drain", StartDrain },
-             { "announce_stopped", AnnounceStopped } } };
+             { "announce_stopped", AnnounceStopped },
+             { "end_requests", EndRequests } } };
 }
 
 void
--- a/packages/entry/src/threads.hpp
+++ b/packages/entry/src/threads.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection_pool.hpp"
+#include "fighold/core/stop_budget.hpp"
 #include "fighold/entry/daemon.hpp"
 #include "fighold/entry/event.hpp"
 #include "fighold/net/fiber_loop.hpp"
@@ -53,7 +54,7 @@
 };
 
 /// Front thread: serves HTTP to callers, backend servers and the platform. Run() returns after
-/// Drain(), once every request has been answered.
+/// Drain(), once every request has been answered or the time of the stop has passed.
 class Front
 {
 public:
@@ -70,8 +71,8 @@
   /// Thread function.
   void Run();
 
-  /// Stops accepting requests and lets those in flight finish. Thread-safe.
-  void Drain();
+  /// Stops accepting requests and lets those in flight finish within the budget. Thread-safe.
+  void Drain(const StopBudget& aBudget = {});
 
 private:
   struct State;
--- a/packages/figholdd/include/fighold/figholdd/settings.hpp
+++ b/packages/figholdd/include/fighold/figholdd/settings.hpp
@@ -45,6 +45,7 @@
   double mColdBurstFactor = 1.5;
   double mColdBurstSlack = 5;
   std::int64_t mMessageMemoryMb = 0; ///< 0: derived from the memory of the VM
+  double mStopGraceS = 150;
 };
 
 /// Checked settings of either role.
--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -1,4 +1,5 @@
 #include "fatal.hpp"
+#include "fighold/core/stop_budget.hpp"
 #include "fighold/figholdd/settings.hpp"
 
 #include <gflags/gflags.h>
@@ -48,6 +49,9 @@
 DEFINE_int64(longest_drain_ms,
              60'000,
              "time after which a planned stop ends its wait for quiet, in ms (entry)");
+DEFINE_double(stop_grace_s,
+              150,
+              "time from SIGTERM until the process is killed, in s; a planned stop ends before");
 DEFINE_double(retry_ratio,
               0.1,
               "second dispatches for one request, of all entries together (entry)");
@@ -80,7 +84,7 @@
   "key_file,peer_keys,insecure,lookup_ttl_ms,max_connections,log_dir,minloglevel,logtostderr,"
   "dialect,also_listen,seeds,message_port,data_centres,first_start,serve_unleased,"
   "server_lease_ms,longest_drain_ms,retry_ratio,retry_slack,heartbeat_ms,cold_burst_factor,"
-  "cold_burst_slack,message_memory_mb";
+  "cold_burst_slack,message_memory_mb,stop_grace_s";
 
 fighold::figholdd::Settings
 SettingsFromFlags()
@@ -114,7 +118,8 @@
            FLAGS_heartbeat_ms,
            FLAGS_cold_burst_factor,
            FLAGS_cold_burst_slack,
-           FLAGS_message_memory_mb };
+           FLAGS_message_memory_mb,
+           FLAGS_stop_grace_s };
 }
 
 /// @return the flags of this daemon with their values; none of them is a secret
@@ -148,7 +153,7 @@
 
 template<typename Daemon, typename Options>
 void
-RunUntilStopped(Options aOptions, const sigset_t& aSignals)
+RunUntilStopped(Options aOptions, const sigset_t& aSignals, fighold::Duration aStopGrace)
 {
   Daemon daemon(std::move(aOptions));
   std::cout << "listening on " << fighold::ToText(daemon.Address()) << std::endl;
@@ -158,16 +163,19 @@
     std::cout << "event=reload reason=SIGHUP effect=\"settings are read at the next start\""
               << std::endl;
   }
+  const auto budget = fighold::PlanStop(std::chrono::steady_clock::now(), aStopGrace);
   std::cout << "event=stopping signal=" << signal << std::endl;
-  daemon.StopAndWait();
+  daemon.StopAndWait(budget);
   std::cout << "stopped" << std::endl;
 }
 
 void
 Run(fighold::figholdd::Checked aOptions, const sigset_t& aSignals)
 {
+  const auto stopGrace = std::chrono::duration_cast<fighold::Duration>(
+    std::chrono::duration<double>(FLAGS_stop_grace_s));
   if (auto* entry = std::get_if<fighold::entry::DaemonOptions>(&aOptions)) {
-    RunUntilStopped<fighold::entry::Daemon>(std::move(*entry), aSignals);
+    RunUntilStopped<fighold::entry::Daemon>(std::move(*entry), aSignals, stopGrace);
     return;
   }
   auto& control = std::get<fighold::control::DaemonOptions>(aOptions);
@@ -177,7 +185,7 @@
     std::cerr << "figholdd: data folder cannot be used, stopping: " << aMessage << std::endl;
     std::_Exit(kExitFailed);
   };
-  RunUntilStopped<fighold::control::Daemon>(std::move(control), aSignals);
+  RunUntilStopped<fighold::control::Daemon>(std::move(control), aSignals, stopGrace);
 }
 
 } // namespace
--- a/packages/figholdd/src/settings.cpp
+++ b/packages/figholdd/src/settings.cpp
@@ -1,5 +1,6 @@
 #include "fighold/figholdd/settings.hpp"
 
+#include "fighold/core/stop_budget.hpp"
 #include "fighold/core/text.hpp"
 #include "fighold/platform/dialect.hpp"
 
@@ -19,6 +20,8 @@
 constexpr std::int64_t kMaxLeaseMs = 60'000;
 constexpr double kMaxRetries = 1e6;
 constexpr double kMaxColdBurst = 1e6;
+constexpr double kMinStopGraceS = 1;
+constexpr double kMaxStopGraceS = 86'400;
 constexpr std::int64_t kMaxMessageMemoryMb = 1'000'000;
 constexpr unsigned kMegabyteBits = 20;
 
@@ -230,6 +233,19 @@
   }
 };
 
+/// The drain has to end while requests are still taken.
+void
+CheckDrain(const Settings& aSettings, Checker& aChecker)
+{
+  aChecker.Range("longest_drain_ms", aSettings.mLongestDrainMs, 1, kMaxTimeToLiveMs);
+  const double longest = kArrivalFraction * aSettings.mStopGraceS * 1000;
+  if (static_cast<double>(aSettings.mLongestDrainMs) > longest) {
+    aChecker.Fail("longest_drain_ms",
+                  "must be at most 0.4 of --stop_grace_s, is " +
+                    std::to_string(aSettings.mLongestDrainMs));
+  }
+}
+
 /// @return bytes for the requests and answers that are held at the same time
 std::size_t
 MessageMemoryOf(const Settings& aSettings, std::size_t aMaxDefault, Checker& aChecker)
@@ -276,7 +292,7 @@
     options.mClient.mUntilClose = true;
   }
   options.mMessageMemory = MessageMemoryOf(aSettings, net::kDefaultMessageMemory, aChecker);
-  aChecker.Range("longest_drain_ms", aSettings.mLongestDrainMs, 1, kMaxTimeToLiveMs);
+  CheckDrain(aSettings, aChecker);
   aChecker.Retries("retry_ratio", aSettings.mRetryRatio);
   aChecker.Retries("retry_slack", aSettings.mRetrySlack);
   options.mDecide.mLongestDrain = Millis(aSettings.mLongestDrainMs);
@@ -353,6 +369,7 @@
   Checker checker;
   checker.Name("id", aSettings.mId);
   checker.Present("charts", aSettings.mCharts);
+  checker.Number("stop_grace_s", aSettings.mStopGraceS, kMinStopGraceS, kMaxStopGraceS);
   std::optional<Checked> options;
   if (aSettings.mRole == "entry") {
     options = EntryOptions(aSettings, aIncarnation, checker);
--- a/packages/figholdd/src/settings_test.cpp
+++ b/packages/figholdd/src/settings_test.cpp
@@ -109,6 +109,21 @@
   CHECK(text.find("--peer_keys: /nonexistent: cannot be read") != std::string::npos);
 }
 
+// Guards against a drain that goes on when requests are already refused because of the stop.
+TEST_CASE_METHOD(SettingsFixture,
+                 "CheckSettings, drain and time of a stop, have to fit each other",
+                 "[figholdd]")
+{
+  mSettings.mStopGraceS = 6;
+  mSettings.mLongestDrainMs = 2400;
+  CHECK(Text().empty());
+  mSettings.mLongestDrainMs = 2401;
+  CHECK(Text() == "--longest_drain_ms: must be at most 0.4 of --stop_grace_s, is 2401\n");
+  mSettings.mLongestDrainMs = 1;
+  mSettings.mStopGraceS = 0.5;
+  CHECK(Text().find("--stop_grace_s: must be from 1") == 0);
+}
+
 TEST_CASE_METHOD(SettingsFixture, "CheckSettings, insecure with keys, is refused", "[figholdd]")
 {
   mSettings.mKeyFile = "key";
--- a/packages/net/include/fighold/net/http_server.hpp
+++ b/packages/net/include/fighold/net/http_server.hpp
@@ -19,6 +19,7 @@
 {
   WriteFailed, ///< the answer could not be written
   BehindLast,  ///< read behind the answer that closes the connection, and not handled
+  StopExpired, ///< the connection was closed at the end of a planned stop
 };
 
 /// @return the cause as a word for logs and metrics
@@ -101,11 +102,22 @@
   /// Accepts connections until Stop; suspends the current fiber.
   void Serve();
 
-  /// Stops accepting, closes idle connections, and suspends the current fiber until every running
-  /// request has been answered or a time limit is reached.
-  /// @param aUntil time limit
+  /// Stops accepting and closes idle connections; requests that were read are still answered.
+  /// @param aReadUntil no request is read later, and one that is being read then is refused
+  void BeginStop(Instant aReadUntil = Instant::max());
+
+  /// Suspends the current fiber until the server has stopped accepting and every connection has
+  /// ended, or a time limit is reached.
+  /// @return true when all have ended
+  bool WaitUntilEnded(Instant aUntil = Instant::max());
+
+  /// Closes all connections, with whatever they wait for. Their handlers have to return before the
+  /// connections end.
+  void CloseConnections();
+
+  /// BeginStop(), WaitUntilEnded() and CloseConnections().
   /// @return true when all requests were answered
-  bool Stop(Instant aUntil);
+  bool Stop(Instant aUntil, Instant aReadUntil = Instant::max());
 
   /// @return what the connections wait for now
   ConnectionCounts Connections() const;
--- a/packages/net/include/fighold/net/server_group.hpp
+++ b/packages/net/include/fighold/net/server_group.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fighold/core/decision_record.hpp"
+#include "fighold/core/stop_budget.hpp"
 #include "fighold/net/http_server.hpp"
 
 #include <boost/fiber/future.hpp>
@@ -27,15 +28,22 @@
 DecisionRecord
 RecordOf(const StopProgress& aProgress);
 
-/// Serves until a stop is due, then stops all servers. Suspends the current fiber.
+/// Parts of a planned stop that belong to the owner of the servers. They run on the loop's thread.
+struct StopHooks
+{
+  /// Told of the progress when the servers begin to stop, each second, and at the end.
+  std::function<void(const StopProgress&)> mOnProgress;
+  /// Called when no reply is waited for any longer: handlers that still run, and those that begin
+  /// later, have to return.
+  std::function<void()> mEndHandlers;
+};
+
+/// Serves until a stop is due, then stops all servers within its budget. Suspends the current
+/// fiber.
 /// @param aStop becomes ready when the servers are to stop
-/// @param aTimeout time limit of the stop
-/// @param aOnProgress told of the progress when the servers begin to stop, each second, and at the
-/// end; runs on the loop's thread
 void
 RunServers(const std::vector<std::unique_ptr<HttpServer>>& aServers,
-           boost::fibers::future<void> aStop,
-           Duration aTimeout,
-           const std::function<void(const StopProgress&)>& aOnProgress);
+           boost::fibers::future<StopBudget> aStop,
+           const StopHooks& aHooks);
 
 } // namespace fighold::net
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -54,6 +54,8 @@
   {
   }
 
+  bool HasEnded() const { return !mAccepting && mStarting == 0 && mConnections.empty(); }
+
   ServerOptions mOptions;
   WatchedHandler mHandler;
   Tcp::acceptor mAcceptor;
@@ -61,9 +63,10 @@
   std::set<Connection*> mConnections;
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
-  std::optional<Instant> mStoppedAt; ///< when it began to stop
-  bool mEnded = false;               ///< limits are no longer watched
-  int mStarting = 0;                 ///< connections whose fiber has not run yet
+  std::optional<detail::ServerStop> mStop;
+  bool mAccepting = false; ///< Serve() runs
+  bool mEnded = false;     ///< limits are no longer watched
+  int mStarting = 0;       ///< connections whose fiber has not run yet
 };
 
 namespace {
@@ -81,7 +84,7 @@
   while (!aConnection.mExchanges.empty() && aConnection.mExchanges.front()->mDone) {
     Exchange& exchange = *aConnection.mExchanges.front();
     const bool closeAsked = FindHeader(exchange.mResponse.mHeaders, "Connection") == "close";
-    if (closeAsked || aState->mStoppedAt || !exchange.mKeepAlive) {
+    if (closeAsked || aState->mStop || !exchange.mKeepAlive) {
       aConnection.mClosing = true;
     }
     // Requests that were read are all answered before the connection closes.
@@ -96,11 +99,12 @@
     if (!aConnection.mBroken) {
       const std::string error =
         detail::TryWriteResponse(aConnection, aState->mOptions, exchange.mResponse, !last, head);
-      aConnection.mBroken = !error.empty();
-      if (aConnection.mBroken && !exchange.mWatch.mGone) {
-        detail::ReportUnanswered(
-          aState->mOptions, { UnansweredCause::WriteFailed, aConnection.mExchanges.size(), error });
+      if (!error.empty() && !aConnection.mBroken && !exchange.mWatch.mGone) {
+        detail::ReportUnanswered(aState->mOptions,
+                                 { UnansweredCause::WriteFailed, aConnection.Unanswered(), error });
       }
+      // The connection may have been closed during the write.
+      aConnection.mBroken = aConnection.mBroken || !error.empty();
     }
     aConnection.mSaidClose = last && !aConnection.mBroken;
     aConnection.mExchanges.pop_front();
@@ -111,7 +115,7 @@
     if ((aConnection.mClosing || aConnection.mBroken) && !aConnection.mReading) {
       aConnection.mClosing = true;
       aConnection.mStream.cancel();
-    } else if (aState->mStoppedAt && !aConnection.mReading) {
+    } else if (aState->mStop && !aConnection.mReading) {
       // The stop came during the write and left this connection alone. A request that has arrived
       // since then is still read.
       aConnection.mStream.cancel();
@@ -151,7 +155,7 @@
   while (more && !connection.mClosing) {
     const auto exchange = std::make_shared<Exchange>();
     const unsigned status =
-      detail::ReadRequest(connection, aState->mOptions, aState->mStoppedAt, *exchange);
+      detail::ReadRequest(connection, aState->mOptions, aState->mStop, *exchange);
     if (status == 0) {
       if (connection.mReadError == asio::error::operation_aborted) {
         break;
@@ -162,10 +166,11 @@
     // A request that comes late behind a running one might not end before the process does. It
     // counts as not read, since the answer before it closes the connection.
     const bool isLate =
-      aState->mStoppedAt && connection.HasUnwritten() &&
-      std::chrono::steady_clock::now() >= *aState->mStoppedAt + detail::kLastRequestWait;
+      aState->mStop && connection.HasUnwritten() &&
+      std::chrono::steady_clock::now() >= aState->mStop->mBegan + detail::kLastRequestWait;
     if (connection.mHasLast || isLate) {
-      detail::ReportUnanswered(aState->mOptions, { UnansweredCause::BehindLast, 1, {} });
+      detail::ReportUnanswered(aState->mOptions,
+                               { UnansweredCause::BehindLast, status == 200 ? 1U : 0U, {} });
       break;
     }
     exchange->mRequest.mPeer = peer;
@@ -187,7 +192,7 @@
   }
   // Nothing more is taken from the client, but its end is still watched for the sake of its
   // requests.
-  if (!connection.mExchanges.empty()) {
+  if (!connection.mExchanges.empty() && connection.mStream.socket().is_open()) {
     connection.mStream.expires_never();
     connection.mBuffer.clear();
     const auto end = Await([&](auto aHandler) {
@@ -243,20 +248,32 @@
     .detach();
 }
 
+/// @return time of the next check of the limits
+template<typename State>
+Instant
+NextCheck(const State& aState, Instant aNow)
+{
+  if (!aState.mStop) {
+    return aNow + kLimitCheck;
+  }
+  const Instant readUntil = aState.mStop->mReadUntil;
+  return aNow < readUntil ? std::min(readUntil, aNow + kStopCheck) : aNow + kStopCheck;
+}
+
 /// Keeps connections to their time limits, again and again until the server has stopped.
 template<typename State>
 void
 WatchLimits(const std::shared_ptr<State>& aState)
 {
-  aState->mLimitTimer.expires_after(aState->mStoppedAt ? kStopCheck : kLimitCheck);
+  aState->mLimitTimer.expires_at(NextCheck(*aState, std::chrono::steady_clock::now()));
   aState->mLimitTimer.async_wait([aState](const beast::error_code& aError) {
     if (aError || aState->mEnded) {
       return;
     }
     const Instant now = std::chrono::steady_clock::now();
     for (Connection* it : aState->mConnections) {
-      detail::CheckLimits(*it, aState->mOptions, now);
-      if (aState->mStoppedAt && it->IsIdle()) {
+      detail::CheckLimits(*it, aState->mOptions, aState->mStop, now);
+      if (aState->mStop && it->IsIdle()) {
         // The connection reads on if a last request may still come.
         it->mStream.cancel();
       } else if (it->IsIdle() && now >= it->mIdleSince + aState->mOptions.mIdleTimeout) {
@@ -277,9 +294,11 @@
     case UnansweredCause::WriteFailed:
       return "write-failed";
     case UnansweredCause::BehindLast:
+      return "behind-the-last-answer";
+    case UnansweredCause::StopExpired:
       break;
   }
-  return "behind-the-last-answer";
+  return "stop-expired";
 }
 
 HttpServer::HttpServer(FiberLoop& aLoop, ServerOptions aOptions, Handler aHandler)
@@ -325,12 +344,13 @@
 HttpServer::Serve()
 {
   const auto state = mState;
+  state->mAccepting = true;
   WatchLimits(state);
-  while (!state->mStoppedAt) {
+  while (!state->mStop) {
     Tcp::socket socket(state->mAcceptor.get_executor());
     const auto accepted =
       Await([&](auto aHandler) { state->mAcceptor.async_accept(socket, std::move(aHandler)); });
-    if (accepted.mError && state->mStoppedAt) {
+    if (accepted.mError && state->mStop) {
       break;
     }
     if (accepted.mError) {
@@ -342,12 +362,14 @@
     }
     StartConnection(state, std::move(socket));
   }
+  state->mAccepting = false;
+  state->mChanged.notify_all();
 }
 
-bool
-HttpServer::Stop(Instant aUntil)
+void
+HttpServer::BeginStop(Instant aReadUntil)
 {
-  mState->mStoppedAt = std::chrono::steady_clock::now();
+  mState->mStop = { std::chrono::steady_clock::now(), aReadUntil };
   WatchLimits(mState);
   // Closing the listener resets the connections that wait to be accepted.
   beast::error_code ec;
@@ -365,11 +387,35 @@
       it->mStream.cancel();
     }
   }
+}
+
+bool
+HttpServer::WaitUntilEnded(Instant aUntil)
+{
   std::unique_lock lock(mState->mMutex);
-  const bool allEnded = mState->mChanged.wait_until(
-    lock, aUntil, [this] { return mState->mConnections.empty() && mState->mStarting == 0; });
+  return mState->mChanged.wait_until(lock, aUntil, [this] { return mState->HasEnded(); });
+}
+
+void
+HttpServer::CloseConnections()
+{
   mState->mEnded = true;
   mState->mLimitTimer.cancel();
+  for (Connection* it : mState->mConnections) {
+    detail::ReportUnanswered(mState->mOptions,
+                             { UnansweredCause::StopExpired, it->Unanswered(), {} });
+    it->mClosing = true;
+    it->mBroken = true;
+    it->mStream.close();
+  }
+}
+
+bool
+HttpServer::Stop(Instant aUntil, Instant aReadUntil)
+{
+  BeginStop(aReadUntil);
+  const bool allEnded = WaitUntilEnded(aUntil);
+  CloseConnections();
   return allEnded;
 }
 
@@ -396,7 +442,7 @@
 void
 HttpServer::Close()
 {
-  mState->mStoppedAt = std::chrono::steady_clock::now();
+  mState->mStop = { std::chrono::steady_clock::now(), Instant::max() };
   mState->mEnded = true;
   mState->mLimitTimer.cancel();
   beast::error_code ec;
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -35,12 +35,15 @@
 /// or the client may still be receiving an answer, which a request that meets a closed socket would
 /// cut off
 bool
-MayTakeRequest(Connection& aConnection, const ServerOptions& aOptions, Instant aStoppedAt)
+MayTakeRequest(Connection& aConnection, const ServerOptions& aOptions, const ServerStop& aStop)
 {
   beast::error_code ec;
   const Instant now = std::chrono::steady_clock::now();
+  if (now >= aStop.mReadUntil) {
+    return false;
+  }
   const Instant since =
-    aConnection.mFresh ? std::max(aStoppedAt, aConnection.mIdleSince) : aConnection.mIdleSince;
+    aConnection.mFresh ? std::max(aStop.mBegan, aConnection.mIdleSince) : aConnection.mIdleSince;
   return aConnection.mStream.socket().available(ec) > 0 || now < since + kLastRequestWait ||
          (now < since + aOptions.mWriteTimeout && HasUndelivered(aConnection));
 }
@@ -61,11 +64,11 @@
 bool
 ReadFirstBytes(Connection& aConnection,
                const ServerOptions& aOptions,
-               const std::optional<Instant>& aStoppedAt)
+               const std::optional<ServerStop>& aStop)
 {
   IoResult first{ asio::error::operation_aborted };
   while (first.mError == asio::error::operation_aborted && !aConnection.mClosing &&
-         (!aStoppedAt || MayTakeRequest(aConnection, aOptions, *aStoppedAt))) {
+         (!aStop || MayTakeRequest(aConnection, aOptions, *aStop))) {
     first = ReadSome(aConnection, aConnection.mBuffer.prepare(kReadSize));
   }
   aConnection.mBuffer.commit(first.mError ? 0 : first.mSize);
@@ -109,13 +112,17 @@
 }
 
 void
-CheckLimits(Connection& aConnection, const ServerOptions& aOptions, Instant aNow)
+CheckLimits(Connection& aConnection,
+            const ServerOptions& aOptions,
+            const std::optional<ServerStop>& aStop,
+            Instant aNow)
 {
+  const bool readsNoMore = aStop && aNow >= aStop->mReadUntil;
   if (aConnection.mLingering && aNow >= aConnection.mLingerUntil &&
       (aNow >= aConnection.mLingerUntil + aOptions.mWriteTimeout || !HasUndelivered(aConnection))) {
     aConnection.mStream.cancel();
   }
-  if (aConnection.mReading && aNow >= aConnection.mReadUntil) {
+  if (aConnection.mReading && (readsNoMore || aNow >= aConnection.mReadUntil)) {
     aConnection.mReading = false;
     aConnection.mReadExpired = true;
     aConnection.mClosing = true;
@@ -128,7 +135,7 @@
 unsigned
 ReadRequest(Connection& aConnection,
             const ServerOptions& aOptions,
-            const std::optional<Instant>& aStoppedAt,
+            const std::optional<ServerStop>& aStop,
             Exchange& aExchange)
 {
   MessageParser<true> parser;
@@ -136,7 +143,7 @@
   parser.body_limit(aOptions.mMaxBodyBytes);
   // Without a limit, a chunk size or extension without an end fills the memory.
   aConnection.mBuffer.max_size(2 * std::max(aOptions.mMaxHeaderBytes, kMaxRead));
-  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aOptions, aStoppedAt)) {
+  if (aConnection.mBuffer.size() == 0 && !ReadFirstBytes(aConnection, aOptions, aStop)) {
     return 0;
   }
   aConnection.mReading = true;
@@ -150,9 +157,11 @@
     ReadMessage(readSome, aConnection.mBuffer, parser, aOptions.mMaxHeaderBytes, *reservation);
   aConnection.mReading = false;
   aExchange.mKeepAlive = false;
-  if (aConnection.mReadExpired) {
-    aConnection.mReadError = read.mError ? read.mError : asio::error::operation_aborted;
-    return 0;
+  if (aConnection.mReadExpired && read.mError) {
+    aConnection.mReadError = read.mError;
+    // A client that is told that its request was not read may send it elsewhere at once.
+    const bool isCancelled = read.mError == asio::error::operation_aborted;
+    return isCancelled && aStop && std::chrono::steady_clock::now() >= aStop->mReadUntil ? 408 : 0;
   }
   if (!read.mHasMemory) {
     return 503;
--- a/packages/net/src/server_connection.hpp
+++ b/packages/net/src/server_connection.hpp
@@ -26,6 +26,15 @@
 constexpr Millis kLingerTime{ 2000 };
 constexpr std::size_t kLingerBytes = 1U << 20U;
 
+/// A planned stop of a server.
+struct ServerStop
+{
+  Instant mBegan{};
+  Instant mReadUntil = Instant::max(); ///< no request is read later
+
+  friend auto operator<=>(const ServerStop&, const ServerStop&) = default;
+};
+
 /// A request that was read, and its answer once there is one.
 struct Exchange
 {
@@ -85,18 +94,22 @@
 /// Gives up on the request that is being read, or on a client that goes on sending after the last
 /// answer, if its time limit has passed. Answers to earlier requests are still written, so that
 /// nothing is closed here.
+/// @param aStop the stop of the server, as soon as it stops
 void
-CheckLimits(Connection& aConnection, const ServerOptions& aOptions, Instant aNow);
+CheckLimits(Connection& aConnection,
+            const ServerOptions& aOptions,
+            const std::optional<ServerStop>& aStop,
+            Instant aNow);
 
 /// Reads one request.
-/// @param aStoppedAt when the server began to stop, as soon as it does
+/// @param aStop the stop of the server, as soon as it stops
 /// @param aExchange receives the request
 /// @return 200, or the status with which the request is refused; 0 if there is none, with
 /// Connection::mReadError
 unsigned
 ReadRequest(Connection& aConnection,
             const ServerOptions& aOptions,
-            const std::optional<Instant>& aStoppedAt,
+            const std::optional<ServerStop>& aStop,
             Exchange& aExchange);
 
 /// @return answer to a request that was not handed to the handler
--- a/packages/net/src/server_group.cpp
+++ b/packages/net/src/server_group.cpp
@@ -13,9 +13,11 @@
 constexpr Millis kProgressInterval{ 1000 };
 
 StopProgress
-ProgressOf(const std::vector<std::unique_ptr<HttpServer>>& aServers, Instant aBegan, bool aHasEnded)
+ProgressOf(const std::vector<std::unique_ptr<HttpServer>>& aServers,
+           const StopBudget& aBudget,
+           bool aHasEnded)
 {
-  StopProgress progress{ std::chrono::steady_clock::now() - aBegan, {}, aHasEnded };
+  StopProgress progress{ std::chrono::steady_clock::now() - aBudget.mBegan, {}, aHasEnded };
   for (const auto& it : aServers) {
     const ConnectionCounts counts = it->Connections();
     progress.mConnections.mOpen += counts.mOpen;
@@ -26,6 +28,34 @@
   return progress;
 }
 
+bool
+WaitForAll(const std::vector<std::unique_ptr<HttpServer>>& aServers, Instant aUntil)
+{
+  bool allEnded = true;
+  for (const auto& it : aServers) {
+    allEnded = it->WaitUntilEnded(aUntil) && allEnded;
+  }
+  return allEnded;
+}
+
+void
+StopServers(const std::vector<std::unique_ptr<HttpServer>>& aServers,
+            const StopBudget& aBudget,
+            const StopHooks& aHooks)
+{
+  for (const auto& it : aServers) {
+    it->BeginStop(aBudget.mAnswerDeadline);
+  }
+  if (!WaitForAll(aServers, aBudget.mHandlerDeadline)) {
+    aHooks.mEndHandlers();
+    WaitForAll(aServers, aBudget.mCloseDeadline);
+  }
+  for (const auto& it : aServers) {
+    it->CloseConnections();
+  }
+  WaitForAll(aServers, Instant::max());
+}
+
 } // namespace
 
 DecisionRecord
@@ -45,35 +75,31 @@
 
 void
 RunServers(const std::vector<std::unique_ptr<HttpServer>>& aServers,
-           boost::fibers::future<void> aStop,
-           Duration aTimeout,
-           const std::function<void(const StopProgress&)>& aOnProgress)
+           boost::fibers::future<StopBudget> aStop,
+           const StopHooks& aHooks)
 {
   std::vector<boost::fibers::fiber> serving;
   for (const auto& it : aServers) {
     serving.emplace_back([&it] { it->Serve(); });
   }
-  aStop.wait();
-  const Instant began = std::chrono::steady_clock::now();
+  const StopBudget budget = aStop.get();
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable changed;
   bool hasEnded = false;
   boost::fibers::fiber report([&] {
     std::unique_lock lock(mutex);
     do {
-      aOnProgress(ProgressOf(aServers, began, false));
+      aHooks.mOnProgress(ProgressOf(aServers, budget, false));
     } while (!changed.wait_for(lock, kProgressInterval, [&hasEnded] { return hasEnded; }));
   });
-  for (const auto& it : aServers) {
-    it->Stop(began + aTimeout);
-  }
+  StopServers(aServers, budget, aHooks);
   hasEnded = true;
   changed.notify_all();
   report.join();
   for (auto& it : serving) {
     it.join();
   }
-  aOnProgress(ProgressOf(aServers, began, true));
+  aHooks.mOnProgress(ProgressOf(aServers, budget, true));
 }
 
 } // namespace fighold::net
--- a/packages/net/src/stop_test.cpp
+++ b/packages/net/src/stop_test.cpp
@@ -31,15 +31,41 @@
   StopFixture(const StopFixture&) = delete;
   StopFixture& operator=(const StopFixture&) = delete;
 
-  void BeginStop()
+  void BeginStop(std::optional<Millis> aReadLimit = std::nullopt)
   {
-    mStop = std::thread([this] { mServer.Stop(); });
+    mStop = std::thread([this, aReadLimit] { mServer.Stop(std::chrono::seconds(10), aReadLimit); });
     std::this_thread::sleep_for(Millis(50));
   }
 
   std::thread mStop;
 };
 
+/// A refusal as a client reads it.
+struct RefusalAnswer
+{
+  unsigned mStatus = 0;
+  std::string mOutcome;
+  bool mCloses = false;
+
+  friend auto operator<=>(const RefusalAnswer&, const RefusalAnswer&) = default;
+};
+
+/// Reads an answer without a body.
+RefusalAnswer
+ReadRefusal(SlowClient& aClient)
+{
+  boost::system::error_code ec;
+  const std::size_t head = boost::asio::read_until(
+    aClient.mSocket, boost::asio::dynamic_buffer(aClient.mBuffer), "\r\n\r\n", ec);
+  const std::string lines = aClient.mBuffer.substr(0, head);
+  if (ec) {
+    return {};
+  }
+  return { static_cast<unsigned>(std::stoul(lines.substr(lines.find(' ')))),
+           lines.find("Fighold-Outcome: not-run") != std::string::npos ? "not-run" : "",
+           lines.find("Connection: close") != std::string::npos };
+}
+
 /// Gives up on a request that is not read to its end within 300 ms.
 struct ImpatientFixture : ClosingFixture
 {
@@ -135,6 +161,37 @@
   CHECK_FALSE(HasRun("/behind"));
 }
 
+// Guards against a stop that goes on reading a request until the process is killed, and against a
+// client that is not told that its request was not read.
+TEST_CASE_METHOD(StopFixture,
+                 "HttpServer, request that is read when a stop reads no more, is refused",
+                 "[net]")
+{
+  SlowClient client(mServer.Address());
+  client.Send("GET /first HTTP/1.1\r\nHost:");
+  std::this_thread::sleep_for(Millis(50));
+  BeginStop(Millis(300));
+  const RefusalAnswer answer = ReadRefusal(client);
+  CHECK(answer == RefusalAnswer{ 408, "not-run", true });
+  client.Send(" h\r\n\r\n");
+  CHECK_FALSE(HasRun("/first"));
+}
+
+// Guards against requests that are taken up to the end of a stop on connections that wait for one.
+TEST_CASE_METHOD(StopFixture,
+                 "HttpServer, connection without a request when a stop reads no more, is closed",
+                 "[net]")
+{
+  SlowClient client(mServer.Address());
+  client.Send(Request("/first", kLargeAnswer));
+  WaitUntilRun("/first");
+  BeginStop(Millis(300));
+  std::this_thread::sleep_for(Millis(kLongMillis));
+  client.Send(Request("/second", 10));
+  mStop.join();
+  CHECK_FALSE(HasRun("/second"));
+}
+
 /// Clients that connect, send and pause at random moments around a stop.
 struct RandomClientsFixture : ClosingFixture
 {
--- a/tests/support/loop_server.hpp
+++ b/tests/support/loop_server.hpp
@@ -11,6 +11,7 @@
 #include <boost/fiber/future.hpp>
 
 #include <future>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -43,11 +44,14 @@
 
   /// Stops the server and waits until it has ended. May be called once.
   /// @param aLimit longest time for which the server waits for its connections
+  /// @param aReadLimit time after which it reads no more
   /// @return true if all connections ended in time
-  bool Stop(std::chrono::seconds aLimit = std::chrono::seconds(10))
+  bool Stop(std::chrono::seconds aLimit = std::chrono::seconds(10),
+            std::optional<Millis> aReadLimit = std::nullopt)
   {
     mIsStopped = true;
     mStopLimit = aLimit;
+    mReadLimit = aReadLimit;
     mLoop.Post([this] { mStop.set_value(); });
     mThread.join();
     return mAllEnded;
@@ -97,8 +101,10 @@
     boost::fibers::fiber serve([&server] { server.Serve(); });
     mStarted.set_value(server.Address());
     mStop.get_future().wait();
-    mAllEnded = server.Stop(std::chrono::steady_clock::now() + mStopLimit);
+    const Instant now = std::chrono::steady_clock::now();
+    mAllEnded = server.Stop(now + mStopLimit, mReadLimit ? now + *mReadLimit : Instant::max());
     serve.join();
+    server.WaitUntilEnded(std::chrono::steady_clock::now() + mStopLimit);
   }
 
   net::FiberLoop mLoop;
@@ -110,6 +116,7 @@
   Endpoint mAddress;
   bool mIsStopped = false;
   std::chrono::seconds mStopLimit{}; ///< written before the loop's thread is told to stop
+  std::optional<Millis> mReadLimit;  ///< the same
   bool mAllEnded = false;            ///< written by the loop's thread before it ends
 };
 
