Answer "unknown" for a request that was lost before it was refused

Cause: the chart of requests forgot a lost dispatch as soon as the request was sent again; the chart of routed requests remembers it. Both charts now have the same guard (may_have_run).

entry_test "Request, lost and then refused, has an unknown outcome" fails without the change (2 of 2 ways) and holds; entry_test passes.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -81,6 +81,7 @@
   Instant mDeadline{};
   std::set<BackendServerId> mTried;
   std::uint32_t mDispatchCount = 0;
+  bool mMayHaveRun = false; ///< a dispatch failed after bytes may have been sent
   std::uint64_t mDispatchId = 0;
   BackendServerId mServerId;
   Instant mDispatchedAt{};
--- a/packages/entry/src/request_chart.cpp
+++ b/packages/entry/src/request_chart.cpp
@@ -63,6 +63,12 @@
   return NeedsClaim(aScope) && claims::IsFull(aScope.mState.mClaimClient);
 }
 
+bool
+MayHaveRun(const RequestScope& aScope)
+{
+  return aScope.mRequest.mMayHaveRun;
+}
+
 bool
 MayRepeat(const RequestScope& aScope)
 {
@@ -191,6 +197,12 @@
   ReplyWith(aScope, Outcome::Unknown, aScope.mResult.mError);
 }
 
+void
+SetMayHaveRun(RequestScope& aScope)
+{
+  aScope.mRequest.mMayHaveRun = true;
+}
+
 void
 AnswerResult(RequestScope& aScope)
 {
@@ -244,6 +256,7 @@
              { "claims_full", ClaimsFull },
              { "needs_claim", NeedsClaim },
              { "may_try_again", MayRedispatch },
+             { "may_have_run", MayHaveRun },
              { "may_repeat", MayRepeat } },
            { { "answer_stopping", AnswerStopping },
              { "answer_stop_expired", AnswerStopExpired },
@@ -262,6 +275,7 @@
              { "answer_first", AnswerStoredResponse },
              { "answer_gone_not_run", AnswerCallerGoneNotRun },
              { "answer_gone_unknown", AnswerCallerGoneUnknown },
+             { "note_lost", SetMayHaveRun },
              { "cancel_dispatch", CancelCurrentDispatch },
              { "ask_claim", RequestClaim },
              { "dispatch", DispatchRequest } } };
--- a/packages/entry/src/request_chart_test.cpp
+++ b/packages/entry/src/request_chart_test.cpp
@@ -195,6 +195,23 @@
   }
 }
 
+// Guards against "not run" for a request that may have run at a server which was lost before.
+TEST_CASE_METHOD(RequestFixture,
+                 "Request, lost and then refused, has an unknown outcome",
+                 "[entry]")
+{
+  for (const bool shed : { true, false }) {
+    mEffects.clear();
+    Arrive(shed ? 1 : 2, "GET", "");
+    EndDispatch(All<Dispatch>().back(), Lost());
+    while (All<Reply>().empty()) {
+      EndDispatch(All<Dispatch>().back(), shed ? Shed() : Unsent());
+    }
+    CHECK(All<Dispatch>().size() == 3);
+    CHECK(LastAnswer().mOutcome == Outcome::Unknown);
+  }
+}
+
 // Guards against a dispatch under a claim that the replicas may have expired.
 TEST_CASE_METHOD(RequestFixture,
                  "Request, unsent after its claim expired, is not sent again",
