Drop a request whose caller left before it was read

Cause: an entry without free processor time reads what has lain in its sockets for seconds, and hands the request over before it sees the end of the connection behind it. Its cancellation then runs behind the dispatch.

The server looks for that end once a request is read, and the front drops the request (fighold_requests_abandoned_total).

entry_test "Front, request whose caller has left, is not handed over" holds; entry_test and net_test pass.

--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -96,6 +96,10 @@
     }
     Event& event = std::get<Event>(parsed);
     const bool isCallers = IsCallersEvent(event);
+    if (isCallers && aWatch.mGone) {
+      mChannels.mMetrics.Count("requests_abandoned_total");
+      return mCodec.mOverloadResponse("caller-gone");
+    }
     const unsigned status = isCallers && mLimits ? CheckLimits(aRequest, *mLimits) : 200;
     if (status != 200) {
       return { status, { { "Fighold-Outcome", "not-run" } }, "" };
--- a/packages/entry/src/front_test.cpp
+++ b/packages/entry/src/front_test.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <list>
+#include <netinet/tcp.h>
 #include <thread>
 
 namespace fighold::entry {
@@ -117,6 +118,32 @@
   CHECK(refused == kConnections * kPipelined - (kMaxPendingReplies - kReservedReplies));
 }
 
+// Guards against a request that lies in the socket of a busy entry until its caller has given up,
+// and is sent to a backend server all the same.
+TEST_CASE_METHOD(FrontFixture,
+                 "Front, request whose caller has left, is not handed over",
+                 "[entry]")
+{
+  // The request and the end of the connection arrive in one segment.
+  using Cork = boost::asio::detail::socket_option::boolean<IPPROTO_TCP, TCP_CORK>;
+  Tcp::socket left = Connect();
+  left.set_option(Cork(true));
+  Send(left, "GET /s/vardia/left HTTP/1.1\r\nHost: h\r\n\r\n");
+  left.close();
+  Tcp::socket waiting = Connect();
+  Send(waiting, "GET /s/vardia/waiting HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::vector<RequestId> taken;
+  while (const auto event = Pop(std::chrono::seconds(1))) {
+    const auto* request = std::get_if<CallerRequest>(&*event);
+    REQUIRE(request != nullptr);
+    CHECK(request->mPayload->mTarget == "/waiting");
+    taken.push_back(request->mId);
+  }
+  REQUIRE(taken.size() == 1);
+  REQUIRE(mChannels.mReplies.TryPush(FrontCommand(Reply{ taken[0], CallerAnswer{}, false })));
+  CHECK(mChannels.mMetrics.Text().find("requests_abandoned_total 1") != std::string::npos);
+}
+
 // Guards against limits for callers that refuse the heartbeats of backend servers at the same
 // listener, and against callers who are allowed what these calls need.
 TEST_CASE_METHOD(FrontFixture,
--- a/packages/net/include/fighold/net/http_server.hpp
+++ b/packages/net/include/fighold/net/http_server.hpp
@@ -76,7 +76,7 @@
 {
   /// Set by the handler; called once with what ended the connection, must not suspend the fiber.
   std::function<void(const std::string&)> mOnGone;
-  bool mGone = false;
+  bool mGone = false; ///< also set before the call if the caller left before its request was read
 };
 
 /// As Handler, with a watch that lives as long as the call.
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -178,6 +178,8 @@
     more = exchange->mKeepAlive;
     connection.mExchanges.push_back(exchange);
     if (status == 200) {
+      // A request may have lain in the socket until its client gave up.
+      exchange->mWatch.mGone = detail::HasClientLeft(connection);
       boost::fibers::fiber(boost::fibers::launch::post, [aState, aConnection, exchange] {
         HandleExchange(aState, aConnection, exchange);
       }).detach();
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -241,6 +241,20 @@
   aConnection.mStream.close();
 }
 
+bool
+HasClientLeft(Connection& aConnection)
+{
+  if (aConnection.mBuffer.size() > 0) {
+    return false;
+  }
+  char byte = 0;
+  beast::error_code ec;
+  auto& socket = aConnection.mStream.socket();
+  socket.non_blocking(true, ec);
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec && ec != asio::error::would_block;
+}
+
 void
 MarkGone(Connection& aConnection, const std::string& aCause)
 {
--- a/packages/net/src/server_connection.hpp
+++ b/packages/net/src/server_connection.hpp
@@ -134,6 +134,11 @@
 void
 CloseConnection(Connection& aConnection);
 
+/// @return true if the client has closed its side behind the request that was just read, and
+/// nothing else of it waits to be read
+bool
+HasClientLeft(Connection& aConnection);
+
 /// Tells the handlers of requests without an answer that their client has gone.
 /// @param aCause what ended the connection
 void
