Take a status outside HTTP for no answer, at once

A status above 599 was handed on.

All values outside 100 to 599 are alike now: the answer is unusable, and the connection is closed. So is one with 101, since no request asks for another protocol. A request that may be repeated is sent to another server.

entry_test "Backend, status outside HTTP, is no answer at once" fails without the change (000 first, by its time limit) and holds; "..., status of HTTP, is an answer" holds with both.

--- a/packages/entry/src/backend_thread_test.cpp
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -273,6 +273,45 @@
   }
 }
 
+// Guards against a status that is none of HTTP and reaches the caller, or that is taken for an
+// interim answer, so that the caller waits for another one until its time is over.
+TEST_CASE_METHOD(BackendFixture, "Backend, status outside HTTP, is no answer at once", "[entry]")
+{
+  for (const std::string status : { "000", "001", "099", "101", "600", "999" }) {
+    INFO(status);
+    FaultyServer server([&status](FaultyConnection& aConnection, int aRequest) {
+      if (aRequest == 1) {
+        aConnection.Write("HTTP/1.1 " + status + " X\r\nContent-Length: 5\r\n\r\nfirst");
+      } else {
+        aConnection.Answer("second");
+      }
+      return true;
+    });
+    const auto first = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
+    CHECK(first.mStage == ExchangeStage::NoAnswer);
+    CHECK(first.mError == "read: answer with the status " + std::to_string(std::stoi(status)));
+    const auto second = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
+    CHECK(second.mResponse.mBody == "second");
+    CHECK(server.Connections() == 2);
+  }
+}
+
+// Guards against a check of the status that refuses valid answers.
+TEST_CASE_METHOD(BackendFixture, "Backend, status of HTTP, is an answer", "[entry]")
+{
+  for (const std::string status : { "200", "299", "418", "599" }) {
+    INFO(status);
+    FaultyServer server([&status](FaultyConnection& aConnection, int) {
+      aConnection.Write("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 " + status +
+                        " X\r\nContent-Length: 5\r\n\r\nfirst");
+      return true;
+    });
+    const auto result = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
+    CHECK(result.mStage == ExchangeStage::Answered);
+    CHECK(result.mResponse.mStatus == std::stoul(status));
+  }
+}
+
 /// A backend whose servers may end an answer with its connection.
 struct UntilCloseFixture : BackendFixture
 {
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -27,7 +27,18 @@
 
 constexpr std::size_t kReadSize = 16U << 10U;
 
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
+
+/// RFC 9110 defines statuses from 100 to 599. No request asks for another protocol, so that nothing
+/// is known about the bytes after a 101.
+bool
+IsValidStatus(unsigned aStatus)
+{
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
+}
 
 /// An answer without a length ends with the connection, so a cut answer would look whole.
 bool
@@ -115,6 +126,9 @@
     return "read: " + read.mError.message();
   }
   detail::MessageHead& head = parser.Head();
+  if (!IsValidStatus(head.mStatus)) {
+    return "read: answer with the status " + std::to_string(head.mStatus);
+  }
   if (!HasEnd(parser, aHead) && !mOptions.mUntilClose) {
     return "read: answer without a length";
   }
