--- a/packages/net/src/server_group.cpp
+++ b/packages/net/src/server_group.cpp
@@ -79,6 +79,7 @@
            const StopHooks& aHooks)
 {
   std::vector<boost::fibers::fiber> serving;
+  serving.reserve(aServers.size());
   for (const auto& it : aServers) {
     serving.emplace_back([&it] { it->Serve(); });
   }
