Share the reading of raw answers between tests

The clients of the tests of connections and of the test of processes read answers with the same lines.

--- a/packages/net/src/stop_test.cpp
+++ b/packages/net/src/stop_test.cpp
@@ -40,32 +40,6 @@
   std::thread mStop;
 };
 
-/// A refusal as a client reads it.
-struct RefusalAnswer
-{
-  unsigned mStatus = 0;
-  std::string mOutcome;
-  bool mCloses = false;
-
-  friend auto operator<=>(const RefusalAnswer&, const RefusalAnswer&) = default;
-};
-
-/// Reads an answer without a body.
-RefusalAnswer
-ReadRefusal(SlowClient& aClient)
-{
-  boost::system::error_code ec;
-  const std::size_t head = boost::asio::read_until(
-    aClient.mSocket, boost::asio::dynamic_buffer(aClient.mBuffer), "\r\n\r\n", ec);
-  const std::string lines = aClient.mBuffer.substr(0, head);
-  if (ec) {
-    return {};
-  }
-  return { static_cast<unsigned>(std::stoul(lines.substr(lines.find(' ')))),
-           lines.find("Fighold-Outcome: not-run") != std::string::npos ? "not-run" : "",
-           lines.find("Connection: close") != std::string::npos };
-}
-
 /// Gives up on a request that is not read to its end within 300 ms.
 struct ImpatientFixture : ClosingFixture
 {
@@ -171,8 +145,8 @@
   client.Send("GET /first HTTP/1.1\r\nHost:");
   std::this_thread::sleep_for(Millis(50));
   BeginStop(Millis(300));
-  const RefusalAnswer answer = ReadRefusal(client);
-  CHECK(answer == RefusalAnswer{ 408, "not-run", true });
+  CHECK(testing::ReadRawAnswer(client.mSocket, client.mBuffer) ==
+        testing::RawAnswer{ true, true, 408, true });
   client.Send(" h\r\n\r\n");
   CHECK_FALSE(HasRun("/first"));
 }
--- a/tests/support/closing_fixture.hpp
+++ b/tests/support/closing_fixture.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "loop_server.hpp"
+#include "raw_answer.hpp"
 
-#include <boost/asio/read_until.hpp>
 #include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 
@@ -11,7 +11,6 @@
 #include <random>
 #include <set>
 #include <string>
-#include <string_view>
 
 /// A server and raw clients for tests of how connections end.
 namespace fighold::testing {
@@ -60,25 +59,8 @@
 
   ReadAnswer Read()
   {
-    boost::system::error_code ec;
-    const std::size_t head =
-      boost::asio::read_until(mSocket, boost::asio::dynamic_buffer(mBuffer), "\r\n\r\n", ec);
-    const std::string lines = mBuffer.substr(0, head);
-    constexpr std::string_view kLength = "Content-Length: ";
-    const auto at = lines.find(kLength);
-    if (ec || at == std::string::npos) {
-      return {};
-    }
-    const std::size_t whole = head + std::stoul(lines.substr(at + kLength.size()));
-    if (mBuffer.size() < whole) {
-      boost::asio::read(mSocket,
-                        boost::asio::dynamic_buffer(mBuffer),
-                        boost::asio::transfer_exactly(whole - mBuffer.size()),
-                        ec);
-    }
-    const bool isWhole = mBuffer.size() >= whole;
-    mBuffer.erase(0, whole);
-    return { isWhole, lines.find("Connection: close") != std::string::npos };
+    const RawAnswer answer = ReadRawAnswer(mSocket, mBuffer);
+    return { answer.mIsWhole, answer.mCloses };
   }
 };
 
--- a/tests/support/raw_caller.hpp
+++ b/tests/support/raw_caller.hpp
@@ -1,15 +1,13 @@
 #pragma once
 
 #include "fighold/core/endpoint.hpp"
+#include "raw_answer.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <string>
-#include <string_view>
 
 /// A caller that sends and reads bytes on one connection, for tests of how connections end.
 namespace fighold::testing {
@@ -24,16 +22,6 @@
   friend auto operator<=>(const RawRequest&, const RawRequest&) = default;
 };
 
-/// What a caller read of an answer.
-struct RawAnswer
-{
-  bool mIsWhole = false;
-  bool mCloses = false; ///< no further answer follows
-  unsigned mStatus = 0;
-
-  friend auto operator<=>(const RawAnswer&, const RawAnswer&) = default;
-};
-
 class RawCaller
 {
 public:
@@ -55,30 +43,7 @@
   }
 
   /// Waits for an answer or the end of the connection.
-  RawAnswer Read()
-  {
-    boost::system::error_code ec;
-    const std::size_t head =
-      boost::asio::read_until(mSocket, boost::asio::dynamic_buffer(mBuffer), "\r\n\r\n", ec);
-    const std::string lines = mBuffer.substr(0, head);
-    constexpr std::string_view kLength = "Content-Length: ";
-    const auto at = lines.find(kLength);
-    if (ec || at == std::string::npos) {
-      return {};
-    }
-    const std::size_t whole = head + std::stoul(lines.substr(at + kLength.size()));
-    if (mBuffer.size() < whole) {
-      boost::asio::read(mSocket,
-                        boost::asio::dynamic_buffer(mBuffer),
-                        boost::asio::transfer_exactly(whole - mBuffer.size()),
-                        ec);
-    }
-    const bool isWhole = mBuffer.size() >= whole;
-    mBuffer.erase(0, whole);
-    return { isWhole,
-             lines.find("Connection: close") != std::string::npos,
-             static_cast<unsigned>(std::stoul(lines.substr(lines.find(' ')))) };
-  }
+  RawAnswer Read() { return ReadRawAnswer(mSocket, mBuffer); }
 
 private:
   boost::asio::io_context mContext;
