--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <random>
@@ -122,6 +123,17 @@
            FLAGS_stop_grace_s };
 }
 
+/// Takes --stop_grace_s from the environment, unless the command line sets it. Deploy files that
+/// allow only variables in capitals cannot use FLAGS_<name>.
+/// @return false if the variable holds no number
+bool
+ReadStopGrace()
+{
+  const char* const text = std::getenv("FIGHOLD_STOP_GRACE_S");
+  return text == nullptr || *text == '\0' ||
+         !gflags::SetCommandLineOption("stop_grace_s", text).empty();
+}
+
 /// @return the flags of this daemon with their values; none of them is a secret
 std::string
 SettingsInForce()
@@ -203,6 +215,10 @@
     "    --listen=10.0.0.4:8080 --controls=c1=10.0.0.1:7100,c2=10.0.0.2:7100,c3=10.0.0.3:7100\n\n"
     "Flags are also read from the environment as FLAGS_<name>. SIGTERM is a planned stop.");
   gflags::SetCommandLineOption("tryfromenv", kEnvironmentFlags);
+  if (!ReadStopGrace()) {
+    std::cerr << "figholdd: FIGHOLD_STOP_GRACE_S is no number of seconds" << std::endl;
+    return kExitBadSettings;
+  }
   gflags::ParseCommandLineFlags(&aArgc, &aArgv, true);
   google::InitGoogleLogging(aArgv[0]);
   std::random_device device;
