Log what backend servers say about further requests

What a server says in an answer about further requests is one type, AvailabilityStatement: it leaves, or wants a pause. An entry keeps it for each incarnation, moves it by charts/availability.scxml, logs each change (decision=server choice=leaving or paused) and counts such servers in two gauges. No decision about requests reads it yet.

--- a/packages/entry/include/fighold/entry/backend_codec.hpp
+++ b/packages/entry/include/fighold/entry/backend_codec.hpp
@@ -29,6 +29,17 @@
 void
 ReadRate(const net::Headers& aHeaders, std::string_view aName, routes::ServerReport& aReport);
 
+/// Reads from a response whether the server wants further requests.
+/// @param aLeavingName name of the header that is "1" in the responses of a server that leaves; any
+/// other value says nothing
+/// @param aReport its mAvailability and mUnreadableAvailability are set. A Retry-After of a 503 is
+/// a pause in decimal seconds without exponent; of several the longest readable one counts, and
+/// kMaxPause bounds it.
+void
+ReadAvailability(const net::HttpResponse& aResponse,
+                 std::string_view aLeavingName,
+                 routes::ServerReport& aReport);
+
 /// @return the dialect of fighold's own interface
 BackendCodec
 NativeBackendCodec();
--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -100,6 +100,15 @@
   Unusable, ///< must not be passed to the caller
 };
 
+/// One incarnation of a backend server.
+struct ServerKey
+{
+  BackendServerId mId;
+  Incarnation mIncarnation = 0;
+
+  friend auto operator<=>(const ServerKey&, const ServerKey&) = default;
+};
+
 /// Result of a dispatch that ended.
 struct DispatchDone
 {
@@ -108,6 +117,7 @@
   net::ExchangeResult mResult;
   AnswerMeaning mMeaning = AnswerMeaning::Result; ///< valid for a complete response
   routes::ServerReport mReport{};                 ///< sent with the response
+  ServerKey mServer{};                            ///< to which the request was dispatched
 
   friend auto operator<=>(const DispatchDone&, const DispatchDone&) = default;
 };
--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -2,6 +2,7 @@
 
 #include "fighold/chart/bound_chart.hpp"
 #include "fighold/claims/client.hpp"
+#include "fighold/core/availability.hpp"
 #include "fighold/entry/event.hpp"
 #include "fighold/membership/lease.hpp"
 #include "fighold/plan/client_table.hpp"
@@ -153,6 +154,7 @@
 struct RequestScope;
 struct ForwardScope;
 struct StageScope;
+struct AvailabilityScope;
 
 /// Charts bound to their guards and actions; shared by all requests.
 struct Charts
@@ -160,6 +162,7 @@
   chart::BoundChart<RequestScope> mRequest;
   chart::BoundChart<StageScope> mStage;
   chart::BoundChart<ForwardScope> mForward;
+  chart::BoundChart<AvailabilityScope> mAvailability;
 };
 
 /// State of an entry.
@@ -182,7 +185,8 @@
   std::map<RequestId, Forward> mForwards;
   std::map<ServiceId, ServicePool> mPools;
   routes::ServerLoads mServerLoads;
-  std::map<RegionId, Duration> mRoundTrips; ///< shortest connect time, by region
+  std::map<ServerKey, Availability> mAvailabilities; ///< of servers that said something of it
+  std::map<RegionId, Duration> mRoundTrips;          ///< shortest connect time, by region
   std::uint64_t mNextDispatchId = 1;
   std::map<std::uint64_t, Probe> mProbes; ///< by dispatch
   Instant mNextProbes = Instant::max();   ///< next time at which a health request may be due
--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace fighold::entry {
 namespace {
@@ -44,18 +45,32 @@
            : AnswerMeaning::Result;
 }
 
-/// @return the number if the text is one without sign and exponent, at least kMinNamedRate
+/// @return the number if the text is one without sign and exponent
 std::optional<double>
-ParseRate(const std::string& aText)
+ParseDecimal(const std::string& aText)
 {
   constexpr std::size_t kMaxLength = 32;
   const bool plain = !aText.empty() && aText.size() <= kMaxLength &&
                      aText.find_first_not_of("0123456789.") == std::string::npos;
-  double rate = 0;
+  double number = 0;
   const auto parsed =
-    std::from_chars(aText.data(), aText.data() + aText.size(), rate, std::chars_format::fixed);
+    std::from_chars(aText.data(), aText.data() + aText.size(), number, std::chars_format::fixed);
   const bool whole = parsed.ec == std::errc() && parsed.ptr == aText.data() + aText.size();
-  return plain && whole ? std::optional(std::max(rate, kMinNamedRate)) : std::nullopt;
+  return plain && whole ? std::optional(number) : std::nullopt;
+}
+
+/// @return the time, or nothing if the text is no number of seconds without sign and exponent
+std::optional<Millis>
+ParsePause(const std::string& aText)
+{
+  const auto seconds = ParseDecimal(aText);
+  constexpr double kMillisPerSecond = 1000;
+  // Bounded before the conversion, since a longer text is a number beyond its range.
+  const auto bounded = [](double aSeconds) {
+    return std::min(aSeconds * kMillisPerSecond, static_cast<double>(kMaxPause.count()));
+  };
+  return seconds ? std::optional(Millis(static_cast<std::int64_t>(std::ceil(bounded(*seconds)))))
+                 : std::nullopt;
 }
 
 } // namespace
@@ -66,10 +81,10 @@
   std::optional<double> lowest;
   for (const net::Header& it : aHeaders) {
     const auto value = net::FindHeader({ it }, aName);
-    const auto rate = value ? ParseRate(*value) : std::nullopt;
+    const auto rate = value ? ParseDecimal(*value) : std::nullopt;
     aReport.mUnreadableRate = aReport.mUnreadableRate || (value && !rate);
     if (rate) {
-      lowest = std::min(*rate, lowest.value_or(*rate));
+      lowest = std::max(kMinNamedRate, std::min(*rate, lowest.value_or(*rate)));
     }
   }
   if (lowest || !aReport.mUnreadableRate) {
@@ -77,6 +92,27 @@
   }
 }
 
+void
+ReadAvailability(const net::HttpResponse& aResponse,
+                 std::string_view aLeavingName,
+                 routes::ServerReport& aReport)
+{
+  constexpr unsigned kUnavailable = 503;
+  AvailabilityStatement& statement = aReport.mAvailability;
+  for (const net::Header& it : aResponse.mHeaders) {
+    if (const auto leaving = net::FindHeader({ it }, aLeavingName)) {
+      statement.mLeaving = statement.mLeaving || *leaving == "1";
+    }
+    const auto value =
+      aResponse.mStatus == kUnavailable ? net::FindHeader({ it }, "Retry-After") : std::nullopt;
+    const auto pause = value ? ParsePause(*value) : std::nullopt;
+    aReport.mUnreadableAvailability = aReport.mUnreadableAvailability || (value && !pause);
+    if (pause && *pause > Millis(0)) {
+      statement.mPause = std::max(*pause, statement.mPause.value_or(*pause));
+    }
+  }
+}
+
 BackendCodec
 NativeBackendCodec()
 {
@@ -92,6 +128,7 @@
                report.mCold = Millis(millis);
              }
              ReadRate(aResponse.mHeaders, "Fighold-Max-Requests-Per-Second", report);
+             ReadAvailability(aResponse, "Fighold-Leaving", report);
              return report;
            } };
 }
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -21,6 +21,15 @@
 /// Time until a result that found the inbox full is offered again.
 constexpr Millis kInboxPause{ 5 };
 
+/// @return a result without an answer yet
+DispatchDone
+ResultOf(const Dispatch& aDispatch)
+{
+  DispatchDone done{ aDispatch.mId, aDispatch.mDispatchId, {} };
+  done.mServer = { aDispatch.mServer.mId, aDispatch.mServer.mIncarnation };
+  return done;
+}
+
 /// A dispatch in progress.
 struct RunningDispatch
 {
@@ -144,12 +153,12 @@
 void
 Backend::State::RunDispatch(const Dispatch& aDispatch)
 {
-  DispatchDone done{ aDispatch.mId, aDispatch.mDispatchId, {} };
+  DispatchDone done = ResultOf(aDispatch);
   try {
     Perform(aDispatch, done);
   } catch (const std::exception& error) {
     // The request may have been sent.
-    done = { aDispatch.mId, aDispatch.mDispatchId, {} };
+    done = ResultOf(aDispatch);
     done.mResult = { net::ExchangeStage::NoAnswer, {}, std::string("exception: ") + error.what() };
     const auto connection = mRunning.at(aDispatch.mDispatchId).mConnection;
     if (connection && connection->mState != ConnectionState::Idle) {
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -1,5 +1,6 @@
 #include "fighold/entry/decide.hpp"
 
+#include "availability_chart.hpp"
 #include "claiming.hpp"
 #include "forward_chart.hpp"
 #include "lease_keeping.hpp"
@@ -37,6 +38,7 @@
 void
 Handle(DispatchDone aDone, Context& aContext)
 {
+  RecordAvailability(aContext.mState, aDone, aContext.mEffects, aContext.mNow);
   if (HandleProbeDone(aContext.mState, aDone, aContext.mEffects, aContext.mNow)) {
     return;
   }
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -98,6 +98,17 @@
     cold += aNow < load.mColdUntil ? 1 : 0;
     limited += load.mNamedPerSecond ? 1 : 0;
   }
+  std::size_t leaving = 0;
+  std::size_t paused = 0;
+  for (const auto& [key, availability] : aState.mAvailabilities) {
+    const auto server = aState.mConfiguration->mBackendServers.find(key.mId);
+    const bool listed = server != aState.mConfiguration->mBackendServers.end() &&
+                        server->second.mIncarnation == key.mIncarnation;
+    leaving += listed && availability.mState == AvailabilityState::Leaving ? 1 : 0;
+    paused += listed && IsPaused(availability, aNow) ? 1 : 0;
+  }
+  aMetrics.Set("backend_servers_leaving", static_cast<double>(leaving));
+  aMetrics.Set("backend_servers_paused", static_cast<double>(paused));
   aMetrics.Set("backend_servers_cold", static_cast<double>(cold));
   aMetrics.Set("backend_servers_rate_limited", static_cast<double>(limited));
 }
--- a/packages/entry/src/gauges_test.cpp
+++ b/packages/entry/src/gauges_test.cpp
@@ -69,6 +69,24 @@
   CHECK(Contains("fighold_backend_servers_rate_limited 1"));
 }
 
+// Guards against servers that are out of use by their own words where nobody can see it.
+TEST_CASE_METHOD(GaugesFixture,
+                 "SetGauges, servers that leave or pause, counts those that are listed",
+                 "[entry]")
+{
+  membership::Configuration configuration;
+  configuration.mBackendServers[{ "s1" }].mIncarnation = 2;
+  configuration.mBackendServers[{ "s2" }].mIncarnation = 1;
+  mState.mConfiguration = SharedValue(configuration);
+  mState.mAvailabilities[{ { "s1" }, 1 }].mState = AvailabilityState::Leaving;
+  mState.mAvailabilities[{ { "s1" }, 2 }].mState = AvailabilityState::Leaving;
+  mState.mAvailabilities[{ { "s2" }, 1 }] = { AvailabilityState::Paused, mNow + Millis(1), 1 };
+  mState.mAvailabilities[{ { "gone" }, 1 }].mState = AvailabilityState::Leaving;
+  SetGauges(mMetrics, mState, mNow);
+  CHECK(Contains("fighold_backend_servers_leaving 1"));
+  CHECK(Contains("fighold_backend_servers_paused 1"));
+}
+
 // Guards against a shift between regions that nobody can see from outside.
 TEST_CASE_METHOD(GaugesFixture,
                  "SetGauges, split between regions, reports the share of each",
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -1,5 +1,7 @@
 #include "pools.hpp"
 
+#include "availability_chart.hpp"
+
 #include <algorithm>
 
 namespace fighold::entry {
@@ -154,6 +156,7 @@
     aEffects.emplace_back(LogRecord{ std::move(record) });
   }
   ResetStaleLoads(aState);
+  ForgetReplacedServers(aState);
   MarkColdAfterDrain(aState, aPrevious, aNow);
   const auto entries = EntriesOf(current, aState.mOptions.mId);
   auto servers = UsableServers(current);
--- a/packages/entry/src/state.cpp
+++ b/packages/entry/src/state.cpp
@@ -1,5 +1,6 @@
 #include "fighold/entry/state.hpp"
 
+#include "availability_chart.hpp"
 #include "forward_chart.hpp"
 #include "request_chart.hpp"
 #include "stage_chart.hpp"
@@ -11,7 +12,8 @@
 {
   return { chart::LoadBoundChart(aFolder / "request.scxml", RequestRegistry()),
            chart::LoadBoundChart(aFolder / "entry.scxml", StageRegistry()),
-           chart::LoadBoundChart(aFolder / "forward.scxml", ForwardRegistry()) };
+           chart::LoadBoundChart(aFolder / "forward.scxml", ForwardRegistry()),
+           chart::LoadBoundChart(aFolder / "availability.scxml", AvailabilityRegistry()) };
 }
 
 State
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fighold/core/availability.hpp"
 #include "fighold/core/decision_record.hpp"
 #include "fighold/core/endpoint.hpp"
 #include "fighold/core/id.hpp"
@@ -113,6 +114,8 @@
   std::optional<RateStatement> mRate; ///< nothing: unreadable, or the answer is not the server's
   bool mUnreadableRate = false;       ///< the answer names a limit that makes no sense
   std::optional<Millis> mCold;        ///< time for which the server stays cold, in a health answer
+  AvailabilityStatement mAvailability{};
+  bool mUnreadableAvailability = false; ///< the answer names a pause that makes no sense
 
   friend auto operator<=>(const ServerReport&, const ServerReport&) = default;
 };
