Keep to what backend servers say about further requests

Cause: nothing read the statement. An entry passed it on to its callers and went on sending until the control group told it of the departure, which a group without contact or a server that still announces itself never does.

Change: the entry that heard it acts at once, by itself, in contact or not. A server that leaves or pauses is excluded by both choices (routed requests and those of the plan), from the cost of its region and from health requests; dispatches that wait for a connection to it end as not sent. A statement holds for the incarnation, also if the server vanishes from the configuration and comes back. If all servers pause or leave, callers are told at once when the first pause ends.

Not told to others: a server's heartbeats tell the control group the same, and each entry hears it with its first answer, which is a good one; a faulty entry or a late answer could otherwise take a server from all.

--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -313,6 +313,16 @@
   friend auto operator<=>(const CancelDispatch&, const CancelDispatch&) = default;
 };
 
+/// Keeps dispatches that are not sent yet from a backend server, which wants no requests. They end
+/// as not sent.
+struct HoldServer
+{
+  ServerKey mServer;
+  Instant mUntil{};
+
+  friend auto operator<=>(const HoldServer&, const HoldServer&) = default;
+};
+
 /// Sends a message to a control process.
 struct SendControl
 {
@@ -350,7 +360,13 @@
   friend auto operator<=>(const Stopped&, const Stopped&) = default;
 };
 
-using Effect =
-  std::variant<Reply, Dispatch, CancelDispatch, SendControl, LogRecord, Stopped, SetCallerLimits>;
+using Effect = std::variant<Reply,
+                            Dispatch,
+                            CancelDispatch,
+                            HoldServer,
+                            SendControl,
+                            LogRecord,
+                            Stopped,
+                            SetCallerLimits>;
 
 } // namespace fighold::entry
--- a/packages/entry/src/availability_chart.cpp
+++ b/packages/entry/src/availability_chart.cpp
@@ -100,6 +100,48 @@
   return it != aConfiguration.mBackendServers.end() && it->second.mIncarnation > aKey.mIncarnation;
 }
 
+/// Makes what was heard from the listed incarnation of a server part of the choices.
+void
+ApplyAvailability(State& aState, const ServerKey& aKey, const Availability& aAvailability)
+{
+  const auto& servers = aState.mConfiguration->mBackendServers;
+  const auto server = servers.find(aKey.mId);
+  if (server == servers.end() || server->second.mIncarnation != aKey.mIncarnation) {
+    return;
+  }
+  aState.mServers[aKey.mId].mAvailability = aAvailability;
+  const auto load = aState.mServerLoads.find(aKey.mId);
+  if (load != aState.mServerLoads.end() && load->second.mIncarnation == aKey.mIncarnation) {
+    load->second.mAvailability = aAvailability;
+  }
+}
+
+void
+ForgetReplacedServers(State& aState)
+{
+  const bool full = aState.mAvailabilities.size() > kMaxAvailabilities;
+  const auto& servers = aState.mConfiguration->mBackendServers;
+  for (auto it = aState.mAvailabilities.begin(); it != aState.mAvailabilities.end();) {
+    const bool forget =
+      IsReplaced(*aState.mConfiguration, it->first) || (full && servers.count(it->first.mId) == 0);
+    it = forget ? aState.mAvailabilities.erase(it) : std::next(it);
+  }
+}
+
+/// Requests that wait for a connection were decided before the server spoke.
+void
+HoldDispatches(const ServerKey& aKey,
+               const Availability& aAvailability,
+               std::vector<Effect>& aEffects,
+               Instant aNow)
+{
+  if (aAvailability.mState == AvailabilityState::Leaving) {
+    aEffects.emplace_back(HoldServer{ aKey, aNow + kMaxPause });
+  } else if (IsPaused(aAvailability, aNow)) {
+    aEffects.emplace_back(HoldServer{ aKey, aAvailability.mPausedUntil });
+  }
+}
+
 } // namespace
 
 chart::Registry<AvailabilityScope>
@@ -142,18 +184,20 @@
   LogAvailability(aDone, before, after, aEffects, aNow);
   if (after != before) {
     aState.mAvailabilities[aDone.mServer] = after;
+    ApplyAvailability(aState, aDone.mServer, after);
+    HoldDispatches(aDone.mServer, after, aEffects, aNow);
   }
 }
 
 void
-ForgetReplacedServers(State& aState)
+ApplyAvailabilities(State& aState)
 {
-  const bool full = aState.mAvailabilities.size() > kMaxAvailabilities;
-  const auto& servers = aState.mConfiguration->mBackendServers;
-  for (auto it = aState.mAvailabilities.begin(); it != aState.mAvailabilities.end();) {
-    const bool forget =
-      IsReplaced(*aState.mConfiguration, it->first) || (full && servers.count(it->first.mId) == 0);
-    it = forget ? aState.mAvailabilities.erase(it) : std::next(it);
+  ForgetReplacedServers(aState);
+  for (auto& [id, server] : aState.mServers) {
+    server.mAvailability = {};
+  }
+  for (const auto& [key, availability] : aState.mAvailabilities) {
+    ApplyAvailability(aState, key, availability);
   }
 }
 
--- a/packages/entry/src/availability_chart.hpp
+++ b/packages/entry/src/availability_chart.hpp
@@ -33,9 +33,10 @@
                    std::vector<Effect>& aEffects,
                    Instant aNow);
 
-/// Drops what was heard from incarnations that a newer one has replaced. What a server said that is
-/// no longer in the configuration is kept while there is room: it may be listed again.
+/// Makes what was heard part of the choices of a new configuration. What was heard from an
+/// incarnation is dropped once a newer one has replaced it. What a server said that is no longer
+/// listed is kept while there is room: it may be listed again.
 void
-ForgetReplacedServers(State& aState);
+ApplyAvailabilities(State& aState);
 
 } // namespace fighold::entry
--- a/packages/entry/src/availability_chart_test.cpp
+++ b/packages/entry/src/availability_chart_test.cpp
@@ -102,7 +102,7 @@
 // Guards against what was heard of one incarnation that holds for the next, and against a memory
 // that grows with each restart.
 TEST_CASE_METHOD(AvailabilityRecordFixture,
-                 "ForgetReplacedServers, server starts again or is not listed, keeps what may hold",
+                 "ApplyAvailabilities, server starts again or is not listed, keeps what may hold",
                  "[entry]")
 {
   Say({ true, {} });
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -60,6 +60,7 @@
   net::FiberLoop mLoop;
   ConnectionPool mPool;
   std::map<std::uint64_t, RunningDispatch> mRunning;
+  std::map<ServerKey, Instant> mHeldUntil; ///< servers that want no requests
   Instant mNextIdleCheck{};
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
@@ -71,6 +72,8 @@
   void RunDispatch(const Dispatch& aDispatch);
   void Start(Dispatch aDispatch);
   void Cancel(const CancelDispatch& aCancel);
+  void Hold(const HoldServer& aHold);
+  bool IsHeld(const Dispatch& aDispatch) const;
   void ProcessCommands();
   void Wait(std::unique_lock<boost::fibers::mutex>& aLock);
 };
@@ -82,6 +85,9 @@
   if (running.mCancelled) {
     return { net::ExchangeStage::NotSent, {}, "cancelled" };
   }
+  if (IsHeld(aDispatch)) {
+    return { net::ExchangeStage::NotSent, {}, "the server wants no requests" };
+  }
   const auto now = [] { return std::chrono::steady_clock::now(); };
   const auto connection =
     AcquireConnection(mPool, aDispatch.mServer.mAddress, aDispatch.mConnectionShare, now());
@@ -98,6 +104,11 @@
       FireConnection(mPool, connection, ConnectionEvent::Failed, now());
       return { net::ExchangeStage::NotSent, {}, error };
     }
+    // The server may have spoken while the connection was being opened.
+    if (IsHeld(aDispatch)) {
+      FireConnection(mPool, connection, ConnectionEvent::Failed, now());
+      return { net::ExchangeStage::NotSent, {}, "the server wants no requests" };
+    }
     connectTime = now() - start;
     mChannels.mMetrics.Count("connections_opened_total");
     FireConnection(mPool, connection, ConnectionEvent::Connected, now());
@@ -199,12 +210,31 @@
   }
 }
 
+void
+Backend::State::Hold(const HoldServer& aHold)
+{
+  const Instant now = std::chrono::steady_clock::now();
+  for (auto it = mHeldUntil.begin(); it != mHeldUntil.end();) {
+    it = now >= it->second ? mHeldUntil.erase(it) : std::next(it);
+  }
+  mHeldUntil[aHold.mServer] = aHold.mUntil;
+}
+
+bool
+Backend::State::IsHeld(const Dispatch& aDispatch) const
+{
+  const auto it = mHeldUntil.find({ aDispatch.mServer.mId, aDispatch.mServer.mIncarnation });
+  return it != mHeldUntil.end() && std::chrono::steady_clock::now() < it->second;
+}
+
 void
 Backend::State::ProcessCommands()
 {
   while (auto command = mChannels.mDispatches.TryPop()) {
     if (auto* dispatch = std::get_if<Dispatch>(&*command)) {
       Start(std::move(*dispatch));
+    } else if (const auto* hold = std::get_if<HoldServer>(&*command)) {
+      Hold(*hold);
     } else {
       Cancel(std::get<CancelDispatch>(*command));
     }
--- a/packages/entry/src/decide_thread.cpp
+++ b/packages/entry/src/decide_thread.cpp
@@ -53,6 +53,14 @@
     }
   }
 
+  void Execute(const HoldServer& aHold)
+  {
+    // If the ring is full, the dispatches in it are sent although the server wants none.
+    if (!mChannels.mDispatches.TryPush(BackendCommand(aHold))) {
+      mChannels.mMetrics.Count("holds_dropped_total");
+    }
+  }
+
   void Execute(SendControl& aSend)
   {
     wire::Body body =
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -159,6 +159,10 @@
 Millis
 RetryAfter(ForwardScope& aScope)
 {
+  const auto pause = TimeUntilResumed(aScope.mState, aScope.mForward, aScope.mNow);
+  if (pause) {
+    return routes::RetryAfterPause(*pause, NextRandom(aScope.mState));
+  }
   routes::AdmissionRequest request = MakeAdmissionRequest(aScope);
   if (NoServer(aScope) && aScope.mPlacement.mNextTurn) {
     request.mWait = *aScope.mPlacement.mNextTurn;
--- a/packages/entry/src/pools.cpp
+++ b/packages/entry/src/pools.cpp
@@ -156,7 +156,6 @@
     aEffects.emplace_back(LogRecord{ std::move(record) });
   }
   ResetStaleLoads(aState);
-  ForgetReplacedServers(aState);
   MarkColdAfterDrain(aState, aPrevious, aNow);
   const auto entries = EntriesOf(current, aState.mOptions.mId);
   auto servers = UsableServers(current);
@@ -187,6 +186,7 @@
         routes::InitialWeights(SlotsByRegion(pool.mPool), aState.mOptions.mEntry.mRegion);
     }
   }
+  ApplyAvailabilities(aState);
 }
 
 void
@@ -288,6 +288,32 @@
   return placement;
 }
 
+std::optional<Duration>
+TimeUntilResumed(const State& aState, const Forward& aForward, Instant aNow)
+{
+  const auto pool = aState.mPools.find(aForward.mService);
+  if (pool == aState.mPools.end()) {
+    return std::nullopt;
+  }
+  const auto& allowed = aForward.mRoute->mAllowedRegions;
+  std::optional<Duration> shortest;
+  for (const routes::Server& it : pool->second.mPool.mServers) {
+    const auto known = aState.mServerLoads.find(it.mId);
+    if (known == aState.mServerLoads.end() ||
+        (!allowed.empty() && allowed.count(it.mRegion) == 0)) {
+      continue;
+    }
+    const Availability& availability = known->second.mAvailability;
+    if (IsPaused(availability, aNow)) {
+      const Duration rest = availability.mPausedUntil - aNow;
+      shortest = std::min(rest, shortest.value_or(rest));
+    } else if (availability.mState != AvailabilityState::Leaving) {
+      return std::nullopt;
+    }
+  }
+  return shortest;
+}
+
 void
 AdjustSplits(State& aState, Instant aNow)
 {
--- a/packages/entry/src/pools.hpp
+++ b/packages/entry/src/pools.hpp
@@ -43,6 +43,11 @@
 ChoosePlacement(State& aState, const Forward& aForward, Instant aNow);
 
 /// Adjusts the splits between regions when they are due.
+/// @return time until the first server of the request's service takes requests again, if all of
+/// them pause or leave
+std::optional<Duration>
+TimeUntilResumed(const State& aState, const Forward& aForward, Instant aNow);
+
 void
 AdjustSplits(State& aState, Instant aNow);
 
--- a/packages/entry/src/probing.cpp
+++ b/packages/entry/src/probing.cpp
@@ -26,7 +26,8 @@
            Instant aNow)
 {
   const bool usable = !TrustsLeases(aState, aNow) || aNow < aLoad.mAliveUntil;
-  return usable && aNow >= aLoad.mColdUntil &&
+  return usable && fighold::ExclusionReason(aLoad.mAvailability, 0, aNow).empty() &&
+         aNow >= aLoad.mColdUntil &&
          aNow < std::max(aLoad.mLastDispatch, aLoad.mLastWanted) + kUsedFor &&
          routes::IsHeartbeatOld(aPool, aLoad, aNow);
 }
--- a/packages/entry/src/threads.hpp
+++ b/packages/entry/src/threads.hpp
@@ -39,7 +39,7 @@
 using FrontCommand = std::variant<Reply, SetCallerLimits>;
 
 /// Command to the backend thread.
-using BackendCommand = std::variant<Dispatch, CancelDispatch>;
+using BackendCommand = std::variant<Dispatch, CancelDispatch, HoldServer>;
 
 /// Rings between the threads of one entry process, and the log queue and metrics they share.
 struct Channels
--- a/packages/routes/include/fighold/routes/admission.hpp
+++ b/packages/routes/include/fighold/routes/admission.hpp
@@ -68,4 +68,10 @@
 Millis
 RetryAfter(const AdmissionRequest& aRequest, std::uint64_t aRandom);
 
+/// @param aPause time until the first server takes requests again
+/// @param aRandom random number that spreads the retries of callers that are rejected together
+/// @return time after which the request can be served
+Millis
+RetryAfterPause(Duration aPause, std::uint64_t aRandom);
+
 } // namespace fighold::routes
--- a/packages/routes/include/fighold/routes/placement.hpp
+++ b/packages/routes/include/fighold/routes/placement.hpp
@@ -143,6 +143,7 @@
   Instant mLastWanted{};       ///< when a request last passed it over because it may be cold
   Instant mNextRateDispatch{}; ///< earliest next request of this entry while its rate is limited
   std::optional<double> mNamedPerSecond; ///< limit on requests/s of all entries that it named last
+  Availability mAvailability; ///< what its answers to this entry said about further requests
   double mSlowness = 1; ///< moving average of its processing times relative to those of the route
   /// Objects that it processed for this entry, and when.
   std::map<std::uint64_t, Instant> mCachedObjects;
--- a/packages/routes/src/admission.cpp
+++ b/packages/routes/src/admission.cpp
@@ -49,4 +49,12 @@
   return std::min(kMaxRetryAfter, minimum + Millis(spread));
 }
 
+Millis
+RetryAfterPause(Duration aPause, std::uint64_t aRandom)
+{
+  const Millis pause = std::max(kMinRetryAfter, std::chrono::ceil<Millis>(aPause));
+  const Millis spread = std::min(pause, kMaxRetryAfter);
+  return pause + Millis(aRandom % static_cast<std::uint64_t>(spread.count()));
+}
+
 } // namespace fighold::routes
--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -41,6 +41,11 @@
   if (aTrustLeases && aNow >= aLoad.mAliveUntil) {
     return "no-lease";
   }
+  const std::string unavailable =
+    fighold::ExclusionReason(aLoad.mAvailability, aLoad.mOwnRequests, aNow);
+  if (!unavailable.empty()) {
+    return unavailable;
+  }
   if (IsHeartbeatOld(aPool, aLoad, aNow) && aNow >= aLoad.mColdUntil &&
       aLoad.mWarmUntil != Instant{}) {
     // With contact, heartbeats tell all entries soon that a server is cold, so that the time for
@@ -483,7 +488,9 @@
   const RegionLoad regionLoad = FindRegionLoad(aPool, aRegion);
   for (const Server& it : aPool.mServers) {
     const ServerLoad& load = FindServerLoad(aLoads, it.mId);
-    if (it.mRegion == aRegion && aNow >= load.mEjectedUntil &&
+    const bool wantsRequests = load.mAvailability.mState != AvailabilityState::Leaving &&
+                               !IsPaused(load.mAvailability, aNow);
+    if (it.mRegion == aRegion && aNow >= load.mEjectedUntil && wantsRequests &&
         (!aTrustLeases || aNow < load.mAliveUntil)) {
       const double expectedOthers = ExpectedOtherRequests(regionLoad, it, aNow);
       const double expected = ExpectedMs(
--- a/packages/routing/include/fighold/routing/choice.hpp
+++ b/packages/routing/include/fighold/routing/choice.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fighold/core/availability.hpp"
 #include "fighold/core/decision_record.hpp"
 #include "fighold/core/outcome.hpp"
 #include "fighold/core/time.hpp"
@@ -58,6 +59,7 @@
   std::uint32_t mConsecutiveFailures = 0;  ///< overdue or failed requests
   std::uint32_t mConsecutiveEjections = 0; ///< without an answer in time between them
   Instant mEjectedUntil{};
+  Availability mAvailability{}; ///< what its answers to this entry said about further requests
 
   friend auto operator<=>(const ServerState&, const ServerState&) = default;
 };
--- a/packages/routing/src/choice.cpp
+++ b/packages/routing/src/choice.cpp
@@ -63,8 +63,11 @@
   for (const Candidate& it : aCandidates) {
     const auto found = aStates.find(it.mId);
     const ServerState state = found == aStates.end() ? ServerState{} : found->second;
+    const std::string unavailable = ExclusionReason(state.mAvailability, state.mOutstanding, aNow);
     if (aNow >= state.mAliveUntil) {
       aRejected.push_back({ it.mId.mValue, "lease-expired" });
+    } else if (!unavailable.empty()) {
+      aRejected.push_back({ it.mId.mValue, unavailable });
     } else if (aRequest.mAlreadyTried.count(it.mId) > 0) {
       aRejected.push_back({ it.mId.mValue, "already-tried" });
     } else {
