Judge an answer by its head, before its body is read

Cause: the status was checked after the whole message had been read, and without a length a message ends with its connection. Class: an answer that can't be used by its head, whose rest is waited for. Of the same class: an answer without a length where one is required.

Change: the parser refuses such a head as soon as it has it. Doubled and conflicting lengths were refused there by Beast already.

--- a/packages/entry/src/backend_thread_test.cpp
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -296,6 +296,24 @@
   }
 }
 
+// Guards against a caller who waits for the rest of an answer that can't be used, which may go on
+// until the connection ends.
+TEST_CASE_METHOD(BackendFixture, "Backend, head of an unusable answer, ends the wait", "[entry]")
+{
+  const std::string head = GENERATE("Content-Length: 5\r\nContent-Length: 500\r\n",
+                                    "Content-Length: 500\r\nTransfer-Encoding: chunked\r\n",
+                                    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                                    "X-No-Length: 1\r\n");
+  INFO(head);
+  FaultyServer server([head](FaultyConnection& aConnection, int) {
+    aConnection.Write("HTTP/1.1 200 OK\r\n" + head + "\r\nfirst");
+    return true;
+  });
+  const auto result = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
+  CHECK(result.mStage == ExchangeStage::NoAnswer);
+  CHECK(result.mError.find("timeout") == std::string::npos);
+}
+
 // Guards against a check of the status that refuses valid answers.
 TEST_CASE_METHOD(BackendFixture, "Backend, status of HTTP, is an answer", "[entry]")
 {
@@ -328,6 +346,37 @@
   }
 };
 
+// Guards against a status that is none of HTTP and reaches the caller, or that is taken for an
+// interim answer, so that the caller waits for another one until its time is over, or for the end
+// of the connection.
+TEST_CASE_METHOD(UntilCloseFixture,
+                 "Backend, status outside HTTP and no length, is no answer at once",
+                 "[entry]")
+{
+  const std::string rest = GENERATE("Content-Length: 5\r\n\r\nfirst",
+                                    "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n",
+                                    "\r\n",
+                                    "\r\nfirst",
+                                    "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+  for (const std::string status : { "000", "001", "099", "101", "600", "999" }) {
+    INFO(status << " " << rest);
+    FaultyServer server([&status, &rest](FaultyConnection& aConnection, int aRequest) {
+      if (aRequest == 1) {
+        aConnection.Write("HTTP/1.1 " + status + " X\r\n" + rest);
+      } else {
+        aConnection.Answer("second");
+      }
+      return true;
+    });
+    const auto first = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
+    CHECK(first.mStage == ExchangeStage::NoAnswer);
+    CHECK(first.mError == "read: answer with the status " + std::to_string(std::stoi(status)));
+    const auto second = Run(MakeDispatch(server.Address(), kTimeout, kTimeout));
+    CHECK(second.mResponse.mBody == "second");
+    CHECK(server.Connections() == 2);
+  }
+}
+
 // Guards against an answer that broke off in its head and reaches the caller as a success with an
 // empty or short body, because answers without a length end with their connection.
 TEST_CASE_METHOD(UntilCloseFixture,
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -27,18 +27,7 @@
 
 constexpr std::size_t kReadSize = 16U << 10U;
 
-constexpr unsigned kFirstStatus = 100;
-constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kLastStatus = 599;
-
-/// RFC 9110 defines statuses from 100 to 599. No request asks for another protocol, so that nothing
-/// is known about the bytes after a 101.
-bool
-IsValidStatus(unsigned aStatus)
-{
-  return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
-}
 
 /// An answer without a length ends with the connection, so a cut answer would look whole.
 bool
@@ -113,6 +102,7 @@
   parser.header_limit(detail::HeaderLimit(mOptions.mMaxHeaderBytes));
   parser.body_limit(std::min(mOptions.mMaxBodyBytes, aMaxBodyBytes));
   parser.skip(aHead);
+  parser.RequireLength(!mOptions.mUntilClose && !aHead);
   const auto reservation = std::make_shared<MemoryReservation>(mOptions.mBudget);
   const auto readSome = [this](const auto& aBuffer) {
     return Await([&](auto aHandler) { mStream.async_read_some(aBuffer, std::move(aHandler)); });
@@ -122,13 +112,13 @@
   if (!read.mHasMemory) {
     return "read: no memory left for the answer";
   }
+  detail::MessageHead& head = parser.Head();
+  if (!parser.Refusal().empty()) {
+    return "read: " + parser.Refusal();
+  }
   if (read.mError) {
     return "read: " + read.mError.message();
   }
-  detail::MessageHead& head = parser.Head();
-  if (!IsValidStatus(head.mStatus)) {
-    return "read: answer with the status " + std::to_string(head.mStatus);
-  }
   if (!HasEnd(parser, aHead) && !mOptions.mUntilClose) {
     return "read: answer without a length";
   }
--- a/packages/net/src/message_parser.cpp
+++ b/packages/net/src/message_parser.cpp
@@ -26,6 +26,26 @@
   return std::find(kFields.begin(), kFields.end(), aField) != kFields.end();
 }
 
+/// RFC 9110 defines statuses from 100 to 599. No request asks for another protocol, so that nothing
+/// is known about the bytes after a 101.
+bool
+IsValidStatus(unsigned aStatus)
+{
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kLast = 599;
+  return aStatus >= kFirst && aStatus <= kLast && aStatus != kSwitchingProtocols;
+}
+
+bool
+HasBody(unsigned aStatus)
+{
+  constexpr unsigned kFirstFinal = 200;
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aStatus >= kFirstFinal && aStatus != kNoContent && aStatus != kNotModified;
+}
+
 std::string
 ToString(boost::beast::string_view aText)
 {
@@ -68,6 +88,20 @@
   return aHead.mLengths > 1 || aHead.mEncodings > 1 || (aHead.mEncodings > 0 && aHead.mLengths > 0);
 }
 
+std::string
+RefusalOf(const MessageHead& aHead, bool aLengthRequired)
+{
+  if (!IsValidStatus(aHead.mStatus)) {
+    return "answer with the status " + std::to_string(aHead.mStatus);
+  }
+  if (HasAmbiguousLength(aHead)) {
+    return "answer with conflicting lengths";
+  }
+  return aLengthRequired && HasBody(aHead.mStatus) && aHead.mLengths + aHead.mEncodings == 0
+           ? "answer without a length"
+           : "";
+}
+
 std::uint32_t
 HeaderLimit(std::size_t aBytes)
 {
--- a/packages/net/src/message_parser.hpp
+++ b/packages/net/src/message_parser.hpp
@@ -37,6 +37,11 @@
 bool
 HasAmbiguousLength(const MessageHead& aHead);
 
+/// @param aLengthRequired true: an answer with a body needs a length or chunks
+/// @return why an answer with this head can't be used; empty if it can
+std::string
+RefusalOf(const MessageHead& aHead, bool aLengthRequired);
+
 /// @param aBytes longest head that is accepted
 /// @return the limit as Beast takes it, in 32 bits
 std::uint32_t
@@ -53,6 +58,12 @@
   std::string& Body() { return mBody; }
   const std::string& Body() const { return mBody; }
 
+  /// @param aRequired true: an answer with a body needs a length or chunks
+  void RequireLength(bool aRequired) { mLengthRequired = aRequired; }
+
+  /// @return why the answer ended with its head; empty if it did not
+  const std::string& Refusal() const { return mRefusal; }
+
 private:
   using ErrorCode = boost::beast::error_code;
   using View = boost::beast::string_view;
@@ -83,7 +94,13 @@
     aError = {};
   }
 
-  void on_header_impl(ErrorCode& aError) override { aError = {}; }
+  /// The rest of an answer that can't be used is not waited for: it may go on until the connection
+  /// ends.
+  void on_header_impl(ErrorCode& aError) override
+  {
+    mRefusal = isRequest ? "" : RefusalOf(mHead, mLengthRequired);
+    aError = mRefusal.empty() ? ErrorCode() : ErrorCode(boost::beast::http::error::bad_value);
+  }
 
   void on_body_init_impl(const boost::optional<std::uint64_t>& aLength, ErrorCode& aError) override
   {
@@ -116,6 +133,8 @@
 
   MessageHead mHead;
   std::string mBody;
+  std::string mRefusal;
+  bool mLengthRequired = false;
 };
 
 } // namespace fighold::net::detail
