Say at the start which bound of a planned stop is in force

Each process now prints event=stop-bound, a warning if the setting was not given.

The default stays: no value is right for a platform that names none, and a shorter one would cut off callers where the time is there.

process_platform_stop "... is named at the start" holds; without the line it can't, since it waits for that text.

--- a/packages/figholdd/src/figholdd_main.cpp
+++ b/packages/figholdd/src/figholdd_main.cpp
@@ -149,6 +149,19 @@
   return text;
 }
 
+/// @return log line with the bound of a planned stop, since a process that is killed earlier than
+/// it assumes loses the requests that it has sent on
+std::string
+StopBound()
+{
+  const bool isDefault = gflags::GetCommandLineFlagInfoOrDie("stop_grace_s").is_default;
+  std::string line = "event=stop-bound grace_s=" + std::to_string(FLAGS_stop_grace_s);
+  line += isDefault ? " level=WARNING reason=default effect=\"requests are lost if the process is "
+                      "killed earlier; set --stop_grace_s to the time until then\""
+                    : " reason=set";
+  return line;
+}
+
 /// Signals are blocked before threads start, so that only WaitForStop receives them.
 sigset_t
 BlockStopSignals()
@@ -170,6 +183,7 @@
   Daemon daemon(std::move(aOptions));
   std::cout << "listening on " << fighold::ToText(daemon.Address()) << std::endl;
   std::cout << "event=start " << SettingsInForce() << std::endl;
+  std::cout << StopBound() << std::endl;
   int signal = 0;
   while (sigwait(&aSignals, &signal) == 0 && signal == SIGHUP) {
     std::cout << "event=reload reason=SIGHUP effect=\"settings are read at the next start\""
