Take only sure refusals of native servers, and answer with one outcome

In the product's own dialect a refusal without the request's identifier counted on a kept connection, where a faulty server may have written it for an earlier request while it runs this one; and a Fighold-Outcome of the server reached the caller in front of that of the entry, so that a request that had run could read as "not-run".

Such a refusal, and one that contradicts itself, now makes the outcome unknown; on a new connection it counts as before. The outcome of the server is left out of the answer. Both tests fail before: the codec had no way to tell the connections apart, and the answer had two outcomes.

--- a/packages/entry/include/fighold/entry/backend_codec.hpp
+++ b/packages/entry/include/fighold/entry/backend_codec.hpp
@@ -16,8 +16,9 @@
   /// Returns true if a response belongs to the dispatch, false if it is a late response to an
   /// earlier request on the connection.
   std::function<bool(const Dispatch&, const net::HttpResponse&)> mMatchesDispatch;
-  /// Classifies a complete response.
-  std::function<AnswerMeaning(const Dispatch&, const net::HttpResponse&)> mMeaning;
+  /// Classifies a complete response. On a connection that carried an earlier exchange, the response
+  /// may be one to that.
+  std::function<AnswerMeaning(const Dispatch&, const net::HttpResponse&, bool aIsReused)> mMeaning;
   /// Reads what the server says of itself in a response to the dispatch.
   std::function<routes::ServerReport(const Dispatch&, const net::HttpResponse&)> mReport;
 };
--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -11,6 +11,8 @@
 /// request now and then, whose answer tells when the limit has ended.
 constexpr double kMinNamedRate = 0.1;
 
+constexpr std::string_view kOutcomeHeader = "Fighold-Outcome";
+
 net::HttpRequest
 Encode(const Dispatch& aDispatch, Millis aTimeLeft)
 {
@@ -36,13 +38,26 @@
 }
 
 /// A backend server may report in a header that it did not run the request, for example because of
-/// overload.
+/// overload. A faulty server may write an earlier refusal once more on a kept connection while it
+/// runs the request, so that a refusal there has to name its request.
 AnswerMeaning
-Meaning(const Dispatch& /*aDispatch*/, const net::HttpResponse& aResponse)
+Meaning(const Dispatch& aDispatch, const net::HttpResponse& aResponse, bool aIsReused)
 {
-  return net::FindHeader(aResponse.mHeaders, "Fighold-Outcome") == "not-run"
-           ? AnswerMeaning::NotRun
-           : AnswerMeaning::Result;
+  bool saysNotRun = false;
+  bool saysOther = false;
+  for (const net::Header& it : aResponse.mHeaders) {
+    if (const auto outcome = net::FindHeader({ it }, kOutcomeHeader)) {
+      saysNotRun = saysNotRun || *outcome == "not-run";
+      saysOther = saysOther || *outcome != "not-run";
+    }
+  }
+  if (!saysNotRun) {
+    return AnswerMeaning::Result;
+  }
+  const bool namesRequest =
+    net::FindHeader(aResponse.mHeaders, "Fighold-Request-Id") == std::to_string(aDispatch.mId);
+  return saysOther || (aIsReused && !namesRequest) ? AnswerMeaning::Unusable
+                                                   : AnswerMeaning::NotRun;
 }
 
 /// @return the number if the text is one without sign and exponent
--- a/packages/entry/src/backend_codec_test.cpp
+++ b/packages/entry/src/backend_codec_test.cpp
@@ -27,6 +27,40 @@
   CHECK(mCodec.mMatchesDispatch(mDispatch, { 503, { refusal }, "" }));
 }
 
+/// Headers of a 503 and what they mean on a new connection and on a kept one.
+struct RefusalRow
+{
+  const char* mName;
+  net::Headers mHeaders;
+  AnswerMeaning mNew;
+  AnswerMeaning mKept;
+};
+
+// Guards against a caller who is told that a request was not run, which runs: by a refusal of an
+// earlier request on its connection, or by one that contradicts itself.
+TEST_CASE_METHOD(NativeBackendFixture,
+                 "NativeBackendCodec, refusals on new and kept connections, count if they are sure",
+                 "[entry]")
+{
+  const net::Header refusal{ "Fighold-Outcome", "not-run" };
+  const net::Header run{ "fighold-outcome", "run" };
+  const net::Header own{ "Fighold-Request-Id", "17" };
+  const std::vector<RefusalRow> rows{
+    { "failure", {}, AnswerMeaning::Result, AnswerMeaning::Result },
+    { "failure that ran", { run }, AnswerMeaning::Result, AnswerMeaning::Result },
+    { "refusal", { refusal }, AnswerMeaning::NotRun, AnswerMeaning::Unusable },
+    { "refusal of the request", { refusal, own }, AnswerMeaning::NotRun, AnswerMeaning::NotRun },
+    { "refusal that ran", { refusal, run }, AnswerMeaning::Unusable, AnswerMeaning::Unusable },
+    { "the same", { run, refusal, own }, AnswerMeaning::Unusable, AnswerMeaning::Unusable },
+  };
+  for (const RefusalRow& it : rows) {
+    INFO(it.mName);
+    const net::HttpResponse response{ 503, it.mHeaders, "" };
+    CHECK(mCodec.mMeaning(mDispatch, response, false) == it.mNew);
+    CHECK(mCodec.mMeaning(mDispatch, response, true) == it.mKept);
+  }
+}
+
 TEST_CASE_METHOD(NativeBackendFixture,
                  "NativeBackendCodec, answer with a rate limit, reports it",
                  "[entry]")
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -156,7 +156,7 @@
 {
   aDone.mResult = Exchange(aDispatch);
   if (aDone.mResult.mStage == net::ExchangeStage::Answered) {
-    aDone.mMeaning = mCodec.mMeaning(aDispatch, aDone.mResult.mResponse);
+    aDone.mMeaning = mCodec.mMeaning(aDispatch, aDone.mResult.mResponse, aDone.mResult.mReused);
     aDone.mReport = mCodec.mReport(aDispatch, aDone.mResult.mResponse);
   }
 }
--- a/packages/entry/src/backend_thread_test.cpp
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -584,12 +584,13 @@
   static BackendCodec Codec()
   {
     BackendCodec codec = NativeBackendCodec();
-    codec.mMeaning = [meaning = codec.mMeaning, calls = 0](
-                       const Dispatch& aDispatch, const net::HttpResponse& aAnswer) mutable {
+    codec.mMeaning = [meaning = codec.mMeaning, calls = 0](const Dispatch& aDispatch,
+                                                           const net::HttpResponse& aAnswer,
+                                                           bool aIsReused) mutable {
       if (++calls == 1) {
         throw std::length_error("too long");
       }
-      return meaning(aDispatch, aAnswer);
+      return meaning(aDispatch, aAnswer, aIsReused);
     };
     codec.mMatchesDispatch = [calls = 0](const Dispatch&, const net::HttpResponse&) mutable {
       if (++calls == 2) {
--- a/packages/entry/src/front_codec.cpp
+++ b/packages/entry/src/front_codec.cpp
@@ -8,6 +8,7 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 
@@ -212,13 +213,28 @@
   return ErrorResponse(405, "use PUT or DELETE");
 }
 
+/// @return the response of a backend server without an outcome of its own, which the caller would
+/// read beside that of the entry
+net::HttpResponse
+WithoutOutcome(net::HttpResponse aResponse)
+{
+  auto& headers = aResponse.mHeaders;
+  headers.erase(std::remove_if(headers.begin(),
+                               headers.end(),
+                               [](const net::Header& aHeader) {
+                                 return net::FindHeader({ aHeader }, "Fighold-Outcome").has_value();
+                               }),
+                headers.end());
+  return aResponse;
+}
+
 net::HttpResponse
 ToHttpResponse(RequestId aId, const CallerAnswer& aAnswer)
 {
   net::HttpResponse response;
   switch (aAnswer.mOutcome) {
     case Outcome::Run:
-      response = aAnswer.mResponse;
+      response = WithoutOutcome(aAnswer.mResponse);
       break;
     case Outcome::NotRun:
       response = NotRunResponse(aAnswer.mReason, aAnswer.mStatus);
@@ -288,7 +304,7 @@
 ToHttpResponse(RequestId /*aId*/, const ForwardAnswer& aAnswer)
 {
   if (aAnswer.mOutcome == Outcome::Run) {
-    net::HttpResponse response = aAnswer.mResponse;
+    net::HttpResponse response = WithoutOutcome(aAnswer.mResponse);
     response.mHeaders.push_back({ "Fighold-Outcome", "run" });
     return response;
   }
--- a/packages/entry/src/front_codec_test.cpp
+++ b/packages/entry/src/front_codec_test.cpp
@@ -53,6 +53,32 @@
   return aText;
 }
 
+// Guards against an answer that tells its caller two outcomes, the first of which is a server's.
+TEST_CASE_METHOD(EntryFrontCodecFixture,
+                 "ToResponse, server names an outcome of its own, answers with the entry's alone",
+                 "[entry]")
+{
+  const net::HttpResponse fromServer{ 503,
+                                      { { "fighold-outcome", "Not-Run" }, { "X-Kept", "1" } },
+                                      "x" };
+  CallerAnswer answer;
+  answer.mOutcome = Outcome::Run;
+  answer.mResponse = fromServer;
+  ForwardAnswer forwarded;
+  forwarded.mOutcome = Outcome::Run;
+  forwarded.mResponse = fromServer;
+  for (const Answer& it : { Answer(answer), Answer(forwarded) }) {
+    const auto response = ToResponse(1, it);
+    const auto outcomes =
+      std::count_if(response.mHeaders.begin(), response.mHeaders.end(), [](const auto& aHeader) {
+        return net::FindHeader({ aHeader }, "Fighold-Outcome").has_value();
+      });
+    CHECK(outcomes == 1);
+    CHECK(net::FindHeader(response.mHeaders, "Fighold-Outcome") == "run");
+    CHECK(net::FindHeader(response.mHeaders, "X-Kept") == "1");
+  }
+}
+
 TEST_CASE_METHOD(EntryFrontCodecFixture, "ParseRequest, valid requests, returns events", "[entry]")
 {
   for (const net::HttpRequest& it : mRequests) {
--- a/packages/entry/src/request_fixture.hpp
+++ b/packages/entry/src/request_fixture.hpp
@@ -78,7 +78,7 @@
   void EndDispatch(const Dispatch& aDispatch, net::ExchangeResult aResult)
   {
     DispatchDone done{ aDispatch.mId, aDispatch.mDispatchId, std::move(aResult) };
-    done.mMeaning = NativeBackendCodec().mMeaning(aDispatch, done.mResult.mResponse);
+    done.mMeaning = NativeBackendCodec().mMeaning(aDispatch, done.mResult.mResponse, false);
     HandleEvent(std::move(done));
   }
 
