--- a/packages/routes/src/placement.cpp
+++ b/packages/routes/src/placement.cpp
@@ -41,8 +41,7 @@
   if (aTrustLeases && aNow >= aLoad.mAliveUntil) {
     return "no-lease";
   }
-  const std::string unavailable =
-    fighold::ExclusionReason(aLoad.mAvailability, aLoad.mOwnRequests, aNow);
+  std::string unavailable = fighold::ExclusionReason(aLoad.mAvailability, aLoad.mOwnRequests, aNow);
   if (!unavailable.empty()) {
     return unavailable;
   }
