--- a/packages/entry/src/backend_hold_test.cpp
+++ b/packages/entry/src/backend_hold_test.cpp
@@ -45,7 +45,9 @@
 
   void Push(BackendCommand aCommand)
   {
-    REQUIRE(mChannels.mDispatches.TryPush(std::move(aCommand)));
+    // The move stays out of the macro: its loop counts as a second use.
+    const bool isPushed = mChannels.mDispatches.TryPush(std::move(aCommand));
+    REQUIRE(isPushed);
   }
 
   Dispatch MakeDispatch(const ServerKey& aServer) const
