Keep to pauses of up to an hour

A backend server that asked for a pause of more than 60 s (Retry-After in a 503) got requests after 60 s, one at a time and then more with each answer. The users' pages allow two until the end of the time it named.

Cause: the bound on values without sense was shorter than pauses that servers mean. It is an hour now; a longer value is cut to that. Holds of dispatches that wait for a connection keep their bound of 60 s, so that the connections do not remember servers for longer than any dispatch can wait.

"Forward, server pauses, is chosen again after the pause and not before" tries 300 s as well. The check of the hold of a leaving server names the same minute as before, by value.

--- a/packages/core/include/fighold/core/availability.hpp
+++ b/packages/core/include/fighold/core/availability.hpp
@@ -42,9 +42,8 @@
   friend auto operator<=>(const Availability&, const Availability&) = default;
 };
 
-/// Longest pause that is kept to. A server that names a longer one gets a request now and then,
-/// whose answer tells when the pause has ended.
-constexpr Millis kMaxPause{ 60'000 };
+/// Longest pause that is kept to. It bounds how long a faulty value takes a server out of use.
+constexpr Millis kMaxPause{ 3'600'000 };
 
 /// @return true until the pause that the server asked for has ended
 bool
--- a/packages/entry/src/availability_chart.cpp
+++ b/packages/entry/src/availability_chart.cpp
@@ -13,6 +13,10 @@
 constexpr int kPauseSpreadDivisor = 4;
 constexpr Millis kMaxPauseSpread{ 1000 };
 
+/// Bounds the number of servers that the connections remember. No dispatch waits longer for a
+/// connection.
+constexpr Millis kMaxHold{ 60'000 };
+
 /// Requests of this entry at a server at a time from which on it has resumed after a pause.
 constexpr std::uint32_t kResumedRequests = 4;
 
@@ -136,9 +140,10 @@
                Instant aNow)
 {
   if (aAvailability.mState == AvailabilityState::Leaving) {
-    aEffects.emplace_back(HoldServer{ aKey, aNow + kMaxPause });
+    aEffects.emplace_back(HoldServer{ aKey, aNow + kMaxHold });
   } else if (IsPaused(aAvailability, aNow)) {
-    aEffects.emplace_back(HoldServer{ aKey, aAvailability.mPausedUntil });
+    const Instant until = std::min<Instant>(aAvailability.mPausedUntil, aNow + kMaxHold);
+    aEffects.emplace_back(HoldServer{ aKey, until });
   }
 }
 
--- a/packages/entry/src/availability_test.cpp
+++ b/packages/entry/src/availability_test.cpp
@@ -227,8 +227,9 @@
                  "Forward, server pauses, is chosen again after the pause and not before",
                  "[entry]")
 {
-  const auto [named, kept] =
-    GENERATE(std::pair(Millis(3000), Millis(3000)), std::pair(Millis(86'400'000), kMaxPause));
+  const auto [named, kept] = GENERATE(std::pair(Millis(3000), Millis(3000)),
+                                      std::pair(Millis(300'000), Millis(300'000)),
+                                      std::pair(Millis(86'400'000), kMaxPause));
   Say("s1", Pauses(named));
   const Instant begin = mNow;
   while (mNow < begin + kept) {
@@ -277,7 +278,7 @@
   Say("s1", kLeaves);
   holds = EffectsOfType<HoldServer>();
   REQUIRE(holds.size() == 1);
-  CHECK(holds.back().mUntil == mNow + kMaxPause);
+  CHECK(holds.back().mUntil == mNow + std::chrono::minutes(1));
 }
 
 /// Requests of the plan, whose servers speak the product's own interface.
