Log which connection an attempt went over, and answers that were passed over

The log of an entry could not tell a copy of a refusal that was taken for an answer from a server that refuses a request and runs it: it named neither the connection of an attempt nor the answers that were dropped as belonging to other requests.

Lines "answer" and "forward-again" now name server, connection and exchange of an attempt that ended without a usable answer, and how many answers were passed over in front of one; requests to services of the plan get a line "attempt". The metric fighold_answers_passed_over_total counts them.

--- a/packages/entry/include/fighold/entry/event.hpp
+++ b/packages/entry/include/fighold/entry/event.hpp
@@ -109,6 +109,16 @@
   friend auto operator<=>(const ServerKey&, const ServerKey&) = default;
 };
 
+/// The exchange of a dispatch, by its connection. Two dispatches with the same mConnection went
+/// over one connection.
+struct ExchangeId
+{
+  std::uint64_t mConnection = 0; ///< number of the connection, from 1; 0: none was acquired
+  std::uint64_t mOrdinal = 0;    ///< number of the exchange on that connection, from 1
+
+  friend auto operator<=>(const ExchangeId&, const ExchangeId&) = default;
+};
+
 /// Result of a dispatch that ended.
 struct DispatchDone
 {
@@ -118,6 +128,7 @@
   AnswerMeaning mMeaning = AnswerMeaning::Result; ///< valid for a complete response
   routes::ServerReport mReport{};                 ///< sent with the response
   ServerKey mServer{};                            ///< to which the request was dispatched
+  ExchangeId mExchange{};
 
   friend auto operator<=>(const DispatchDone&, const DispatchDone&) = default;
 };
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -35,6 +35,7 @@
 {
   bool mCancelled = false;
   std::shared_ptr<PooledConnection> mConnection; ///< null until one was acquired
+  ExchangeId mExchange{};
 };
 
 } // namespace
@@ -95,6 +96,7 @@
     return { net::ExchangeStage::NotSent, {}, "connection share used up" };
   }
   running.mConnection = connection;
+  running.mExchange = { connection->mNumber, connection->mExchanges };
   Duration connectTime{};
   if (connection->mState == ConnectionState::Connecting) {
     const Instant start = now();
@@ -181,6 +183,10 @@
   if (done.mResult.mSilent) {
     mChannels.mMetrics.Count("connections_silent_total");
   }
+  if (done.mResult.mPassedOver > 0) {
+    mChannels.mMetrics.Count("answers_passed_over_total", {}, done.mResult.mPassedOver);
+  }
+  done.mExchange = mRunning.at(aDispatch.mDispatchId).mExchange;
   const bool cancelled = mRunning.at(aDispatch.mDispatchId).mCancelled;
   mRunning.erase(aDispatch.mDispatchId);
   if (!cancelled) {
--- a/packages/entry/src/connection_pool.cpp
+++ b/packages/entry/src/connection_pool.cpp
@@ -134,9 +134,11 @@
     connection->mEndpoint = aEndpoint;
     connection->mHttp = aPool.mCreateConnection(aEndpoint);
     connection->mLastSuccessAt = aNow;
+    connection->mNumber = ++aPool.mOpened;
     all.push_front(connection);
   }
   connection->mBusySince = aNow;
+  ++connection->mExchanges;
   return connection;
 }
 
--- a/packages/entry/src/connection_pool.hpp
+++ b/packages/entry/src/connection_pool.hpp
@@ -44,8 +44,10 @@
   Endpoint mEndpoint;
   std::unique_ptr<net::HttpConnection> mHttp;
   ConnectionState mState = ConnectionState::Connecting;
-  Instant mLastSuccessAt{}; ///< when it was opened or last received a complete answer
-  Instant mBusySince{};     ///< start of the last exchange
+  Instant mLastSuccessAt{};     ///< when it was opened or last received a complete answer
+  Instant mBusySince{};         ///< start of the last exchange
+  std::uint64_t mNumber = 0;    ///< number of the connection in its pool, from 1
+  std::uint64_t mExchanges = 0; ///< exchanges that were started on it
 };
 
 struct ConnectionScope;
@@ -57,6 +59,7 @@
   std::function<std::unique_ptr<net::HttpConnection>(const Endpoint&)> mCreateConnection;
   /// Newest connection first.
   std::map<Endpoint, std::list<std::shared_ptr<PooledConnection>>> mByEndpoint;
+  std::uint64_t mOpened = 0; ///< connections that were created
 };
 
 /// What the guards and actions read and change while one event of a connection is handled.
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -144,14 +144,7 @@
   record.mFields.push_back({ "outcome", std::string(ToText(aAnswer.mOutcome)) });
   record.mFields.push_back({ "status", std::to_string(status) });
   record.mFields.push_back({ "retry_after_ms", std::to_string(aAnswer.mRetryAfter.count()) });
-  if (aAnswer.mOutcome != Outcome::Run &&
-      aScope.mDone.mResult.mStage == net::ExchangeStage::Answered) {
-    record.mFields.push_back(
-      { "server_status", std::to_string(aScope.mDone.mResult.mResponse.mStatus) });
-  }
-  if (!aScope.mDone.mResult.mError.empty()) {
-    record.mFields.push_back({ "error", aScope.mDone.mResult.mError });
-  }
+  AddAttempt(aScope, record);
   record.mChoice = aAnswer.mOutcome == Outcome::Run ? forward.mServer.mId.mValue : "";
   record.mRejected = aScope.mPlacement.mRejected;
   if (aAnswer.mOutcome == Outcome::NotRun) {
--- a/packages/entry/src/forward_log.cpp
+++ b/packages/entry/src/forward_log.cpp
@@ -1,5 +1,7 @@
 #include "forward_log.hpp"
 
+#include "attempt_log.hpp"
+
 #include <algorithm>
 
 namespace fighold::entry {
@@ -77,12 +79,25 @@
   aRecord.mFields.insert(aRecord.mFields.end(), fields.begin(), fields.end());
 }
 
+void
+AddAttempt(const ForwardScope& aScope, DecisionRecord& aRecord)
+{
+  const DispatchDone& done = aScope.mDone;
+  if (done.mDispatchId != 0 && IsNotable(done)) {
+    const auto fields = AttemptFields(done);
+    aRecord.mFields.insert(aRecord.mFields.end(), fields.begin(), fields.end());
+  } else if (!done.mResult.mError.empty()) {
+    aRecord.mFields.push_back({ "error", done.mResult.mError });
+  }
+}
+
 void
 LogPlacement(ForwardScope& aScope, const std::string& aKind)
 {
   DecisionRecord record = RecordOf(aScope, aKind, aScope.mPlacement.mReason);
   record.mChoice = aScope.mPlacement.mServer->mId.mValue;
   AddPlacement(aScope, record);
+  AddAttempt(aScope, record);
   aScope.mEffects.emplace_back(LogRecord{ std::move(record) });
 }
 
--- a/packages/entry/src/forward_log.hpp
+++ b/packages/entry/src/forward_log.hpp
@@ -14,7 +14,11 @@
 void
 AddPlacement(const ForwardScope& aScope, DecisionRecord& aRecord);
 
-/// Logs that the request is dispatched to the chosen server.
+/// Adds how the last dispatch ended, unless it ended with the answer to the request.
+void
+AddAttempt(const ForwardScope& aScope, DecisionRecord& aRecord);
+
+/// Logs that the request is dispatched to the chosen server, and how the dispatch before it ended.
 void
 LogPlacement(ForwardScope& aScope, const std::string& aKind);
 
--- a/packages/entry/src/request_dispatch.cpp
+++ b/packages/entry/src/request_dispatch.cpp
@@ -1,4 +1,5 @@
 #include "admission.hpp"
+#include "attempt_log.hpp"
 #include "queueing.hpp"
 #include "request_chart.hpp"
 
@@ -142,6 +143,15 @@
     return;
   }
   InFlightRequest& request = it->second;
+  if (IsNotable(aDone)) {
+    aEffects.emplace_back(LogRecord{ DecisionRecord{ "attempt",
+                                                     std::to_string(aDone.mId),
+                                                     request.mRequest.mService.mValue,
+                                                     "",
+                                                     "",
+                                                     {},
+                                                     AttemptFields(aDone) } });
+  }
   const RequestEvent event = ToRequestEvent(aDone);
   RecordDispatchResult(ReleaseServer(aState, request), event, aNow - request.mDispatchedAt, aNow);
   ReleaseShare(aState, request, aDone.mResult.mResponse.mBody.size(), aNow);
--- a/packages/net/include/fighold/net/http_client.hpp
+++ b/packages/net/include/fighold/net/http_client.hpp
@@ -25,11 +25,12 @@
 struct ExchangeResult
 {
   ExchangeStage mStage = ExchangeStage::NotSent;
-  HttpResponse mResponse;  ///< whole answer when Answered
-  std::string mError;      ///< cause when not Answered
-  bool mSilent = false;    ///< NoAnswer because no byte of the answer arrived in time
-  bool mReused = false;    ///< the connection had carried an exchange before
-  Duration mConnectTime{}; ///< time that opening the connection took; zero for an open one
+  HttpResponse mResponse;        ///< whole answer when Answered
+  std::string mError;            ///< cause when not Answered
+  bool mSilent = false;          ///< NoAnswer because no byte of the answer arrived in time
+  bool mReused = false;          ///< the connection had carried an exchange before
+  Duration mConnectTime{};       ///< time that opening the connection took; zero for an open one
+  std::uint32_t mPassedOver = 0; ///< answers that belonged to other requests and were dropped
 
   friend auto operator<=>(const ExchangeResult&, const ExchangeResult&) = default;
 };
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -203,9 +203,10 @@
   }
   const bool reused = state.mUsed;
   state.mUsed = true;
+  std::uint32_t passedOver = 0;
   const auto lost = [&](const std::string& aError, bool aSilent) {
     Close();
-    return ExchangeResult{ ExchangeStage::NoAnswer, {}, aError, aSilent, reused };
+    return ExchangeResult{ ExchangeStage::NoAnswer, {}, aError, aSilent, reused, {}, passedOver };
   };
   const std::string head = detail::FormatRequestHead(
     aRequest, aRequest.mHost.empty() ? ToText(state.mEndpoint) : aRequest.mHost);
@@ -244,8 +245,10 @@
       }
       // An idle connection holds no memory that the budget does not count.
       detail::ShrinkIdle(state.mBuffer, kReadSize);
+      result.mPassedOver = passedOver;
       return result;
     }
+    passedOver += interim ? 0 : 1;
     if (!keepAlive) {
       break;
     }
--- a/tests/support/faulty_server.hpp
+++ b/tests/support/faulty_server.hpp
@@ -38,10 +38,25 @@
     boost::system::error_code ec;
     const auto size =
       boost::asio::read_until(mSocket, boost::asio::dynamic_buffer(mBuffer), "\r\n\r\n", ec);
+    mHead = mBuffer.substr(0, size);
     mBuffer.erase(0, size);
     return !ec;
   }
 
+  /// @return head of the last request, with the empty line
+  const std::string& Head() const { return mHead; }
+
+  /// @return value of a header of the last request, or an empty text
+  std::string Header(const std::string& aName) const
+  {
+    const std::string start = "\r\n" + aName + ": ";
+    const auto at = mHead.find(start);
+    return at == std::string::npos
+             ? ""
+             : mHead.substr(at + start.size(),
+                            mHead.find("\r\n", at + start.size()) - at - start.size());
+  }
+
   /// @return false when the client closed the connection
   bool Write(const std::string& aText)
   {
@@ -77,6 +92,7 @@
 private:
   boost::asio::ip::tcp::socket mSocket;
   std::string mBuffer;
+  std::string mHead;
   int mNumber;
 };
 
