Carry no identifier twice on a connection to a backend server

Callers were promised "not run" for a request that ran. A server wrote its refusal of the request once more, and the entry took the copy for the answer to a later attempt with the same identifier on the same connection: its second attempt at another identifier at the address, or the request that the caller sent again.

Cause: an answer names the request, not the attempt, and connections are kept by address. What one attempt and a later one share is the identifier and the connection.

The connection now tells attempts apart: it remembers the identifiers that it has carried and carries none twice, whatever answered the first time. A request whose identifier all idle connections have carried gets a new connection, in place of an idle one if the share is used up, so that nobody is refused for it. The memory is bounded; a connection that can remember no more is closed after its answer. Health requests of the native dialect, which all had the identifier 0, are named by their dispatch.

--- a/packages/entry/include/fighold/entry/backend_codec.hpp
+++ b/packages/entry/include/fighold/entry/backend_codec.hpp
@@ -13,6 +13,10 @@
 {
   /// Encodes the request to send; the remaining time goes into a header.
   std::function<net::HttpRequest(const Dispatch&, Millis aTimeLeft)> mEncode;
+  /// Returns the identifier of the request that goes to the server and that its responses repeat;
+  /// empty if it has none. No connection carries an identifier twice, so that a response with it
+  /// belongs to the dispatch.
+  std::function<std::string(const Dispatch&)> mRequestId;
   /// Returns true if a response belongs to the dispatch, false if it is a late response to an
   /// earlier request on the connection.
   std::function<bool(const Dispatch&, const net::HttpResponse&)> mMatchesDispatch;
--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -13,6 +13,14 @@
 
 constexpr std::string_view kOutcomeHeader = "Fighold-Outcome";
 
+/// A health request belongs to no request of a caller, so that each is named after its dispatch.
+std::string
+RequestIdOf(const Dispatch& aDispatch)
+{
+  return aDispatch.mId == 0 ? "health-" + std::to_string(aDispatch.mDispatchId)
+                            : std::to_string(aDispatch.mId);
+}
+
 net::HttpRequest
 Encode(const Dispatch& aDispatch, Millis aTimeLeft)
 {
@@ -22,7 +30,7 @@
   };
   auto& headers = request.mHeaders;
   headers.erase(std::remove_if(headers.begin(), headers.end(), replaced), headers.end());
-  headers.push_back({ "Fighold-Request-Id", std::to_string(aDispatch.mId) });
+  headers.push_back({ "Fighold-Request-Id", RequestIdOf(aDispatch) });
   headers.push_back({ "Fighold-Deadline-Ms", std::to_string(aTimeLeft.count()) });
   request.mHost.clear();
   return request;
@@ -34,7 +42,7 @@
 MatchesDispatch(const Dispatch& aDispatch, const net::HttpResponse& aResponse)
 {
   const auto id = net::FindHeader(aResponse.mHeaders, "Fighold-Request-Id");
-  return !id || *id == std::to_string(aDispatch.mId);
+  return !id || *id == RequestIdOf(aDispatch);
 }
 
 /// A backend server may report in a header that it did not run the request, for example because of
@@ -55,7 +63,7 @@
     return AnswerMeaning::Result;
   }
   const bool namesRequest =
-    net::FindHeader(aResponse.mHeaders, "Fighold-Request-Id") == std::to_string(aDispatch.mId);
+    net::FindHeader(aResponse.mHeaders, "Fighold-Request-Id") == RequestIdOf(aDispatch);
   return saysOther || (aIsReused && !namesRequest) ? AnswerMeaning::Unusable
                                                    : AnswerMeaning::NotRun;
 }
@@ -132,6 +140,7 @@
 NativeBackendCodec()
 {
   return { Encode,
+           RequestIdOf,
            MatchesDispatch,
            Meaning,
            [](const Dispatch&, const net::HttpResponse& aResponse) {
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -90,8 +90,11 @@
     return { net::ExchangeStage::NotSent, {}, "the server wants no requests" };
   }
   const auto now = [] { return std::chrono::steady_clock::now(); };
-  const auto connection =
-    AcquireConnection(mPool, aDispatch.mServer.mAddress, aDispatch.mConnectionShare, now());
+  const auto connection = AcquireConnection(mPool,
+                                            aDispatch.mServer.mAddress,
+                                            mCodec.mRequestId(aDispatch),
+                                            aDispatch.mConnectionShare,
+                                            now());
   if (!connection) {
     return { net::ExchangeStage::NotSent, {}, "connection share used up" };
   }
--- a/packages/entry/src/backend_thread_test.cpp
+++ b/packages/entry/src/backend_thread_test.cpp
@@ -130,7 +130,7 @@
     std::thread thread([&] {
       mLoop.Run([&] {
         const Instant now = std::chrono::steady_clock::now();
-        const auto connection = AcquireConnection(mPool, server.Address(), 1, now);
+        const auto connection = AcquireConnection(mPool, server.Address(), "1", 1, now);
         connection->mHttp->Connect(now + kTimeout);
         FireConnection(mPool, connection, ConnectionEvent::Connected, now);
         const auto result = connection->mHttp->Exchange({}, now + kTimeout);
--- a/packages/entry/src/connection_pool.cpp
+++ b/packages/entry/src/connection_pool.cpp
@@ -1,6 +1,9 @@
 #include "connection_pool.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 namespace fighold::entry {
@@ -31,6 +34,12 @@
   return aScope.mConnection.mLastSuccessAt < aScope.mSilentSince;
 }
 
+bool
+RemembersNoMore(const ConnectionScope& aScope)
+{
+  return aScope.mConnection.mCarriedIds.size() >= kMaxCarriedRequests;
+}
+
 void
 CloseConnection(ConnectionScope& aScope)
 {
@@ -66,14 +75,20 @@
 chart::Registry<ConnectionScope>
 ConnectionRegistry()
 {
-  return {
-    { "connecting", "idle", "busy", "distrusted", "closed" },
-    { "connected", "taken", "answered", "failed", "silent", "cancelled", "aged", "path_silent" },
-    { { "not_proven_since", NoSuccessSince } },
-    { { "close", CloseConnection },
-      { "note_proof", RecordSuccess },
-      { "distrust_path", DistrustEndpoint } }
-  };
+  return { { "connecting", "idle", "busy", "distrusted", "closed" },
+           { "connected",
+             "taken",
+             "answered",
+             "failed",
+             "silent",
+             "cancelled",
+             "aged",
+             "path_silent",
+             "displaced" },
+           { { "not_proven_since", NoSuccessSince }, { "remembers_no_more", RemembersNoMore } },
+           { { "close", CloseConnection },
+             { "note_proof", RecordSuccess },
+             { "distrust_path", DistrustEndpoint } } };
 }
 
 void
@@ -89,18 +104,47 @@
   }
 }
 
+/// @return hash of a request's identifier. Requests without one are not remembered.
+std::optional<std::uint64_t>
+HashOf(const std::string& aRequestId)
+{
+  return aRequestId.empty() ? std::nullopt
+                            : std::optional(XXH3_64bits(aRequestId.data(), aRequestId.size()));
+}
+
+bool
+HasCarried(const PooledConnection& aConnection, std::optional<std::uint64_t> aRequest)
+{
+  const auto& carried = aConnection.mCarriedIds;
+  return aRequest && std::find(carried.begin(), carried.end(), *aRequest) != carried.end();
+}
+
+/// @return an idle connection for which the condition holds, or null
+template<typename Condition>
 std::shared_ptr<PooledConnection>
-AcquireIdle(ConnectionPool& aPool, const Endpoint& aEndpoint, Instant aNow)
+FindIdle(const ConnectionPool& aPool, const Endpoint& aEndpoint, const Condition& aCondition)
 {
-  const auto idle = [&aPool, &aEndpoint]() -> std::shared_ptr<PooledConnection> {
-    for (const auto& it : aPool.mByEndpoint[aEndpoint]) {
-      if (it->mState == ConnectionState::Idle) {
-        return it;
-      }
-    }
+  const auto all = aPool.mByEndpoint.find(aEndpoint);
+  if (all == aPool.mByEndpoint.end()) {
     return nullptr;
+  }
+  const auto it =
+    std::find_if(all->second.begin(), all->second.end(), [&aCondition](const auto& aItem) {
+      return aItem->mState == ConnectionState::Idle && aCondition(*aItem);
+    });
+  return it == all->second.end() ? nullptr : *it;
+}
+
+std::shared_ptr<PooledConnection>
+AcquireIdle(ConnectionPool& aPool,
+            const Endpoint& aEndpoint,
+            std::optional<std::uint64_t> aRequest,
+            Instant aNow)
+{
+  const auto isNew = [aRequest](const PooledConnection& aConnection) {
+    return !HasCarried(aConnection, aRequest);
   };
-  while (auto found = idle()) {
+  while (auto found = FindIdle(aPool, aEndpoint, isNew)) {
     if (aNow < found->mLastSuccessAt + IdleTime(*found->mHttp) && found->mHttp->Reusable()) {
       FireConnection(aPool, found, ConnectionEvent::Taken, aNow);
       return found;
@@ -110,6 +154,16 @@
   return nullptr;
 }
 
+/// Closes an idle connection, so that another one may be opened in its place.
+void
+DisplaceIdle(ConnectionPool& aPool, const Endpoint& aEndpoint, Instant aNow)
+{
+  const auto any = [](const PooledConnection&) { return true; };
+  if (const auto idle = FindIdle(aPool, aEndpoint, any)) {
+    FireConnection(aPool, idle, ConnectionEvent::Displaced, aNow);
+  }
+}
+
 } // namespace
 
 chart::BoundChart<ConnectionScope>
@@ -121,13 +175,19 @@
 std::shared_ptr<PooledConnection>
 AcquireConnection(ConnectionPool& aPool,
                   const Endpoint& aEndpoint,
+                  const std::string& aRequestId,
                   std::size_t aMaxConnections,
                   Instant aNow)
 {
-  auto connection = AcquireIdle(aPool, aEndpoint, aNow);
+  const auto request = HashOf(aRequestId);
+  const std::size_t limit = std::max<std::size_t>(1, aMaxConnections);
+  auto connection = AcquireIdle(aPool, aEndpoint, request, aNow);
   if (!connection) {
+    if (aPool.mByEndpoint[aEndpoint].size() >= limit) {
+      DisplaceIdle(aPool, aEndpoint, aNow);
+    }
     auto& all = aPool.mByEndpoint[aEndpoint];
-    if (all.size() >= std::max<std::size_t>(1, aMaxConnections)) {
+    if (all.size() >= limit) {
       return nullptr;
     }
     connection = std::make_shared<PooledConnection>();
@@ -139,6 +199,9 @@
   }
   connection->mBusySince = aNow;
   ++connection->mExchanges;
+  if (request) {
+    connection->mCarriedIds.push_back(*request);
+  }
   return connection;
 }
 
--- a/packages/entry/src/connection_pool.hpp
+++ b/packages/entry/src/connection_pool.hpp
@@ -10,6 +10,8 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 /// Connections of an entry to backend servers; the state of each follows charts/connection.scxml.
 namespace fighold::entry {
@@ -35,8 +37,13 @@
   Cancelled,
   Aged,       ///< idle for too long
   PathSilent, ///< another connection to the same endpoint was silent
+  Displaced,  ///< gives way to a new connection
 };
 
+/// Maximum number of requests that a connection carries. It remembers their identifiers in 8 bytes
+/// each.
+constexpr std::size_t kMaxCarriedRequests = 256;
+
 /// A connection and its state. An exchange shares ownership of its connection, because the pool
 /// drops a cancelled connection before the exchange has ended.
 struct PooledConnection
@@ -48,6 +55,9 @@
   Instant mBusySince{};         ///< start of the last exchange
   std::uint64_t mNumber = 0;    ///< number of the connection in its pool, from 1
   std::uint64_t mExchanges = 0; ///< exchanges that were started on it
+  /// Hashes of the identifiers of the requests that it carried. A server may write an answer once
+  /// more, and only the identifier tells to which request that belongs.
+  std::vector<std::uint64_t> mCarriedIds;
 };
 
 struct ConnectionScope;
@@ -76,13 +86,16 @@
 chart::BoundChart<ConnectionScope>
 LoadConnectionChart(const std::filesystem::path& aFolder);
 
-/// Acquires an idle connection, or opens one if there are fewer than aMaxConnections to the
-/// endpoint.
+/// Acquires an idle connection that has not carried a request with the same identifier, whichever
+/// server it was meant for, or opens one. If there are aMaxConnections to the endpoint already, an
+/// idle one is closed for it.
+/// @param aRequestId identifier that the answers repeat; empty if the request has none
 /// @param aMaxConnections maximum number of connections that this entry may have to the endpoint
 /// @return connection in the state busy (was idle) or connecting; null if the share is used up
 std::shared_ptr<PooledConnection>
 AcquireConnection(ConnectionPool& aPool,
                   const Endpoint& aEndpoint,
+                  const std::string& aRequestId,
                   std::size_t aMaxConnections,
                   Instant aNow);
 
--- /dev/null
+++ b/packages/entry/src/connection_use_test.cpp
@@ -0,0 +1,102 @@
+#include "backend_fixture.hpp"
+#include "faulty_server.hpp"
+
+#include <algorithm>
+#include <atomic>
+
+namespace fighold::entry {
+namespace {
+
+using fighold::testing::FaultyConnection;
+using fighold::testing::FaultyServer;
+using net::ExchangeStage;
+
+std::string
+AnswerText(const std::string& aId, const std::string& aHeaders, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nFighold-Request-Id: " + aId + "\r\n" + aHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+/// The backend thread and a server that names the connection in each answer.
+struct ConnectionUseFixture : BackendFixture
+{
+  FaultyServer mServer{ [](FaultyConnection& aConnection, int) {
+    return aConnection.Write(AnswerText(
+      aConnection.Header("Fighold-Request-Id"), "", std::to_string(aConnection.Number())));
+  } };
+
+  /// Sends a request with an identifier.
+  /// @return number of its connection at the server, or nothing if it was not sent
+  std::string ConnectionOf(RequestId aId, std::uint32_t aShare = 8)
+  {
+    Dispatch dispatch = MakeDispatch(mServer.Address(), kTimeout, kTimeout);
+    dispatch.mId = aId;
+    dispatch.mConnectionShare = aShare;
+    return Run(dispatch).mResponse.mBody;
+  }
+};
+
+// Guards against a connection that carries an identifier once more, so that the copy of the first
+// answer with it is taken for the second one, also after other requests.
+TEST_CASE_METHOD(ConnectionUseFixture,
+                 "Backend, identifier sent again, goes over another connection",
+                 "[entry]")
+{
+  CHECK(ConnectionOf(7) == "1");
+  CHECK(ConnectionOf(8) == "1");
+  CHECK(ConnectionOf(7) == "2");
+  CHECK(ConnectionOf(9) == "2");
+  CHECK(ConnectionOf(8) == "2");
+  CHECK(ConnectionOf(7) == "3");
+}
+
+// Guards against a request that is refused, or an entry that exceeds its share of connections,
+// because the only connection has carried the identifier before.
+TEST_CASE_METHOD(ConnectionUseFixture,
+                 "Backend, identifier sent again and share used up, replaces the connection",
+                 "[entry]")
+{
+  CHECK(ConnectionOf(7, 1) == "1");
+  CHECK(ConnectionOf(7, 1) == "2");
+  CHECK(ConnectionOf(8, 1) == "2");
+  CHECK(Eventually([this] { return mServer.Open() == 1; }));
+}
+
+// Guards against a memory of identifiers that grows without limit, and against a connection that
+// forgets one of them.
+TEST_CASE_METHOD(ConnectionUseFixture,
+                 "Backend, connection that remembers no more identifiers, is given up",
+                 "[entry]")
+{
+  for (std::size_t n = 0; n < kMaxCarriedRequests; ++n) {
+    REQUIRE(ConnectionOf(100 + n) == "1");
+  }
+  CHECK(ConnectionOf(7) == "2");
+  CHECK(Eventually([this] { return mServer.Open() == 1; }));
+}
+
+// Guards against the copy of a health answer that is taken for the answer to a later health
+// request: it reports a state of the server that has passed.
+TEST_CASE_METHOD(BackendFixture, "Backend, health answer written twice, is used once", "[entry]")
+{
+  std::string first;
+  FaultyServer server([&first](FaultyConnection& aConnection, int aRequest) {
+    const std::string id = aConnection.Header("Fighold-Request-Id");
+    if (aRequest == 1) {
+      first = AnswerText(id, "Fighold-Cold-Ms: 0\r\n", "");
+      return aConnection.Write(first);
+    }
+    return aConnection.Write(first + AnswerText(id, "Fighold-Cold-Ms: 900\r\n", ""));
+  });
+  for (const int cold : { 0, 900 }) {
+    Dispatch dispatch = MakeDispatch(server.Address(), kTimeout, kTimeout);
+    dispatch.mId = 0;
+    Push(dispatch);
+    CHECK(Pop().mReport.mCold == Millis(cold));
+  }
+  CHECK(server.Connections() == 1);
+}
+
+} // namespace
+} // namespace fighold::entry
