Pass over the copy of a health answer in front of a request's answer

A request that may not be repeated ended with 502 although its own answer followed, and one that may was sent to a second server. A server had written the answer to a health request once more on the connection, or its refusal of one.

Cause: in the platform's dialect health requests have no identifier, so that their answers have none. An answer without an identifier counted as the answer to whatever request was under way, and as one that cannot be used.

A connection now remembers that it has carried a request without identifier. On such a connection an answer that names no request is not the answer to one that has an identifier, and the next answer is read. On other connections it still ends the wait at once, since it cannot be the copy of a health answer, and a request that may be repeated loses no time. Health requests and callers' requests go on sharing connections; no further connection is opened.

Without the rule "Backend, health answer written again in front of an answer, is passed over" fails (4 checks), for the answer 200 and the refusal 503; it holds now.

--- a/packages/entry/include/fighold/entry/backend_codec.hpp
+++ b/packages/entry/include/fighold/entry/backend_codec.hpp
@@ -20,6 +20,9 @@
   /// Returns true if a response belongs to the dispatch, false if it is a late response to an
   /// earlier request on the connection.
   std::function<bool(const Dispatch&, const net::HttpResponse&)> mMatchesDispatch;
+  /// Returns true if a response names the request that it answers. On a connection that has carried
+  /// a request without identifier, one that does not may be the copy of the response to that.
+  std::function<bool(const net::HttpResponse&)> mNamesRequest;
   /// Classifies a complete response. On a connection that carried an earlier exchange, the response
   /// may be one to that.
   std::function<AnswerMeaning(const Dispatch&, const net::HttpResponse&, bool aIsReused)> mMeaning;
--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -12,6 +12,7 @@
 constexpr double kMinNamedRate = 0.1;
 
 constexpr std::string_view kOutcomeHeader = "Fighold-Outcome";
+constexpr std::string_view kRequestIdHeader = "Fighold-Request-Id";
 
 /// A health request belongs to no request of a caller, so that each is named after its dispatch.
 std::string
@@ -26,11 +27,11 @@
 {
   net::HttpRequest request = *aDispatch.mPayload;
   const auto replaced = [](const net::Header& aHeader) {
-    return aHeader.mName == "Fighold-Deadline-Ms" || aHeader.mName == "Fighold-Request-Id";
+    return aHeader.mName == "Fighold-Deadline-Ms" || aHeader.mName == kRequestIdHeader;
   };
   auto& headers = request.mHeaders;
   headers.erase(std::remove_if(headers.begin(), headers.end(), replaced), headers.end());
-  headers.push_back({ "Fighold-Request-Id", RequestIdOf(aDispatch) });
+  headers.push_back({ std::string(kRequestIdHeader), RequestIdOf(aDispatch) });
   headers.push_back({ "Fighold-Deadline-Ms", std::to_string(aTimeLeft.count()) });
   request.mHost.clear();
   return request;
@@ -41,7 +42,7 @@
 bool
 MatchesDispatch(const Dispatch& aDispatch, const net::HttpResponse& aResponse)
 {
-  const auto id = net::FindHeader(aResponse.mHeaders, "Fighold-Request-Id");
+  const auto id = net::FindHeader(aResponse.mHeaders, kRequestIdHeader);
   return !id || *id == RequestIdOf(aDispatch);
 }
 
@@ -63,7 +64,7 @@
     return AnswerMeaning::Result;
   }
   const bool namesRequest =
-    net::FindHeader(aResponse.mHeaders, "Fighold-Request-Id") == RequestIdOf(aDispatch);
+    net::FindHeader(aResponse.mHeaders, kRequestIdHeader) == RequestIdOf(aDispatch);
   return saysOther || (aIsReused && !namesRequest) ? AnswerMeaning::Unusable
                                                    : AnswerMeaning::NotRun;
 }
@@ -142,6 +143,9 @@
   return { Encode,
            RequestIdOf,
            MatchesDispatch,
+           [](const net::HttpResponse& aResponse) {
+             return net::FindHeader(aResponse.mHeaders, kRequestIdHeader).has_value();
+           },
            Meaning,
            [](const Dispatch&, const net::HttpResponse& aResponse) {
              routes::ServerReport report;
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -90,11 +90,9 @@
     return { net::ExchangeStage::NotSent, {}, "the server wants no requests" };
   }
   const auto now = [] { return std::chrono::steady_clock::now(); };
-  const auto connection = AcquireConnection(mPool,
-                                            aDispatch.mServer.mAddress,
-                                            mCodec.mRequestId(aDispatch),
-                                            aDispatch.mConnectionShare,
-                                            now());
+  const std::string requestId = mCodec.mRequestId(aDispatch);
+  const auto connection = AcquireConnection(
+    mPool, aDispatch.mServer.mAddress, requestId, aDispatch.mConnectionShare, now());
   if (!connection) {
     return { net::ExchangeStage::NotSent, {}, "connection share used up" };
   }
@@ -118,13 +116,16 @@
     mChannels.mMetrics.Count("connections_opened_total");
     FireConnection(mPool, connection, ConnectionEvent::Connected, now());
   }
+  // The answer to an earlier health request may be written once more; it names no request.
+  const bool isDoubtful = connection->mCarriedUnnamed && !requestId.empty();
   const net::ExchangeLimits limits{
     aDispatch.mExchangeDeadline,
     aDispatch.mFirstByteDeadline,
     aDispatch.mSendDeadline,
     aDispatch.mMaxAnswerBytes,
-    [this, &aDispatch](const net::HttpResponse& aResponse) {
-      return mCodec.mMatchesDispatch(aDispatch, aResponse);
+    [this, &aDispatch, isDoubtful](const net::HttpResponse& aResponse) {
+      return (!isDoubtful || mCodec.mNamesRequest(aResponse)) &&
+             mCodec.mMatchesDispatch(aDispatch, aResponse);
     },
   };
   const auto timeLeft = std::chrono::duration_cast<Millis>(
--- a/packages/entry/src/connection_pool.cpp
+++ b/packages/entry/src/connection_pool.cpp
@@ -201,6 +201,8 @@
   ++connection->mExchanges;
   if (request) {
     connection->mCarriedIds.push_back(*request);
+  } else {
+    connection->mCarriedUnnamed = true;
   }
   return connection;
 }
--- a/packages/entry/src/connection_pool.hpp
+++ b/packages/entry/src/connection_pool.hpp
@@ -58,6 +58,8 @@
   /// Hashes of the identifiers of the requests that it carried. A server may write an answer once
   /// more, and only the identifier tells to which request that belongs.
   std::vector<std::uint64_t> mCarriedIds;
+  /// Carried a request without identifier. The copy of its answer names no request either.
+  bool mCarriedUnnamed = false;
 };
 
 struct ConnectionScope;
