Replace a connection also where the share has become smaller

A request whose identifier the only idle connection had carried was refused, and that connection was closed, if the entry had more connections to the address than its share: the share falls when an entry joins or the server's limit is lowered. The number of open connections does not grow by a replacement, so that it is allowed there too. "Backend, identifier sent again and share below open connections, ..." failed before.

The test of the maximum of identifiers now fails for a connection that forgets any of them: it sends all of them again. Identifiers of native health requests are numbers as those of other requests, from 2^63 on.

--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -14,12 +14,15 @@
 constexpr std::string_view kOutcomeHeader = "Fighold-Outcome";
 constexpr std::string_view kRequestIdHeader = "Fighold-Request-Id";
 
+/// First identifier of health requests, above those of callers' requests.
+constexpr std::uint64_t kFirstHealthRequestId = std::uint64_t{ 1 } << 63U;
+
 /// A health request belongs to no request of a caller, so that each is named after its dispatch.
 std::string
 RequestIdOf(const Dispatch& aDispatch)
 {
-  return aDispatch.mId == 0 ? "health-" + std::to_string(aDispatch.mDispatchId)
-                            : std::to_string(aDispatch.mId);
+  return std::to_string(aDispatch.mId != 0 ? aDispatch.mId
+                                           : kFirstHealthRequestId + aDispatch.mDispatchId);
 }
 
 net::HttpRequest
--- a/packages/entry/src/connection_pool.cpp
+++ b/packages/entry/src/connection_pool.cpp
@@ -35,9 +35,9 @@
 }
 
 bool
-RemembersNoMore(const ConnectionScope& aScope)
+HasCarriedMaximum(const ConnectionScope& aScope)
 {
-  return aScope.mConnection.mCarriedIds.size() >= kMaxCarriedRequests;
+  return aScope.mConnection.mCarriedIds.size() >= kMaxCarriedIds;
 }
 
 void
@@ -85,7 +85,7 @@
              "aged",
              "path_silent",
              "displaced" },
-           { { "not_proven_since", NoSuccessSince }, { "remembers_no_more", RemembersNoMore } },
+           { { "not_proven_since", NoSuccessSince }, { "has_carried_maximum", HasCarriedMaximum } },
            { { "close", CloseConnection },
              { "note_proof", RecordSuccess },
              { "distrust_path", DistrustEndpoint } } };
@@ -155,13 +155,16 @@
 }
 
 /// Closes an idle connection, so that another one may be opened in its place.
-void
+/// @return false if there is none
+bool
 DisplaceIdle(ConnectionPool& aPool, const Endpoint& aEndpoint, Instant aNow)
 {
   const auto any = [](const PooledConnection&) { return true; };
-  if (const auto idle = FindIdle(aPool, aEndpoint, any)) {
+  const auto idle = FindIdle(aPool, aEndpoint, any);
+  if (idle) {
     FireConnection(aPool, idle, ConnectionEvent::Displaced, aNow);
   }
+  return idle != nullptr;
 }
 
 } // namespace
@@ -183,13 +186,11 @@
   const std::size_t limit = std::max<std::size_t>(1, aMaxConnections);
   auto connection = AcquireIdle(aPool, aEndpoint, request, aNow);
   if (!connection) {
-    if (aPool.mByEndpoint[aEndpoint].size() >= limit) {
-      DisplaceIdle(aPool, aEndpoint, aNow);
-    }
-    auto& all = aPool.mByEndpoint[aEndpoint];
-    if (all.size() >= limit) {
+    // The share may have become smaller than the number of open connections, which does not grow.
+    if (aPool.mByEndpoint[aEndpoint].size() >= limit && !DisplaceIdle(aPool, aEndpoint, aNow)) {
       return nullptr;
     }
+    auto& all = aPool.mByEndpoint[aEndpoint];
     connection = std::make_shared<PooledConnection>();
     connection->mEndpoint = aEndpoint;
     connection->mHttp = aPool.mCreateConnection(aEndpoint);
--- a/packages/entry/src/connection_pool.hpp
+++ b/packages/entry/src/connection_pool.hpp
@@ -37,12 +37,12 @@
   Cancelled,
   Aged,       ///< idle for too long
   PathSilent, ///< another connection to the same endpoint was silent
-  Displaced,  ///< gives way to a new connection
+  Displaced,  ///< closed in favour of a new connection
 };
 
-/// Maximum number of requests that a connection carries. It remembers their identifiers in 8 bytes
-/// each.
-constexpr std::size_t kMaxCarriedRequests = 256;
+/// Maximum number of identifiers that a connection carries before it is closed. It remembers them
+/// in 2 KiB, and needs one new connection in 256 requests.
+constexpr std::size_t kMaxCarriedIds = 256;
 
 /// A connection and its state. An exchange shares ownership of its connection, because the pool
 /// drops a cancelled connection before the exchange has ended.
--- a/packages/entry/src/connection_use_test.cpp
+++ b/packages/entry/src/connection_use_test.cpp
@@ -21,6 +21,7 @@
 /// The backend thread and a server that names the connection in each answer.
 struct ConnectionUseFixture : BackendFixture
 {
+  std::atomic<bool> mRelease{ false };
   FaultyServer mServer{ [](FaultyConnection& aConnection, int) {
     return aConnection.Write(AnswerText(
       aConnection.Header("Fighold-Request-Id"), "", std::to_string(aConnection.Number())));
@@ -51,8 +52,8 @@
   CHECK(ConnectionOf(7) == "3");
 }
 
-// Guards against a request that is refused, or an entry that exceeds its share of connections,
-// because the only connection has carried the identifier before.
+// Guards against a request that is refused because the only connection has carried its identifier
+// before, and against an old connection that stays open beside the new one.
 TEST_CASE_METHOD(ConnectionUseFixture,
                  "Backend, identifier sent again and share used up, replaces the connection",
                  "[entry]")
@@ -63,16 +64,49 @@
   CHECK(Eventually([this] { return mServer.Open() == 1; }));
 }
 
+// Guards against a request that is refused, and an idle connection that is closed for nothing,
+// because the share has become smaller than the number of open connections.
+TEST_CASE_METHOD(ConnectionUseFixture,
+                 "Backend, identifier sent again and share below open connections, replaces one",
+                 "[entry]")
+{
+  FaultyServer slow([this](FaultyConnection& aConnection, int) {
+    const std::string id = aConnection.Header("Fighold-Request-Id");
+    if (id == "5") {
+      Eventually([this] { return mRelease.load(); });
+    }
+    return aConnection.Write(AnswerText(id, "", std::to_string(aConnection.Number())));
+  });
+  const auto dispatch = [&](RequestId aId, std::uint32_t aShare) {
+    Dispatch made = MakeDispatch(slow.Address(), kTimeout, kTimeout);
+    made.mId = aId;
+    made.mConnectionShare = aShare;
+    return made;
+  };
+  Push(dispatch(5, 2));
+  REQUIRE(Eventually([&slow] { return slow.Requests() == 1; }));
+  REQUIRE(Run(dispatch(7, 2)).mStage == ExchangeStage::Answered);
+  CHECK(Run(dispatch(7, 1)).mResponse.mBody == "3");
+  CHECK(Eventually([&slow] { return slow.Open() == 2; }));
+  mRelease = true;
+  CHECK(Pop().mResult.mStage == ExchangeStage::Answered);
+}
+
 // Guards against a memory of identifiers that grows without limit, and against a connection that
 // forgets one of them.
 TEST_CASE_METHOD(ConnectionUseFixture,
-                 "Backend, connection that remembers no more identifiers, is given up",
+                 "Backend, connection with the maximum of identifiers, forgets none and is closed",
                  "[entry]")
 {
-  for (std::size_t n = 0; n < kMaxCarriedRequests; ++n) {
+  for (std::size_t n = 0; n < kMaxCarriedIds - 1; ++n) {
     REQUIRE(ConnectionOf(100 + n) == "1");
   }
+  for (std::size_t n = 0; n < kMaxCarriedIds - 1; ++n) {
+    REQUIRE(ConnectionOf(100 + n) == "2");
+  }
   CHECK(ConnectionOf(7) == "2");
+  CHECK(ConnectionOf(8) == "1");
+  CHECK(ConnectionOf(9) == "3");
   CHECK(Eventually([this] { return mServer.Open() == 1; }));
 }
 
