Close a connection after an unusable answer that names no request

The answer to the request may still follow such an answer, which may be a copy. The connection counted as idle while the server worked, and the next request waited behind that work. It is closed now, and the next request opens another one. "Backend, refusal that names no request, ..." failed before (the second connection is missing).

--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -133,6 +133,12 @@
   const auto request = mCodec.mEncode(aDispatch, std::max(Millis(0), timeLeft));
   auto result = connection->mHttp->Exchange(request, limits);
   result.mConnectTime = connectTime;
+  // The answer to the request may follow one that names no request.
+  if (result.mStage == net::ExchangeStage::Answered && !requestId.empty() &&
+      !mCodec.mNamesRequest(result.mResponse) &&
+      mCodec.mMeaning(aDispatch, result.mResponse, result.mReused) == AnswerMeaning::Unusable) {
+    connection->mHttp->Close();
+  }
   EndExchange(mPool, connection, result, now());
   return result;
 }
--- a/packages/entry/src/connection_use_test.cpp
+++ b/packages/entry/src/connection_use_test.cpp
@@ -110,6 +110,24 @@
   CHECK(Eventually([this] { return mServer.Open() == 1; }));
 }
 
+// Guards against a connection that counts as idle while its server still works on a request, after
+// an answer that belongs to none: the next request waits behind it.
+TEST_CASE_METHOD(BackendFixture,
+                 "Backend, refusal that names no request, ends the use of its connection",
+                 "[entry]")
+{
+  FaultyServer server([](FaultyConnection& aConnection, int aRequest) {
+    return aConnection.Write(
+      aRequest == 2 ? "HTTP/1.1 503 Full\r\nFighold-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+                    : AnswerText(aConnection.Header("Fighold-Request-Id"), "", ""));
+  });
+  CHECK(Run(MakeDispatch(server.Address(), kTimeout, kTimeout)).mResponse.mStatus == 200);
+  Push(MakeDispatch(server.Address(), kTimeout, kTimeout));
+  CHECK(Pop().mMeaning == AnswerMeaning::Unusable);
+  CHECK(Run(MakeDispatch(server.Address(), kTimeout, kTimeout)).mResponse.mStatus == 200);
+  CHECK(server.Connections() == 2);
+}
+
 // Guards against the copy of a health answer that is taken for the answer to a later health
 // request: it reports a state of the server that has passed.
 TEST_CASE_METHOD(BackendFixture, "Backend, health answer written twice, is used once", "[entry]")
