Do not believe a health answer behind which another one follows

An entry took an earlier state of a server for its present one: a copy of an earlier health answer, written where the answer to the next health request is due, said for how long the server stays cold and whether it leaves.

Cause: in the platform's dialect health requests and their answers have no identifier, so that two of them on one connection share everything.

Weighed: one health request for each connection costs a new connection to each server in use five times a second while heartbeats are old, from every entry, when servers accept few. Instead an answer to the second or a later health request of a connection counts only if no further bytes have arrived 20 ms later: behind a copy the answer itself follows. If they have, neither is used and the connection is closed; the next health request, 200 ms later, goes over another one. The first health answer of a connection can be no copy and is reported at once, and one that ends its connection counts. What remains: an answer that comes more than 20 ms behind a copy, for one interval of health requests.

--- a/packages/entry/src/backend_fixture.hpp
+++ b/packages/entry/src/backend_fixture.hpp
@@ -27,8 +27,11 @@
   std::uint64_t mNext = 1;
 
   explicit BackendFixture(const net::ClientOptions& aClient = {},
-                          BackendCodec aCodec = NativeBackendCodec())
-    : mBackend(mChannels, LoadConnectionChart(FIGHOLD_CHARTS_DIR), { std::move(aCodec), aClient })
+                          BackendCodec aCodec = NativeBackendCodec(),
+                          Millis aFollowTime = BackendOptions{}.mFollowTime)
+    : mBackend(mChannels,
+               LoadConnectionChart(FIGHOLD_CHARTS_DIR),
+               { std::move(aCodec), aClient, aFollowTime })
   {
   }
 
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -45,6 +45,7 @@
   State(Channels& aChannels, chart::BoundChart<ConnectionScope> aChart, BackendOptions aOptions)
     : mChannels(aChannels)
     , mCodec(std::move(aOptions.mCodec))
+    , mFollowTime(aOptions.mFollowTime)
   {
     mPool.mChart = std::move(aChart);
     aOptions.mClient.mOnFault = [this](const Endpoint& aServer, const std::string& aReason) {
@@ -58,6 +59,7 @@
 
   Channels& mChannels;
   BackendCodec mCodec;
+  Millis mFollowTime;
   net::FiberLoop mLoop;
   ConnectionPool mPool;
   std::map<std::uint64_t, RunningDispatch> mRunning;
@@ -67,6 +69,7 @@
   boost::fibers::condition_variable mChanged;
 
   net::ExchangeResult Exchange(const Dispatch& aDispatch);
+  void DropIfFollowed(net::HttpConnection& aConnection, net::ExchangeResult& aResult) const;
   void Perform(const Dispatch& aDispatch, DispatchDone& aDone);
   void Report(DispatchDone aDone);
   void ReportFault(const Endpoint& aServer, const std::string& aReason);
@@ -117,7 +120,7 @@
     FireConnection(mPool, connection, ConnectionEvent::Connected, now());
   }
   // The answer to an earlier health request may be written once more; it names no request.
-  const bool isDoubtful = connection->mCarriedUnnamed && !requestId.empty();
+  const bool isDoubtful = connection->mUnnamedRequests > 0 && !requestId.empty();
   const net::ExchangeLimits limits{
     aDispatch.mExchangeDeadline,
     aDispatch.mFirstByteDeadline,
@@ -133,10 +136,32 @@
   const auto request = mCodec.mEncode(aDispatch, std::max(Millis(0), timeLeft));
   auto result = connection->mHttp->Exchange(request, limits);
   result.mConnectTime = connectTime;
+  if (requestId.empty() && connection->mUnnamedRequests > 1) {
+    DropIfFollowed(*connection->mHttp, result);
+  }
   EndExchange(mPool, connection, result, now());
   return result;
 }
 
+/// Drops the answer to a request without identifier if another answer follows it: it may then be
+/// the copy of an earlier one, and tells a state of the server that has passed.
+void
+Backend::State::DropIfFollowed(net::HttpConnection& aConnection, net::ExchangeResult& aResult) const
+{
+  if (aResult.mStage != net::ExchangeStage::Answered) {
+    return;
+  }
+  if (!aResult.mFollowed) {
+    boost::this_fiber::sleep_for(mFollowTime);
+  }
+  if (aResult.mFollowed || aConnection.HasUnaskedBytes()) {
+    aConnection.Close();
+    aResult.mStage = net::ExchangeStage::NoAnswer;
+    aResult.mResponse = {};
+    aResult.mError = "read: another answer follows one that names no request";
+  }
+}
+
 /// Passes a result on. While the inbox is full the fiber sleeps; a closed inbox takes no result,
 /// since the decide thread has ended.
 void
--- a/packages/entry/src/connection_pool.cpp
+++ b/packages/entry/src/connection_pool.cpp
@@ -202,7 +202,7 @@
   if (request) {
     connection->mCarriedIds.push_back(*request);
   } else {
-    connection->mCarriedUnnamed = true;
+    ++connection->mUnnamedRequests;
   }
   return connection;
 }
--- a/packages/entry/src/connection_pool.hpp
+++ b/packages/entry/src/connection_pool.hpp
@@ -58,8 +58,9 @@
   /// Hashes of the identifiers of the requests that it carried. A server may write an answer once
   /// more, and only the identifier tells to which request that belongs.
   std::vector<std::uint64_t> mCarriedIds;
-  /// Carried a request without identifier. The copy of its answer names no request either.
-  bool mCarriedUnnamed = false;
+  /// Requests without identifier that it carried. The copy of an answer to one names no request
+  /// either.
+  std::uint64_t mUnnamedRequests = 0;
 };
 
 struct ConnectionScope;
--- a/packages/entry/src/threads.hpp
+++ b/packages/entry/src/threads.hpp
@@ -33,6 +33,9 @@
 {
   BackendCodec mCodec = NativeBackendCodec();
   net::ClientOptions mClient;
+  /// Time in which the answer to a health request without identifier arrives behind the copy of an
+  /// earlier one. Above a round trip within a region, below the interval of health requests.
+  Millis mFollowTime{ 20 };
 };
 
 /// Command to the front thread.
--- a/packages/net/include/fighold/net/http_client.hpp
+++ b/packages/net/include/fighold/net/http_client.hpp
@@ -31,6 +31,7 @@
   bool mReused = false;          ///< the connection had carried an exchange before
   Duration mConnectTime{};       ///< time that opening the connection took; zero for an open one
   std::uint32_t mPassedOver = 0; ///< answers that belonged to other requests and were dropped
+  bool mFollowed = false;        ///< Answered, and more bytes had arrived behind the answer
 
   friend auto operator<=>(const ExchangeResult&, const ExchangeResult&) = default;
 };
@@ -93,6 +94,9 @@
   /// waiting
   bool Reusable();
 
+  /// @return true when connected and bytes wait that belong to no exchange
+  bool HasUnaskedBytes();
+
   /// Closes the connection; a running exchange ends as NoAnswer or NotSent.
   void Close();
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -65,6 +65,10 @@
                          std::size_t aMaxBodyBytes,
                          HttpResponse& aResponse,
                          bool& aKeepAlive);
+
+  /// Looks whether bytes have arrived.
+  /// @return success if so, would_block if not, else how the stream ended
+  beast::error_code Peek();
 };
 
 namespace {
@@ -240,7 +244,8 @@
     }
     const bool interim = result.mResponse.mStatus < kFirstFinalStatus;
     if (!interim && (!aLimits.mBelongs || aLimits.mBelongs(result.mResponse))) {
-      if (!keepAlive || state.mBuffer.size() > 0) {
+      result.mFollowed = state.mBuffer.size() > 0;
+      if (!keepAlive || result.mFollowed) {
         Close();
       }
       // An idle connection holds no memory that the budget does not count.
@@ -262,6 +267,22 @@
   return mState->mKeepAlive;
 }
 
+beast::error_code
+HttpConnection::State::Peek()
+{
+  char byte = 0;
+  beast::error_code ec;
+  mStream.socket().non_blocking(true, ec);
+  mStream.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, ec);
+  return ec;
+}
+
+bool
+HttpConnection::HasUnaskedBytes()
+{
+  return mState->mConnected && !mState->Peek();
+}
+
 bool
 HttpConnection::Reusable()
 {
@@ -269,11 +290,7 @@
     return false;
   }
   // Bytes that nobody asked for, or the end of the stream, make the next answer doubtful.
-  char byte = 0;
-  beast::error_code ec;
-  mState->mStream.socket().non_blocking(true, ec);
-  mState->mStream.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, ec);
-  if (ec != asio::error::would_block) {
+  if (mState->Peek() != asio::error::would_block) {
     Close();
     return false;
   }
