--- a/tests/support/faulty_server.hpp
+++ b/tests/support/faulty_server.hpp
@@ -7,6 +7,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <poll.h>
+
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -89,6 +91,13 @@
     mSocket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ec);
   }
 
+  /// @return true if the client has closed the connection, even if bytes of it are still unread
+  bool IsClosedByClient()
+  {
+    pollfd item{ mSocket.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&item, 1, 0) > 0;
+  }
+
 private:
   boost::asio::ip::tcp::socket mSocket;
   std::string mBuffer;
@@ -139,6 +148,15 @@
   int Open() const { return mOpen; }
   int MostOpen() const { return mMostOpen; }
 
+  /// Calls a function for each open connection. None is opened or removed meanwhile.
+  void ForEachOpen(const std::function<void(FaultyConnection&)>& aFunction)
+  {
+    const std::lock_guard lock(mMutex);
+    for (FaultyConnection* it : mOpenConnections) {
+      aFunction(*it);
+    }
+  }
+
 private:
   void Accept()
   {
@@ -147,6 +165,8 @@
       auto socket = mAcceptor.accept(ec);
       if (!ec && !mStopping) {
         const int number = ++mConnections;
+        // Pieces of an answer leave at once.
+        socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
         mThreads.emplace_back([this, number, socket = std::move(socket)]() mutable {
           Serve(std::move(socket), number);
         });
