--- a/packages/entry/src/backend_codec.cpp
+++ b/packages/entry/src/backend_codec.cpp
@@ -42,8 +42,8 @@
 bool
 MatchesDispatch(const Dispatch& aDispatch, const net::HttpResponse& aResponse)
 {
-  const auto id = net::FindHeader(aResponse.mHeaders, kRequestIdHeader);
-  return !id || *id == RequestIdOf(aDispatch);
+  return !net::FindHeader(aResponse.mHeaders, kRequestIdHeader) ||
+         net::HasOnlyValue(aResponse.mHeaders, kRequestIdHeader, RequestIdOf(aDispatch));
 }
 
 /// A backend server may report in a header that it did not run the request, for example because of
@@ -64,7 +64,7 @@
     return AnswerMeaning::Result;
   }
   const bool namesRequest =
-    net::FindHeader(aResponse.mHeaders, kRequestIdHeader) == RequestIdOf(aDispatch);
+    net::HasOnlyValue(aResponse.mHeaders, kRequestIdHeader, RequestIdOf(aDispatch));
   return saysOther || (aIsReused && !namesRequest) ? AnswerMeaning::Unusable
                                                    : AnswerMeaning::NotRun;
 }
--- a/packages/entry/src/backend_codec_test.cpp
+++ b/packages/entry/src/backend_codec_test.cpp
@@ -25,6 +25,9 @@
   CHECK_FALSE(
     mCodec.mMatchesDispatch(mDispatch, { 503, { refusal, { "Fighold-Request-Id", "16" } }, "" }));
   CHECK(mCodec.mMatchesDispatch(mDispatch, { 503, { refusal }, "" }));
+  CHECK_FALSE(mCodec.mMatchesDispatch(
+    mDispatch,
+    { 503, { refusal, { "Fighold-Request-Id", "17" }, { "fighold-request-id", "16" } }, "" }));
 }
 
 /// Headers of a 503 and what they mean on a new connection and on a kept one.
--- a/packages/net/include/fighold/net/http.hpp
+++ b/packages/net/include/fighold/net/http.hpp
@@ -57,6 +57,13 @@
 std::optional<std::string>
 FindHeader(const Headers& aHeaders, std::string_view aName);
 
+/// @param aHeaders header fields
+/// @param aName name, compared without regard to case
+/// @param aValue value
+/// @return true if there is a field with that name and each such field has that value
+bool
+HasOnlyValue(const Headers& aHeaders, std::string_view aName, std::string_view aValue);
+
 /// @param aStatus status code
 /// @param aJson body
 /// @return response with the content type application/json
--- a/packages/net/src/http.cpp
+++ b/packages/net/src/http.cpp
@@ -28,6 +28,21 @@
   return std::nullopt;
 }
 
+bool
+HasOnlyValue(const Headers& aHeaders, std::string_view aName, std::string_view aValue)
+{
+  bool found = false;
+  for (const Header& it : aHeaders) {
+    if (EqualIgnoringCase(it.mName, aName)) {
+      if (it.mValue != aValue) {
+        return false;
+      }
+      found = true;
+    }
+  }
+  return found;
+}
+
 HttpResponse
 JsonResponse(unsigned aStatus, std::string aJson)
 {
