Give up a connection where a body of another answer cannot be told

The body of an answer could be taken for the answer to a later request. The answer to HEAD states the length of a body that does not follow. When a server wrote such an answer once more in front of the answer to GET, the first bytes of that one were read as its body, and the rest as an answer; when it wrote the answer to GET once more in front of that to HEAD, its body was read as one.

Cause: whether the body that an answer states follows depends on the method of the request that it belongs to, and an answer that is passed over belongs to an earlier one.

On a connection that has carried HEAD, an answer to another request that states a body now ends the exchange and the connection. Connections without HEAD go on passing copies over; a body of zero bytes is no matter.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -56,7 +56,9 @@
   Endpoint mEndpoint;
   ClientOptions mOptions;
   bool mConnected = false;
-  bool mUsed = false; ///< carried an exchange
+  bool mUsed = false;        ///< carried an exchange
+  bool mCarriedHead = false; ///< carried a HEAD request, whose answer states a length without body
+  bool mStatesBody = false;  ///< the last answer stated a length or chunks
   Millis mKeepAlive{ 0 };
 
   /// Reads one answer.
@@ -135,6 +137,7 @@
   aResponse.mHold = { reservation };
   aKeepAlive = parser.keep_alive() && HasEnd(parser, aHead);
   mKeepAlive = KeepAliveOf(head.mKeepAlive);
+  mStatesBody = parser.chunked() || parser.content_length().value_or(0) > 0;
   return {};
 }
 
@@ -207,6 +210,7 @@
   }
   const bool reused = state.mUsed;
   state.mUsed = true;
+  state.mCarriedHead = state.mCarriedHead || aRequest.mMethod == "HEAD";
   std::uint32_t passedOver = 0;
   const auto lost = [&](const std::string& aError, bool aSilent) {
     Close();
@@ -257,6 +261,10 @@
     if (!keepAlive) {
       break;
     }
+    // Whether the body that it states follows depends on the method of the other request.
+    if (!interim && state.mCarriedHead && state.mStatesBody) {
+      return lost("read: answer to another request, with or without a body", false);
+    }
   }
   return lost("read: only interim answers or answers to other requests", false);
 }
@@ -302,6 +310,7 @@
 {
   mState->mConnected = false;
   mState->mUsed = false;
+  mState->mCarriedHead = false;
   mState->mBuffer.clear();
   mState->mStream.close();
 }
