Test that a late grant to an earlier process of an entry is ignored

Request numbers start at the incarnation of the process, a random number of 63 bits, so that a grant for a renewal of an earlier process names none of the present one.

--- a/packages/entry/src/lease_keeping_test.cpp
+++ b/packages/entry/src/lease_keeping_test.cpp
@@ -69,6 +69,28 @@
   CHECK(mState.mStage == EntryStage::Starting);
 }
 
+// Guards against a late grant or answer to an earlier process of the entry, which is taken for that
+// to a renewal or change of the present one because numbers start anew.
+TEST_CASE_METHOD(LeaseKeepingFixture,
+                 "HandleGrant, grant for a renewal of an earlier process, is ignored",
+                 "[entry]")
+{
+  std::vector<std::uint64_t> earlier;
+  for (int n = 0; n < 16; ++n) {
+    mNow += membership::kRenewInterval;
+    earlier.push_back(Renew());
+  }
+  Options options = mState.mOptions;
+  // Incarnations are random numbers of 63 bits.
+  options.mEntry.mIncarnation = 0x1234'5678'9abc'def0;
+  mState = MakeState(options, LoadCharts(FIGHOLD_CHARTS_DIR));
+  Renew();
+  for (const std::uint64_t it : earlier) {
+    Grant(it);
+    CHECK(mState.mStage == EntryStage::Starting);
+  }
+}
+
 /// An entry beside five control processes, which it asks all at once.
 struct WholeConfigurationFixture : LeaseKeepingFixture
 {
