Test that late results and replies reach nobody else

Results of an earlier dispatch and of a request whose caller has left name a dispatch that is over, and replies name their request; numbers of both are never used again in a process.

--- a/packages/entry/src/front_test.cpp
+++ b/packages/entry/src/front_test.cpp
@@ -144,6 +144,61 @@
   CHECK(mChannels.mMetrics.Text().find("requests_abandoned_total 1") != std::string::npos);
 }
 
+// Guards against a reply that reaches another caller, because replies come in any order and one of
+// the callers, in front of the others or behind them, has left.
+TEST_CASE_METHOD(FrontFixture,
+                 "Front, replies in any order and one caller gone, reach their own callers",
+                 "[entry]")
+{
+  std::vector<RequestId> taken;
+  const auto take = [&](Tcp::socket& aSocket, int aRequests) {
+    for (int n = 0; n < aRequests; ++n) {
+      Send(aSocket, "GET /s/vardia/x HTTP/1.1\r\nHost: h\r\n\r\n");
+      const auto event = Pop(kTimeout);
+      REQUIRE(event);
+      taken.push_back(std::get<CallerRequest>(*event).mId);
+    }
+  };
+  Tcp::socket left = Connect();
+  take(left, 2);
+  Tcp::socket pipelined = Connect();
+  take(pipelined, 3);
+  left.close();
+  for (int n = 0; n < 2; ++n) {
+    const auto gone = Pop(kTimeout);
+    REQUIRE(gone);
+    CHECK(std::holds_alternative<CallerGone>(*gone));
+  }
+  Tcp::socket next = Connect();
+  take(next, 1);
+  for (auto it = taken.rbegin(); it != taken.rend(); ++it) {
+    CallerAnswer answer;
+    answer.mOutcome = Outcome::Run;
+    answer.mResponse.mBody = "<" + std::to_string(*it) + ">";
+    REQUIRE(mChannels.mReplies.TryPush(FrontCommand(Reply{ *it, answer, false })));
+  }
+  const auto bodies = [](Tcp::socket& aSocket) {
+    boost::system::error_code ec;
+    aSocket.shutdown(Tcp::socket::shutdown_send, ec);
+    std::string text;
+    boost::asio::read(aSocket, boost::asio::dynamic_buffer(text), ec);
+    std::string found;
+    for (std::size_t n = text.find('<'); n != std::string::npos; n = text.find('<', n + 1)) {
+      found += text.substr(n, text.find('>', n) - n + 1);
+    }
+    return found;
+  };
+  const auto expected = [&taken](std::size_t aFirst, std::size_t aEnd) {
+    std::string text;
+    for (std::size_t n = aFirst; n < aEnd; ++n) {
+      text += "<" + std::to_string(taken[n]) + ">";
+    }
+    return text;
+  };
+  CHECK(bodies(pipelined) == expected(2, 5));
+  CHECK(bodies(next) == expected(5, 6));
+}
+
 // Guards against limits for callers that refuse the heartbeats of backend servers at the same
 // listener, and against callers who are allowed what these calls need.
 TEST_CASE_METHOD(FrontFixture,
