--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -22,9 +22,6 @@
 
 constexpr int kEntryHostBase = 100;
 
-/// Keys are made for as many control processes and entries, since daemons read them all at start.
-constexpr int kMaxProcesses = 9;
-
 constexpr Millis kPollInterval{ 50 };
 
 /// Loopback hosts "127.a.b.n": a and b follow from the process id and the number of the cluster
@@ -76,8 +73,9 @@
 
 } // namespace
 
-Cluster::Cluster(int aControls)
+Cluster::Cluster(int aControls, int aMaxProcesses)
   : mControls(aControls)
+  , mMaxProcesses(aMaxProcesses)
   , mSubnet(NewSubnet())
 {
   std::string name = (std::filesystem::temp_directory_path() / "fighold-test-XXXXXX").string();
@@ -103,7 +101,7 @@
 Cluster::MakeKeys() const
 {
   std::filesystem::create_directory(mFolder / "keys");
-  for (int n = 1; n <= kMaxProcesses; ++n) {
+  for (int n = 1; n <= mMaxProcesses; ++n) {
     Ctl({}, { "keys", "new", KeyFile("c" + std::to_string(n)) });
     Ctl({}, { "keys", "new", KeyFile("e" + std::to_string(n)) });
   }
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -30,7 +30,9 @@
 class Cluster
 {
 public:
-  explicit Cluster(int aControls = 3);
+  /// @param aMaxProcesses highest number of a control process or entry; keys are made for all,
+  /// since daemons read them at start
+  explicit Cluster(int aControls = 3, int aMaxProcesses = 9);
   ~Cluster();
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
@@ -114,6 +116,7 @@
   void Start(const std::string& aName, std::vector<std::string> aArguments);
 
   int mControls;
+  int mMaxProcesses;
   std::string mSubnet;
   std::filesystem::path mFolder;
   std::map<std::string, pid_t> mProcesses;
--- a/tests/support/faulty_server.hpp
+++ b/tests/support/faulty_server.hpp
@@ -119,12 +119,7 @@
     boost::asio::ip::tcp::socket wake(mContext);
     wake.connect(mAcceptor.local_endpoint(), ec);
     mThread.join();
-    {
-      const std::lock_guard lock(mMutex);
-      for (FaultyConnection* it : mOpenConnections) {
-        it->Abort();
-      }
-    }
+    AbortConnections();
     for (std::thread& it : mThreads) {
       it.join();
     }
@@ -133,6 +128,15 @@
   FaultyServer(const FaultyServer&) = delete;
   FaultyServer& operator=(const FaultyServer&) = delete;
 
+  /// Ends all connections. The server goes on listening.
+  void AbortConnections()
+  {
+    const std::lock_guard lock(mMutex);
+    for (FaultyConnection* it : mOpenConnections) {
+      it->Abort();
+    }
+  }
+
   Endpoint Address() const { return { "127.0.0.1", mAcceptor.local_endpoint().port() }; }
   int Connections() const { return mConnections; }
   int Requests() const { return mRequests; }
--- a/tests/support/raw_answer.hpp
+++ b/tests/support/raw_answer.hpp
@@ -24,8 +24,11 @@
 
 /// Waits for an answer with a length, or the end of the connection.
 /// @param aBuffer bytes that were read and belong to no answer yet
+/// @param aBody receives the body of a whole answer
 inline RawAnswer
-ReadRawAnswer(boost::asio::ip::tcp::socket& aSocket, std::string& aBuffer)
+ReadRawAnswer(boost::asio::ip::tcp::socket& aSocket,
+              std::string& aBuffer,
+              std::string* aBody = nullptr)
 {
   boost::system::error_code ec;
   const std::size_t head =
@@ -44,6 +47,9 @@
                       ec);
   }
   const bool isWhole = aBuffer.size() >= whole;
+  if (isWhole && aBody != nullptr) {
+    *aBody = aBuffer.substr(head, whole - head);
+  }
   aBuffer.erase(0, whole);
   return { isWhole,
            lines.find("Connection: close") != std::string::npos,
--- a/tests/support/raw_caller.hpp
+++ b/tests/support/raw_caller.hpp
@@ -43,7 +43,8 @@
   }
 
   /// Waits for an answer or the end of the connection.
-  RawAnswer Read() { return ReadRawAnswer(mSocket, mBuffer); }
+  /// @param aBody receives the body of a whole answer
+  RawAnswer Read(std::string* aBody = nullptr) { return ReadRawAnswer(mSocket, mBuffer, aBody); }
 
 private:
   boost::asio::io_context mContext;
