Drop a request whose caller leaves while it waits in the inbox

Servers got requests of callers that had left up to a second before (GONE): the word that a caller has left waited in the inbox behind other events, and came right after the dispatch of its request.

It now overtakes the events that wait: the ring takes urgent values. The entry remembers it until the request arrives, which is then answered without being sent. Requests reach the decide thread in the order of their identifiers, so that nothing is remembered for one that has been handled.

"Forward, caller left before its turn, ...", its like for services of the plan, and "Front, caller leaves while its request waits, ..." try it.

--- a/packages/entry/include/fighold/entry/state.hpp
+++ b/packages/entry/include/fighold/entry/state.hpp
@@ -183,6 +183,8 @@
   std::map<std::string, Millis>
     mLongestCallerDeadlines; ///< by route; basis for Forward::mPriorWait
   std::map<RequestId, Forward> mForwards;
+  std::set<RequestId> mGoneBeforeArrival; ///< callers that left while their requests waited
+  RequestId mLastArrival = 0;             ///< requests arrive in the order of their identifiers
   std::map<ServiceId, ServicePool> mPools;
   routes::ServerLoads mServerLoads;
   std::map<ServerKey, Availability> mAvailabilities; ///< of servers that said something of it
--- a/packages/entry/src/decide.cpp
+++ b/packages/entry/src/decide.cpp
@@ -11,6 +11,8 @@
 #include "stage_chart.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <type_traits>
 
 namespace fighold::entry {
 namespace {
@@ -47,6 +49,24 @@
   }
 }
 
+/// @return identifier of the request if the event is one of the front, or nothing
+std::optional<RequestId>
+ArrivingRequest(const Event& aEvent)
+{
+  return std::visit(
+    [](const auto& aBody) -> std::optional<RequestId> {
+      using Body = std::decay_t<decltype(aBody)>;
+      if constexpr (std::is_same_v<Body, CallerRequest> || std::is_same_v<Body, ForwardRequest> ||
+                    std::is_same_v<Body, Lookup> || std::is_same_v<Body, BackendRenewal> ||
+                    std::is_same_v<Body, BackendDeparture> || std::is_same_v<Body, StatusRequest>) {
+        return aBody.mId;
+      } else {
+        return std::nullopt;
+      }
+    },
+    aEvent);
+}
+
 /// Lists the entries of one region first, then the others, each in random order to spread callers
 /// over the entries.
 std::vector<LookupEntry>
@@ -165,6 +185,10 @@
 void
 Handle(const CallerGone& aGone, Context& aContext)
 {
+  if (aGone.mId > aContext.mState.mLastArrival) {
+    aContext.mState.mGoneBeforeArrival.insert(aGone.mId);
+    return;
+  }
   HandleCallerGone(aContext.mState, aGone.mId, aContext.mEffects, aContext.mNow);
   HandleForwardCallerGone(aContext.mState, aGone, aContext.mEffects, aContext.mNow);
 }
@@ -216,7 +240,12 @@
   if (!membership::IsValid(aState.mLease, aNow)) {
     FireStage(aState, StageEvent::LeaseLost, context.mEffects, aNow);
   }
+  const auto arriving = ArrivingRequest(aEvent);
+  aState.mLastArrival = std::max(aState.mLastArrival, arriving.value_or(0));
   std::visit([&](auto& aBody) { Handle(std::move(aBody), context); }, aEvent);
+  if (arriving) {
+    aState.mGoneBeforeArrival.erase(*arriving);
+  }
   if (!routing::IsEmpty(aState.mQueue)) {
     DispatchWaiting(aState, context.mEffects, aNow);
   }
--- a/packages/entry/src/forward_chart.cpp
+++ b/packages/entry/src/forward_chart.cpp
@@ -65,6 +65,12 @@
   return aScope.mNow >= aScope.mState.mStop.mArrivalDeadline;
 }
 
+bool
+HasCallerLeft(const ForwardScope& aScope)
+{
+  return aScope.mState.mGoneBeforeArrival.count(aScope.mForward.mRequest.mId) > 0;
+}
+
 bool
 NotConfigured(const ForwardScope& aScope)
 {
@@ -246,6 +252,13 @@
   ReplyWith(aScope, std::move(answer));
 }
 
+/// As AnswerCallerGone(), for a request that was not sent.
+void
+AnswerCallerLeft(ForwardScope& aScope)
+{
+  AnswerNotRun(aScope, "caller-gone", kUnavailable, Millis(0));
+}
+
 /// Nobody reads this answer, but the front thread needs one to end the request.
 void
 AnswerCallerGone(ForwardScope& aScope)
@@ -456,7 +469,8 @@
 {
   return { { "received", "dispatched", "answered", "not_run", "unknown" },
            { "arrived", "answered", "refused", "unsent", "lost", "caller_gone", "stop_expired" },
-           { { "past_arrival_deadline", IsPastArrivalDeadline },
+           { { "caller_left", HasCallerLeft },
+             { "past_arrival_deadline", IsPastArrivalDeadline },
              { "not_configured", NotConfigured },
              { "no_such_route", NoSuchRoute },
              { "too_many", TooManyInFlight },
@@ -476,6 +490,7 @@
              { "answer_result", AnswerResult },
              { "answer_unknown", AnswerUnknown },
              { "answer_gone", AnswerCallerGone },
+             { "answer_left", AnswerCallerLeft },
              { "note_lost", SetMayHaveRun },
              { "send", DispatchForward },
              { "send_again", RedispatchForward },
--- a/packages/entry/src/forward_chart_test.cpp
+++ b/packages/entry/src/forward_chart_test.cpp
@@ -147,6 +147,21 @@
   CHECK(mState.mForwards.empty());
 }
 
+// Guards against a request that is sent on after its caller has left, because it waited for its
+// turn in the inbox for longer than the caller.
+TEST_CASE_METHOD(ForwardFixture, "Forward, caller left before its turn, is not sent", "[entry]")
+{
+  Grant();
+  HandleEvent(CallerGone{ mNextId, "closed" });
+  Arrive("/read/1");
+  CHECK(EffectsOfType<Dispatch>().empty());
+  CHECK(LastAnswer().mReason == "caller-gone");
+  CHECK(mState.mForwards.empty());
+  CHECK(mState.mGoneBeforeArrival.empty());
+  Arrive("/read/2");
+  CHECK(EffectsOfType<Dispatch>().size() == 1);
+}
+
 // Guards against a log from which a caller that left cannot be told from a connection that this
 // entry closed.
 TEST_CASE_METHOD(ForwardFixture, "Forward, caller gone, logs what ended the connection", "[entry]")
--- a/packages/entry/src/front.cpp
+++ b/packages/entry/src/front.cpp
@@ -120,9 +120,10 @@
       mChannels.mMetrics.Count("inbox_full_total");
       return mCodec.mOverloadResponse("inbox-full");
     }
-    // If the inbox is full, the request is not cancelled, and its answer is dropped.
+    // Behind a long inbox it would come after the dispatch of the request. If the inbox is full,
+    // the request is not cancelled, and its answer is dropped.
     aWatch.mOnGone = [this, id](const std::string& aCause) {
-      mChannels.mInbox.TryPush(CallerGone{ id, aCause }, kInboxReserve);
+      mChannels.mInbox.TryPushUrgent(CallerGone{ id, aCause }, kInboxReserve);
     };
     const Reply reply = future.get();
     aWatch.mOnGone = nullptr;
--- a/packages/entry/src/front_test.cpp
+++ b/packages/entry/src/front_test.cpp
@@ -199,6 +199,34 @@
   CHECK(bodies(next) == expected(5, 6));
 }
 
+// Guards against the word that a caller has left which waits behind its request, so that the
+// request is sent to a backend server first.
+TEST_CASE_METHOD(FrontFixture,
+                 "Front, caller leaves while its request waits, is told before the request",
+                 "[entry]")
+{
+  const auto awaitEvents = [this](std::size_t aCount) {
+    const Instant until = std::chrono::steady_clock::now() + kTimeout;
+    while (mChannels.mInbox.Size() < aCount && std::chrono::steady_clock::now() < until) {
+      std::this_thread::sleep_for(Millis(5));
+    }
+    REQUIRE(mChannels.mInbox.Size() == aCount);
+  };
+  Tcp::socket left = Connect();
+  Send(left, "GET /s/vardia/left HTTP/1.1\r\nHost: h\r\n\r\n");
+  awaitEvents(1);
+  left.close();
+  awaitEvents(2);
+  const auto first = Pop(kTimeout);
+  const auto second = Pop(kTimeout);
+  const auto* gone = std::get_if<CallerGone>(&*first);
+  const auto* request = std::get_if<CallerRequest>(&*second);
+  REQUIRE(gone != nullptr);
+  REQUIRE(request != nullptr);
+  CHECK(gone->mId == request->mId);
+  REQUIRE(mChannels.mReplies.TryPush(FrontCommand(Reply{ gone->mId, CallerAnswer{}, false })));
+}
+
 // Guards against limits for callers that refuse the heartbeats of backend servers at the same
 // listener, and against callers who are allowed what these calls need.
 TEST_CASE_METHOD(FrontFixture,
--- a/packages/entry/src/request_chart.cpp
+++ b/packages/entry/src/request_chart.cpp
@@ -17,6 +17,12 @@
   return aScope.mNow >= aScope.mState.mStop.mArrivalDeadline;
 }
 
+bool
+HasCallerLeft(const RequestScope& aScope)
+{
+  return aScope.mState.mGoneBeforeArrival.count(aScope.mRequest.mRequest.mId) > 0;
+}
+
 bool
 NoLease(const RequestScope& aScope)
 {
@@ -246,7 +252,8 @@
              "lost",
              "caller_gone",
              "stop_expired" },
-           { { "past_arrival_deadline", IsPastArrivalDeadline },
+           { { "caller_left", HasCallerLeft },
+             { "past_arrival_deadline", IsPastArrivalDeadline },
              { "no_lease", NoLease },
              { "not_admitted", TooManyInFlight },
              { "no_route", NoRoute },
--- a/packages/entry/src/request_chart_test.cpp
+++ b/packages/entry/src/request_chart_test.cpp
@@ -140,6 +140,18 @@
   CHECK(All<Dispatch>().size() == 2);
 }
 
+// Guards against a request that is sent on after its caller has left, because it waited for its
+// turn in the inbox for longer than the caller.
+TEST_CASE_METHOD(ShareFixture, "Request, caller left before its turn, is not sent", "[entry]")
+{
+  HandleEvent(CallerGone{ 1 });
+  Arrive(1, "GET", "");
+  CHECK(All<Dispatch>().empty());
+  CHECK(All<Reply>().size() == 1);
+  Arrive(2, "GET", "");
+  CHECK(All<Dispatch>().size() == 1);
+}
+
 // Guards against an entry that keeps using its base share after the right to it has expired.
 TEST_CASE_METHOD(ShareFixture,
                  "Request, right to the base share expired, is not dispatched",
--- a/packages/ring/include/fighold/ring/bounded_ring.hpp
+++ b/packages/ring/include/fighold/ring/bounded_ring.hpp
@@ -13,7 +13,8 @@
 /// Bounded hand-over of values between threads.
 namespace fighold::ring {
 
-/// A bounded first-in first-out ring for any number of writers and one reader.
+/// A bounded first-in first-out ring for any number of writers and one reader. Urgent values
+/// overtake the others.
 ///
 /// A writer never waits: a full ring is reported to it, and the writer gives the defined answer.
 /// The reader sleeps on a condition variable, or in an event loop that the wake-up function
@@ -43,23 +44,13 @@
   /// @return false when the ring is too full or closed
   bool TryPush(T&& aValue, std::size_t aReserve = 0)
   {
-    bool wasEmpty = false;
-    {
-      const std::lock_guard lock(mMutex);
-      if (mClosed || mCount + aReserve >= mSlots.size()) {
-        return false;
-      }
-      wasEmpty = mCount == 0;
-      mSlots[(mHead + mCount) % mSlots.size()].emplace(std::move(aValue));
-      ++mCount;
-    }
-    if (wasEmpty) {
-      mNotEmpty.notify_one();
-      if (mWakeup) {
-        mWakeup();
-      }
-    }
-    return true;
+    return Insert(std::move(aValue), aReserve, false);
+  }
+
+  /// Writes a value that is read before the values held, as TryPush() otherwise.
+  bool TryPushUrgent(T&& aValue, std::size_t aReserve = 0)
+  {
+    return Insert(std::move(aValue), aReserve, true);
   }
 
   /// @return the oldest value, or nothing when the ring is empty
@@ -118,6 +109,29 @@
   std::size_t Capacity() const { return mSlots.size(); }
 
 private:
+  bool Insert(T&& aValue, std::size_t aReserve, bool aFirst)
+  {
+    bool wasEmpty = false;
+    {
+      const std::lock_guard lock(mMutex);
+      const std::size_t slots = mSlots.size();
+      if (mClosed || mCount + aReserve >= slots) {
+        return false;
+      }
+      wasEmpty = mCount == 0;
+      mHead = aFirst ? (mHead + slots - 1) % slots : mHead;
+      mSlots[aFirst ? mHead : (mHead + mCount) % slots].emplace(std::move(aValue));
+      ++mCount;
+    }
+    if (wasEmpty) {
+      mNotEmpty.notify_one();
+      if (mWakeup) {
+        mWakeup();
+      }
+    }
+    return true;
+  }
+
   std::optional<T> Take()
   {
     if (mCount == 0) {
--- a/packages/ring/src/bounded_ring_test.cpp
+++ b/packages/ring/src/bounded_ring_test.cpp
@@ -29,6 +29,21 @@
   CHECK_FALSE(mRing.TryPop().has_value());
 }
 
+// Guards against an urgent value that waits behind the others, or takes the place of one of them.
+TEST_CASE_METHOD(BoundedRingFixture, "BoundedRing, urgent value, is read first", "[ring]")
+{
+  CHECK(mRing.TryPush(1));
+  CHECK(mRing.TryPush(2));
+  CHECK(mRing.TryPushUrgent(3));
+  CHECK_FALSE(mRing.TryPushUrgent(4, 1));
+  CHECK(mRing.TryPushUrgent(4));
+  CHECK_FALSE(mRing.TryPushUrgent(5));
+  for (const int expected : { 4, 3, 1, 2 }) {
+    CHECK(mRing.TryPop() == expected);
+  }
+  CHECK_FALSE(mRing.TryPop().has_value());
+}
+
 // Guards against new work taking the places kept for results of running work.
 TEST_CASE_METHOD(BoundedRingFixture,
                  "BoundedRing, write with a reserve, leaves the reserved places free",
