Connect the pipelining clients before the stop is timed

A client of "HttpServer, stop beside pipelining clients, ..." connects on a thread of its own, while the stop comes 100 ms or more after the threads are created; a thread that starts later finds the listener closed, and nobody catches its exception.

The clients are connected before their threads start, so that all of them take part in the stop; the checks are the same.

--- a/packages/net/src/closing_test.cpp
+++ b/packages/net/src/closing_test.cpp
@@ -6,7 +6,9 @@
 #include <algorithm>
 #include <atomic>
 #include <deque>
+#include <memory>
 #include <random>
+#include <vector>
 
 namespace fighold::net {
 namespace {
@@ -94,11 +96,28 @@
   std::mutex mAnswersMutex;
   std::vector<std::string> mCut; ///< requests without a whole answer, not behind an answer that
                                  ///< says "close"
+  std::vector<std::unique_ptr<SlowClient>> mClients; ///< connected, one for each RunClient()
+
+  explicit PipeliningFixture(int aClients)
+  {
+    for (int n = 0; n < aClients; ++n) {
+      mClients.push_back(std::make_unique<SlowClient>(mServer.Address()));
+    }
+  }
+
+  std::unique_ptr<SlowClient> TakeClient()
+  {
+    const std::lock_guard lock(mAnswersMutex);
+    auto client = std::move(mClients.back());
+    mClients.pop_back();
+    return client;
+  }
 
   void RunClient(std::uint64_t aSeed)
   {
     std::mt19937_64 random(aSeed);
-    SlowClient client(mServer.Address());
+    const auto taken = TakeClient();
+    SlowClient& client = *taken;
     const std::size_t depth = 1 + random() % 8;
     std::deque<std::string> open;
     bool ended = false;
@@ -133,7 +152,7 @@
   const std::uint64_t first = FromEnvironment("FIGHOLD_SEED", 1);
   const std::uint64_t runs = FromEnvironment("FIGHOLD_RUNS", 4);
   for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-    PipeliningFixture fixture;
+    PipeliningFixture fixture(kClients);
     const bool allEnded =
       testing::StopBesideClients(fixture, kClients, 400, seed, kSlowClientsLimit);
     INFO("seed " << seed);
