Split the exchange of a dispatch into connecting and exchanging

Acquiring a connection, the exchange, and what its answer means stood in one function of 75 lines, which asked the dialect twice for the meaning of an answer that names no request. Connecting is a function of its own, and the meaning is found once, before the connection goes back to the pool. Four tests shared the text of an answer; it stands in their fixture's header now.

--- a/packages/entry/src/answer_framing_test.cpp
+++ b/packages/entry/src/answer_framing_test.cpp
@@ -10,12 +10,11 @@
 using fighold::testing::FaultyServer;
 using net::ExchangeStage;
 
+/// @param aNumber number of the request at the server
 std::string
-AnswerText(const std::string& aId, const std::string& aBody, int aNumber = 0)
+NumberedAnswer(const std::string& aId, const std::string& aBody, int aNumber = 0)
 {
-  return "HTTP/1.1 200 OK\r\nFighold-Request-Id: " + aId +
-         "\r\nNumber: " + std::to_string(aNumber) +
-         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  return AnswerText(aId, "Number: " + std::to_string(aNumber) + "\r\n", aBody);
 }
 
 /// Requests with and without a body in their answers, on one connection.
@@ -40,21 +39,21 @@
 {
   const bool isHeadFirst = GENERATE(true, false);
   // Bodies look like the answer to the second request.
-  const std::string forged = AnswerText("8", "forged");
+  const std::string forged = NumberedAnswer("8", "forged");
   const std::string ownHead =
-    AnswerText("8", forged).substr(0, AnswerText("8", forged).find(forged));
+    NumberedAnswer("8", forged).substr(0, NumberedAnswer("8", forged).find(forged));
   const std::size_t length = GENERATE_COPY(
     std::size_t{ 0 }, std::size_t{ 5 }, ownHead.size(), forged.size(), std::size_t{ 100'000 });
   INFO("HEAD first: " << isHeadFirst << ", length " << length);
   const std::string body =
     forged + std::string(std::max(length, forged.size()) - forged.size(), ' ');
-  const std::string whole = AnswerText("7", body.substr(0, length));
+  const std::string whole = NumberedAnswer("7", body.substr(0, length));
   const std::string head = whole.substr(0, whole.size() - length);
   FaultyServer server([&](FaultyConnection& aConnection, int aRequest) {
     const std::string first = isHeadFirst ? head : whole;
     const bool isHead = aConnection.Head().rfind("HEAD", 0) == 0;
     const std::string own =
-      AnswerText(aConnection.Header("Fighold-Request-Id"), isHead ? "" : forged, aRequest);
+      NumberedAnswer(aConnection.Header("Fighold-Request-Id"), isHead ? "" : forged, aRequest);
     return aConnection.Write(aRequest == 1 ? first : aRequest == 2 ? first + own : own);
   });
   CHECK(Send(server, 7, isHeadFirst ? "HEAD" : "GET").mStage == ExchangeStage::Answered);
@@ -83,9 +82,10 @@
       text += "HTTP/1.1 103 Early Hints\r\nFighold-Request-Id: 8\r\n\r\n";
     }
     for (int n = 0; n < foreign && aRequest == 2; ++n) {
-      text += AnswerText("7", "first");
+      text += NumberedAnswer("7", "first");
     }
-    return aConnection.Write(text + AnswerText(aConnection.Header("Fighold-Request-Id"), "own"));
+    return aConnection.Write(text +
+                             NumberedAnswer(aConnection.Header("Fighold-Request-Id"), "own"));
   });
   CHECK(Send(server, 7, "GET").mResponse.mBody == "own");
   const auto second = Send(server, 8, "GET");
--- a/packages/entry/src/attempt_log_test.cpp
+++ b/packages/entry/src/attempt_log_test.cpp
@@ -9,12 +9,6 @@
 using fighold::testing::FaultyConnection;
 using fighold::testing::FaultyServer;
 
-std::string
-AnswerFor(const std::string& aId)
-{
-  return "HTTP/1.1 200 OK\r\nFighold-Request-Id: " + aId + "\r\nContent-Length: 0\r\n\r\n";
-}
-
 // Guards against a log that cannot tell whether two attempts went over one connection, and whether
 // an answer to another request arrived in front of their own.
 TEST_CASE_METHOD(BackendFixture,
@@ -23,7 +17,7 @@
 {
   FaultyServer server([](FaultyConnection& aConnection, int aRequest) {
     const std::string id = aConnection.Header("Fighold-Request-Id");
-    aConnection.Write((aRequest == 2 ? AnswerFor("late") : "") + AnswerFor(id));
+    aConnection.Write((aRequest == 2 ? AnswerText("late") : "") + AnswerText(id));
     return true;
   });
   Push(MakeDispatch(server.Address(), kTimeout, kTimeout));
--- a/packages/entry/src/backend_fixture.hpp
+++ b/packages/entry/src/backend_fixture.hpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -18,6 +19,19 @@
   std::this_thread::sleep_for(Millis(aMillis));
 }
 
+/// @param aId identifier that the answer names; empty for none
+/// @param aHeaders further header lines
+inline std::string
+AnswerText(const std::string& aId,
+           const std::string& aHeaders = "",
+           const std::string& aBody = "",
+           const std::string& aStatus = "200 OK")
+{
+  return "HTTP/1.1 " + aStatus + "\r\n" +
+         (aId.empty() ? "" : "Fighold-Request-Id: " + aId + "\r\n") + aHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
 /// The backend thread with its rings; the test stands in for the decide thread.
 struct BackendFixture
 {
--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -21,6 +21,8 @@
 /// Time until a result that found the inbox full is offered again.
 constexpr Millis kInboxPause{ 5 };
 
+constexpr const char* kHeldError = "the server wants no requests";
+
 /// @return a result without an answer yet
 DispatchDone
 ResultOf(const Dispatch& aDispatch)
@@ -68,7 +70,9 @@
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
 
-  net::ExchangeResult Exchange(const Dispatch& aDispatch);
+  std::shared_ptr<PooledConnection> Connect(const Dispatch& aDispatch,
+                                            net::ExchangeResult& aResult);
+  net::ExchangeResult Exchange(const Dispatch& aDispatch, PooledConnection& aConnection);
   void DropIfFollowed(net::HttpConnection& aConnection, net::ExchangeResult& aResult) const;
   void Perform(const Dispatch& aDispatch, DispatchDone& aDone);
   void Report(DispatchDone aDone);
@@ -82,45 +86,61 @@
   void Wait(std::unique_lock<boost::fibers::mutex>& aLock);
 };
 
-net::ExchangeResult
-Backend::State::Exchange(const Dispatch& aDispatch)
+/// Acquires a connection for a dispatch, and opens it unless it is open.
+/// @param aResult receives the reason if nothing can be sent, and the time that opening took
+/// @return connection in the state busy, or null
+std::shared_ptr<PooledConnection>
+Backend::State::Connect(const Dispatch& aDispatch, net::ExchangeResult& aResult)
 {
   RunningDispatch& running = mRunning.at(aDispatch.mDispatchId);
+  const auto unsent = [&aResult](const std::string& aError) {
+    aResult = { net::ExchangeStage::NotSent, {}, aError };
+    return nullptr;
+  };
   if (running.mCancelled) {
-    return { net::ExchangeStage::NotSent, {}, "cancelled" };
+    return unsent("cancelled");
   }
   if (IsHeld(aDispatch)) {
-    return { net::ExchangeStage::NotSent, {}, "the server wants no requests" };
+    return unsent(kHeldError);
   }
   const auto now = [] { return std::chrono::steady_clock::now(); };
-  const std::string requestId = mCodec.mRequestId(aDispatch);
-  const auto connection = AcquireConnection(
-    mPool, aDispatch.mServer.mAddress, requestId, aDispatch.mConnectionShare, now());
+  const auto connection = AcquireConnection(mPool,
+                                            aDispatch.mServer.mAddress,
+                                            mCodec.mRequestId(aDispatch),
+                                            aDispatch.mConnectionShare,
+                                            now());
   if (!connection) {
-    return { net::ExchangeStage::NotSent, {}, "connection share used up" };
+    return unsent("connection share used up");
   }
   running.mConnection = connection;
   running.mExchange = { connection->mNumber, connection->mExchanges };
-  Duration connectTime{};
-  if (connection->mState == ConnectionState::Connecting) {
-    const Instant start = now();
-    const std::string error =
-      connection->mHttp->Connect(std::min(aDispatch.mExchangeDeadline, aDispatch.mConnectDeadline));
-    if (!error.empty() || running.mCancelled) {
-      FireConnection(mPool, connection, ConnectionEvent::Failed, now());
-      return { net::ExchangeStage::NotSent, {}, error };
-    }
-    // The server may have spoken while the connection was being opened.
-    if (IsHeld(aDispatch)) {
-      FireConnection(mPool, connection, ConnectionEvent::Failed, now());
-      return { net::ExchangeStage::NotSent, {}, "the server wants no requests" };
-    }
-    connectTime = now() - start;
-    mChannels.mMetrics.Count("connections_opened_total");
-    FireConnection(mPool, connection, ConnectionEvent::Connected, now());
+  if (connection->mState != ConnectionState::Connecting) {
+    return connection;
   }
+  const Instant start = now();
+  const std::string error =
+    connection->mHttp->Connect(std::min(aDispatch.mExchangeDeadline, aDispatch.mConnectDeadline));
+  if (!error.empty() || running.mCancelled) {
+    FireConnection(mPool, connection, ConnectionEvent::Failed, now());
+    return unsent(error);
+  }
+  // The server may have spoken while the connection was being opened.
+  if (IsHeld(aDispatch)) {
+    FireConnection(mPool, connection, ConnectionEvent::Failed, now());
+    return unsent(kHeldError);
+  }
+  aResult.mConnectTime = now() - start;
+  mChannels.mMetrics.Count("connections_opened_total");
+  FireConnection(mPool, connection, ConnectionEvent::Connected, now());
+  return connection;
+}
+
+net::ExchangeResult
+Backend::State::Exchange(const Dispatch& aDispatch, PooledConnection& aConnection)
+{
+  const bool isNamed = !mCodec.mRequestId(aDispatch).empty();
   // The answer to an earlier health request may be written once more; it names no request.
-  const bool isDoubtful = connection->mUnnamedRequests > 0 && !requestId.empty();
+  const bool isDoubtful = isNamed && aConnection.mUnnamedRequests > 0;
   const net::ExchangeLimits limits{
     aDispatch.mExchangeDeadline,
     aDispatch.mFirstByteDeadline,
@@ -132,20 +152,12 @@
     },
   };
   const auto timeLeft = std::chrono::duration_cast<Millis>(
-    std::min(aDispatch.mDeadline, aDispatch.mExchangeDeadline) - now());
+    std::min(aDispatch.mDeadline, aDispatch.mExchangeDeadline) - std::chrono::steady_clock::now());
   const auto request = mCodec.mEncode(aDispatch, std::max(Millis(0), timeLeft));
-  auto result = connection->mHttp->Exchange(request, limits);
-  result.mConnectTime = connectTime;
-  // The answer to the request may follow one that names no request.
-  if (result.mStage == net::ExchangeStage::Answered && !requestId.empty() &&
-      !mCodec.mNamesRequest(result.mResponse) &&
-      mCodec.mMeaning(aDispatch, result.mResponse, result.mReused) == AnswerMeaning::Unusable) {
-    connection->mHttp->Close();
-  }
-  if (requestId.empty() && connection->mUnnamedRequests > 1) {
-    DropIfFollowed(*connection->mHttp, result);
+  auto result = aConnection.mHttp->Exchange(request, limits);
+  if (!isNamed && aConnection.mUnnamedRequests > 1) {
+    DropIfFollowed(*aConnection.mHttp, result);
   }
-  EndExchange(mPool, connection, result, now());
   return result;
 }
 
@@ -191,11 +203,24 @@
 void
 Backend::State::Perform(const Dispatch& aDispatch, DispatchDone& aDone)
 {
-  aDone.mResult = Exchange(aDispatch);
+  const auto connection = Connect(aDispatch, aDone.mResult);
+  if (!connection) {
+    return;
+  }
+  const Duration connectTime = aDone.mResult.mConnectTime;
+  aDone.mResult = Exchange(aDispatch, *connection);
+  aDone.mResult.mConnectTime = connectTime;
   if (aDone.mResult.mStage == net::ExchangeStage::Answered) {
-    aDone.mMeaning = mCodec.mMeaning(aDispatch, aDone.mResult.mResponse, aDone.mResult.mReused);
-    aDone.mReport = mCodec.mReport(aDispatch, aDone.mResult.mResponse);
+    const net::HttpResponse& response = aDone.mResult.mResponse;
+    aDone.mMeaning = mCodec.mMeaning(aDispatch, response, aDone.mResult.mReused);
+    aDone.mReport = mCodec.mReport(aDispatch, response);
+    // The answer to the request may follow one that names no request.
+    if (aDone.mMeaning == AnswerMeaning::Unusable && !mCodec.mRequestId(aDispatch).empty() &&
+        !mCodec.mNamesRequest(response)) {
+      connection->mHttp->Close();
+    }
   }
+  EndExchange(mPool, connection, aDone.mResult, std::chrono::steady_clock::now());
 }
 
 void
--- a/packages/entry/src/connection_use_test.cpp
+++ b/packages/entry/src/connection_use_test.cpp
@@ -11,13 +11,6 @@
 using fighold::testing::FaultyServer;
 using net::ExchangeStage;
 
-std::string
-AnswerText(const std::string& aId, const std::string& aHeaders, const std::string& aBody)
-{
-  return "HTTP/1.1 200 OK\r\nFighold-Request-Id: " + aId + "\r\n" + aHeaders +
-         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
-}
-
 /// The backend thread and a server that names the connection in each answer.
 struct ConnectionUseFixture : BackendFixture
 {
@@ -119,7 +112,7 @@
   FaultyServer server([](FaultyConnection& aConnection, int aRequest) {
     return aConnection.Write(
       aRequest == 2 ? "HTTP/1.1 503 Full\r\nFighold-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
-                    : AnswerText(aConnection.Header("Fighold-Request-Id"), "", ""));
+                    : AnswerText(aConnection.Header("Fighold-Request-Id")));
   });
   CHECK(Run(MakeDispatch(server.Address(), kTimeout, kTimeout)).mResponse.mStatus == 200);
   Push(MakeDispatch(server.Address(), kTimeout, kTimeout));
--- a/packages/entry/src/health_copy_test.cpp
+++ b/packages/entry/src/health_copy_test.cpp
@@ -34,11 +34,11 @@
     }
     const std::string id = aConnection.Header("Fighold-Request-Id");
     if (!id.empty()) {
-      return aConnection.Write(text + AnswerText("200 OK", id, ""));
+      return aConnection.Write(text + AnswerText(id));
     }
     mCold = 1 + static_cast<int>(mRandom() % 900);
     const std::string cold = "Fighold-Cold-Ms: " + std::to_string(mCold) + "\r\n";
-    earlier.push_back(AnswerText(mRandom() % 2 == 0 ? "200 OK" : "503 Busy", kNoId, cold));
+    earlier.push_back(AnswerText("", cold, "", mRandom() % 2 == 0 ? "200 OK" : "503 Busy"));
     return aConnection.Write(text + earlier.back());
   }
 };
@@ -84,10 +84,10 @@
                  "[entry]")
 {
   FaultyServer server([](FaultyConnection& aConnection, int aRequest) {
-    aConnection.Write(AnswerText("200 OK", kNoId, "Fighold-Cold-Ms: 0\r\n"));
+    aConnection.Write(AnswerText("", "Fighold-Cold-Ms: 0\r\n"));
     if (aRequest == 2) {
       Sleep(20);
-      aConnection.Write(AnswerText("200 OK", kNoId, "Fighold-Cold-Ms: 900\r\n"));
+      aConnection.Write(AnswerText("", "Fighold-Cold-Ms: 900\r\n"));
     }
     return true;
   });
@@ -110,7 +110,7 @@
 {
   FaultyServer server([](FaultyConnection& aConnection, int aRequest) {
     const std::string close = aRequest == 2 ? "Connection: close\r\n" : "";
-    return aConnection.Write(AnswerText("200 OK", kNoId, close + "Fighold-Leaving: 1\r\n"));
+    return aConnection.Write(AnswerText("", close + "Fighold-Leaving: 1\r\n"));
   });
   for (int n = 0; n < 2; ++n) {
     Dispatch dispatch = MakeDispatch(server.Address(), kTimeout, kTimeout);
--- a/packages/entry/src/unnamed_answer_test.cpp
+++ b/packages/entry/src/unnamed_answer_test.cpp
@@ -15,8 +15,8 @@
   const std::string health = GENERATE(as<std::string>{}, "200 OK", "503 Busy");
   FaultyServer server([&health](FaultyConnection& aConnection, int) {
     const std::string id = aConnection.Header("Fighold-Request-Id");
-    const std::string copy = AnswerText(health, kNoId, "Fighold-Cold-Ms: 0\r\n");
-    return aConnection.Write(id.empty() ? copy : copy + AnswerText("200 OK", id, ""));
+    const std::string copy = AnswerText("", "Fighold-Cold-Ms: 0\r\n", "", health);
+    return aConnection.Write(id.empty() ? copy : copy + AnswerText(id));
   });
   CHECK(Ask(server, 0).mResult.mResponse.mStatus == (health == "200 OK" ? 200 : 503));
   const DispatchDone done = Ask(server, 7);
@@ -33,7 +33,7 @@
 {
   FaultyServer server([](FaultyConnection& aConnection, int aRequest) {
     const std::string id = aConnection.Header("Fighold-Request-Id");
-    return aConnection.Write(AnswerText("200 OK", aRequest == 1 ? id : kNoId, ""));
+    return aConnection.Write(AnswerText(aRequest == 1 ? id : ""));
   });
   CHECK(Ask(server, 6).mMeaning == AnswerMeaning::Result);
   const DispatchDone done = Ask(server, 7);
@@ -48,9 +48,9 @@
   "[entry]")
 {
   FaultyServer server([](FaultyConnection& aConnection, int aRequest) {
-    const std::string answer = AnswerText("200 OK", "7", "Fighold-Cold-Ms: 0\r\n");
-    return aConnection.Write(
-      aRequest == 1 ? answer : answer + AnswerText("200 OK", kNoId, "Fighold-Cold-Ms: 900\r\n"));
+    const std::string answer = AnswerText("7", "Fighold-Cold-Ms: 0\r\n");
+    return aConnection.Write(aRequest == 1 ? answer
+                                           : answer + AnswerText("", "Fighold-Cold-Ms: 900\r\n"));
   });
   CHECK(Ask(server, 7).mMeaning == AnswerMeaning::Result);
   const DispatchDone done = Ask(server, 0);
--- a/packages/entry/src/unnamed_fixture.hpp
+++ b/packages/entry/src/unnamed_fixture.hpp
@@ -7,16 +7,6 @@
 
 namespace fighold::entry {
 
-constexpr const char* kNoId = "none";
-
-/// @param aId identifier that the answer names, or kNoId
-inline std::string
-AnswerText(const std::string& aStatus, const std::string& aId, const std::string& aHeaders)
-{
-  const std::string id = aId == kNoId ? "" : "Fighold-Request-Id: " + aId + "\r\n";
-  return "HTTP/1.1 " + aStatus + "\r\n" + id + aHeaders + "Content-Length: 0\r\n\r\n";
-}
-
 /// The backend thread with a dialect whose health requests have no identifier; answers to requests
 /// that name none cannot be used.
 struct UnnamedHealthFixture : BackendFixture
