--- a/packages/entry/src/backend_thread.cpp
+++ b/packages/entry/src/backend_thread.cpp
@@ -104,11 +104,11 @@
     return unsent(kHeldError);
   }
   const auto now = [] { return std::chrono::steady_clock::now(); };
-  const auto connection = AcquireConnection(mPool,
-                                            aDispatch.mServer.mAddress,
-                                            mCodec.mRequestId(aDispatch),
-                                            aDispatch.mConnectionShare,
-                                            now());
+  auto connection = AcquireConnection(mPool,
+                                      aDispatch.mServer.mAddress,
+                                      mCodec.mRequestId(aDispatch),
+                                      aDispatch.mConnectionShare,
+                                      now());
   if (!connection) {
     return unsent("connection share used up");
   }
