Ask for hidden answers before the record of an attempt in the seeded test

The fixture asked the server for the record of a request first, and then whether unread copies may hide its answer. The check is as strict as before.

--- a/packages/entry/src/copied_refusal_fixture.hpp
+++ b/packages/entry/src/copied_refusal_fixture.hpp
@@ -215,6 +215,8 @@
   void CheckDone(const DispatchDone& aDone, const SentAttempt& aSent)
   {
     using net::ExchangeStage;
+    // Asked first, since the server forgets the copies when it reads the request behind them.
+    const bool mayHideAnswer = mServer.HasConfusingCopies(aSent.mMethod);
     const auto record = mServer.RecordOf(aDone.mDispatchId);
     const bool isSilent =
       testing::PlanOf(mSeed, aDone.mDispatchId).mKind == testing::AnswerKind::Silence;
@@ -229,8 +231,8 @@
       CheckAnswered(aDone, aSent);
     } else if (aDone.mResult.mStage == ExchangeStage::NoAnswer) {
       // A request that is given up may be lost before the server reads it.
-      const bool mayBeLost = record ? record->mMayBeLost || record->mIsUnnamedAgain
-                                    : isSilent || mServer.HasConfusingCopies(aSent.mMethod);
+      const bool mayBeLost =
+        record ? record->mMayBeLost || record->mIsUnnamedAgain : isSilent || mayHideAnswer;
       CHECK(mayBeLost);
       ++mCounts.mLost;
     } else {
