--- a/packages/net/src/closing_test.cpp
+++ b/packages/net/src/closing_test.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace fighold::net {
@@ -15,7 +16,9 @@
 
 using testing::ClosingFixture;
 using testing::FromEnvironment;
+using testing::RawAnswer;
 using testing::ReadAnswer;
+using testing::ReadRawAnswer;
 using testing::Request;
 using testing::SlowClient;
 
@@ -90,6 +93,32 @@
   CHECK_FALSE(HasRun("/behind"));
 }
 
+// Guards against a refusal of a request at fault that overtakes or cuts off the answer to the
+// running request in front of it.
+TEST_CASE_METHOD(ClosingFixture,
+                 "HttpServer, request at fault behind a running one, is refused after its answer",
+                 "[net]")
+{
+  const std::string line = "GET /fault HTTP/1.1\r\nHost: h\r\n";
+  const auto [status, text] = GENERATE_COPY(table<unsigned, std::string>({
+    { 400, "no request\r\n\r\n" },
+    { 400, line + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx" },
+    { 413, line + "Content-Length: 99999999999\r\n\r\n" },
+    { 431, line + "X-Large: " + std::string(200'000, 'x') + "\r\n\r\n" },
+  }));
+  INFO("expected refusal " << status);
+  SlowClient client(mServer.Address());
+  client.Send(Request("/running", 10, 200) + text);
+  const RawAnswer own = ReadRawAnswer(client.mSocket, client.mBuffer);
+  CHECK(own == RawAnswer{ true, false, 200, false });
+  CHECK(HasRun("/running"));
+  const RawAnswer refusal = ReadRawAnswer(client.mSocket, client.mBuffer);
+  CHECK(refusal.mIsWhole);
+  CHECK(refusal.mCloses);
+  CHECK(refusal.mStatus == status);
+  CHECK_FALSE(HasRun("/fault"));
+}
+
 /// Clients that keep several requests open on a connection, each until the server closes it.
 struct PipeliningFixture : ClosingFixture
 {
